Set down the workspace, the shared types and the design

The decision library holds the model, the timer service, the event catalogue and the sealed events and actions of the control thread.

--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios on virtual time and their report. */
+package org.catkinlift.bench;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The order and application of configuration versions. */
+package org.catkinlift.configuration;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/connections/package-info.java
@@ -0,0 +1,2 @@
+/** The health of connections and the matching of answers. */
+package org.catkinlift.connections;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/PeerMessage.java
@@ -0,0 +1,132 @@
+package org.catkinlift.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.Versioned;
+
+/** A control message between daemons. */
+public sealed interface PeerMessage {
+
+  /**
+   * Introduces the sender, at the start and whenever it learns of a new host.
+   *
+   * @param self the sender
+   * @param known the other hosts that the sender knows
+   * @param wantsReply whether the receiver should introduce itself in turn
+   */
+  record Hello(HostDefinition self, ImmutableSet<HostDefinition> known, boolean wantsReply)
+      implements PeerMessage {}
+
+  /**
+   * The coordinator's periodic message to each daemon of its cell.
+   *
+   * @param cell the cell
+   * @param term the coordinator's term
+   * @param sequence counts the heartbeats of this term; the answer repeats it
+   * @param answered the sequence of the latest heartbeat whose answer from this receiver has
+   *     arrived; 0 if none has
+   * @param digest the versions that the coordinator has
+   * @param leases the dispatch leases of the receiver; {@code remaining} counts from the moment at
+   *     which the receiver sent the answer to heartbeat {@code answered}
+   */
+  record Heartbeat(
+      CellId cell,
+      long term,
+      long sequence,
+      long answered,
+      Digest digest,
+      ImmutableList<DispatchLease> leases)
+      implements PeerMessage {}
+
+  /**
+   * A daemon's answer to a heartbeat.
+   *
+   * @param cell the cell
+   * @param term the term of the heartbeat
+   * @param sequence the sequence of the heartbeat
+   * @param digest the versions that the sender has
+   * @param loads the load of the upstreams that the sender dispatches to
+   */
+  record HeartbeatAck(
+      CellId cell, long term, long sequence, Digest digest, ImmutableList<UpstreamLoad> loads)
+      implements PeerMessage {}
+
+  /**
+   * Asks a voter not to take a role for some time.
+   *
+   * @param row the platform row of the role, as {@code cell/<cell>} or {@code takeover/<cell>}
+   * @param term the term of the holder that asks
+   * @param sequence counts the requests of this term; the answer repeats it
+   * @param duration the wanted promise, counted by the holder from the sending of this request
+   */
+  record PromiseRequest(String row, long term, long sequence, Duration duration)
+      implements PeerMessage {}
+
+  /**
+   * Promises not to take a role.
+   *
+   * @param row the platform row of the role
+   * @param term the term of the request
+   * @param sequence the sequence of the request
+   * @param duration the promise; zero if the voter promises nothing
+   * @param newestTerm the latest term of this role that the voter knows of
+   */
+  record Promise(String row, long term, long sequence, Duration duration, long newestTerm)
+      implements PeerMessage {}
+
+  /**
+   * States which versions a daemon has.
+   *
+   * @param versions the version of each {@link Versioned} value by name
+   */
+  record Digest(ImmutableMap<String, Epoch> versions) implements PeerMessage {}
+
+  /**
+   * Asks for values that the receiver has in a later version.
+   *
+   * @param names the names of the wanted values
+   */
+  record Pull(ImmutableList<String> names) implements PeerMessage {}
+
+  /**
+   * Answers a {@link Pull}.
+   *
+   * @param values the values
+   */
+  record PullReply(ImmutableList<Versioned> values) implements PeerMessage {}
+
+  /**
+   * Tells peers that the sender stops by plan.
+   *
+   * @param host the sender
+   */
+  record Leaving(HostId host) implements PeerMessage {}
+
+  /**
+   * The load of one upstream as its dispatcher saw it.
+   *
+   * @param upstream the upstream
+   * @param instance the run of the upstream's process that the dispatcher last saw; empty if none
+   * @param currentLimit the limit in force, below the configured one while the upstream is cold
+   * @param inFlight the requests in execution
+   * @param queued the requests in the queue
+   * @param slotLoads the work per second by slot index, for slots with any
+   * @param keyLoads the work per second of the hottest keys
+   */
+  record UpstreamLoad(
+      UpstreamId upstream,
+      String instance,
+      int currentLimit,
+      int inFlight,
+      int queued,
+      ImmutableMap<Integer, Double> slotLoads,
+      ImmutableMap<String, Double> keyLoads) {}
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/VersionStore.java
@@ -0,0 +1,141 @@
+package org.catkinlift.control;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.Versioned;
+
+/**
+ * Keeps the latest version of each value that spreads among daemons.
+ *
+ * <p>A value is replaced only by a later one, so nothing that was in force on this daemon reverts.
+ * Control thread only.
+ */
+public final class VersionStore {
+  private final Map<String, Versioned> values = new TreeMap<>();
+
+  /**
+   * Takes a value over if it is later than the present one.
+   *
+   * @param value the value
+   * @return true if the value was taken over
+   */
+  @CanIgnoreReturnValue
+  public boolean offer(Versioned value) {
+    Versioned present = values.get(value.name());
+    if (present != null && !value.order().isAfter(present.order())) {
+      return false;
+    }
+    values.put(value.name(), value);
+    return true;
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration; {@link Configuration#EMPTY} if none has arrived
+   */
+  public Configuration configuration() {
+    return values.get(Configuration.NAME) instanceof Configuration c ? c : Configuration.EMPTY;
+  }
+
+  /**
+   * Returns a home map.
+   *
+   * @param service the service
+   * @return the home map, if one has arrived
+   */
+  public Optional<HomeMap> homeMap(ServiceName service) {
+    return valuesOf(HomeMap.class).stream().filter(h -> h.service().equals(service)).findFirst();
+  }
+
+  /**
+   * Returns the assignments of all cells.
+   *
+   * @param service the service
+   * @return the assignments, ordered by cell
+   */
+  public ImmutableList<Assignment> assignments(ServiceName service) {
+    return valuesOf(Assignment.class).stream()
+        .filter(a -> a.service().equals(service))
+        .collect(toImmutableList());
+  }
+
+  /**
+   * Returns the assignment of one cell.
+   *
+   * @param service the service
+   * @param cell the cell
+   * @return the assignment, if one has arrived
+   */
+  public Optional<Assignment> assignment(ServiceName service, CellId cell) {
+    return assignments(service).stream().filter(a -> a.cell().equals(cell)).findFirst();
+  }
+
+  /**
+   * Returns the dispatchers of all cells.
+   *
+   * @return the maps, ordered by cell
+   */
+  public ImmutableList<DispatcherMap> dispatcherMaps() {
+    return valuesOf(DispatcherMap.class);
+  }
+
+  /**
+   * Returns a value by name.
+   *
+   * @param name the name
+   * @return the value, if one has arrived
+   */
+  public Optional<Versioned> value(String name) {
+    return Optional.ofNullable(values.get(name));
+  }
+
+  /**
+   * States the versions of all values.
+   *
+   * @return the digest
+   */
+  public PeerMessage.Digest digest() {
+    return new PeerMessage.Digest(
+        values.values().stream().collect(toImmutableMap(Versioned::name, Versioned::order)));
+  }
+
+  /**
+   * Names the values of which a digest has a later version.
+   *
+   * @param digest another daemon's digest
+   * @return the names, ordered
+   */
+  public ImmutableList<String> missing(PeerMessage.Digest digest) {
+    return digest.versions().entrySet().stream()
+        .filter(e -> e.getValue().isAfter(orderOf(e.getKey())))
+        .map(Map.Entry::getKey)
+        .sorted()
+        .collect(toImmutableList());
+  }
+
+  private Epoch orderOf(String name) {
+    Versioned present = values.get(name);
+    return present == null ? Epoch.NONE : present.order();
+  }
+
+  private <T extends Versioned> ImmutableList<T> valuesOf(Class<T> type) {
+    return values.values().stream()
+        .filter(type::isInstance)
+        .map(type::cast)
+        .collect(toImmutableList());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/package-info.java
@@ -0,0 +1,2 @@
+/** The events and actions of the control thread. */
+package org.catkinlift.control;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/package-info.java
@@ -0,0 +1,2 @@
+/** The catalogue of numbered log events. */
+package org.catkinlift.events;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Admission, queues and limits of upstreams. */
+package org.catkinlift.limits;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Members of cells and the dissemination of versions. */
+package org.catkinlift.membership;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/Assignment.java
@@ -0,0 +1,32 @@
+package org.catkinlift.model;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+
+/**
+ * Records who owns the slots of one keyed service in one home cell.
+ *
+ * @param service the service
+ * @param cell the home cell of all slots in {@code slots}
+ * @param version orders the assignments of this service and cell; the term of the coordinator first
+ * @param slots the owner by slot index; holds exactly the slots whose home is this cell
+ * @param overrides the owner by key of the keys that are placed apart from their slot
+ */
+public record Assignment(
+    ServiceName service,
+    CellId cell,
+    Epoch version,
+    ImmutableSortedMap<Integer, SlotOwner> slots,
+    ImmutableMap<String, SlotOwner> overrides)
+    implements Versioned {
+
+  @Override
+  public String name() {
+    return "assignment/" + service + "/" + cell;
+  }
+
+  @Override
+  public Epoch order() {
+    return version;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/NetworkAddress.java
@@ -0,0 +1,39 @@
+package org.catkinlift.model;
+
+/**
+ * Names an endpoint by IP number and port.
+ *
+ * @param ip the IP number, as text
+ * @param port the TCP port, 1 to 65,535
+ */
+public record NetworkAddress(String ip, int port) {
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Checks the port.
+   *
+   * @throws ModelException with code {@code OUT_OF_RANGE} if the port is outside its range
+   */
+  public NetworkAddress {
+    if (port < 1 || port > MAX_PORT) {
+      throw new ModelException(
+          ModelException.Code.OUT_OF_RANGE, "port must be 1 to 65535, was " + port);
+    }
+  }
+
+  /**
+   * Returns an address.
+   *
+   * @param ip the IP number
+   * @param port the TCP port
+   * @return the address
+   */
+  public static NetworkAddress of(String ip, int port) {
+    return new NetworkAddress(ip, port);
+  }
+
+  @Override
+  public String toString() {
+    return ip + ":" + port;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/package-info.java
@@ -0,0 +1,2 @@
+/** The immutable values that all decisions share. */
+package org.catkinlift.model;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/package-info.java
@@ -0,0 +1,2 @@
+/** Cell authority, grants and leases. */
+package org.catkinlift.ownership;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/package-info.java
@@ -0,0 +1,2 @@
+/** The assignment of slots to upstreams. */
+package org.catkinlift.placement;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' intents, plans and confirmations. */
+package org.catkinlift.plans;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/package-info.java
@@ -0,0 +1,2 @@
+/** Retry and hedging rules with their budgets. */
+package org.catkinlift.retries;
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/timer/package-info.java
@@ -0,0 +1,2 @@
+/** The timer service that parts subscribe to. */
+package org.catkinlift.timer;
