Add plan decisions, first version

Cause: operators state an intent, and nothing may change before they confirm the resulting plan.

Change: PlanControl makes plans from the newest configuration, stores them in the platform and confirms them in one transaction under the versions of the rows that they were made from. A lost answer is resolved by reading the rows again. Status and explain requests are answered from memory.

--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/ConfigurationDiff.java
@@ -0,0 +1,42 @@
+package org.catkinlift.plans;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.MapDifference;
+import com.google.common.collect.Maps;
+import com.google.common.collect.Sets;
+import java.util.Set;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceName;
+
+/** Describes how two configurations differ, for operators. */
+final class ConfigurationDiff {
+  private ConfigurationDiff() {}
+
+  /** Returns one phrase for each difference. */
+  static ImmutableList<String> describe(Configuration before, Configuration after) {
+    var phrases = ImmutableList.<String>builder();
+    MapDifference<ServiceName, ServiceDefinition> services =
+        Maps.difference(before.services(), after.services());
+    services.entriesOnlyOnRight().keySet().forEach(s -> phrases.add("service " + s + " created"));
+    services.entriesDiffering().keySet().forEach(s -> phrases.add("service " + s + " changed"));
+    services.entriesOnlyOnLeft().keySet().forEach(s -> phrases.add("service " + s + " removed"));
+    phrases.addAll(
+        describe("availability zone", "drained", before.drainedZones(), after.drainedZones()));
+    phrases.addAll(
+        describe("availability zone", "declared lost", before.lostZones(), after.lostZones()));
+    phrases.addAll(
+        describe("upstream", "retired", before.retiringUpstreams(), after.retiringUpstreams()));
+    phrases.addAll(describe("host", "retired", before.retiringHosts(), after.retiringHosts()));
+    return phrases.build();
+  }
+
+  private static <T> ImmutableList<String> describe(
+      String kind, String change, Set<T> before, Set<T> after) {
+    var phrases = ImmutableList.<String>builder();
+    Sets.difference(after, before).forEach(t -> phrases.add(kind + " " + t + " " + change));
+    Sets.difference(before, after)
+        .forEach(t -> phrases.add(kind + " " + t + " no longer " + change));
+    return phrases.build();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanBuilder.java
@@ -0,0 +1,172 @@
+package org.catkinlift.plans;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
+import java.time.Duration;
+import java.util.Optional;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.CutOffRule;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamDefinition;
+
+/** Makes a plan from an intent. The same intent and basis give the same plan. */
+public final class PlanBuilder {
+  /** The bound within which an accepted configuration is in force everywhere. */
+  private static final Duration IN_FORCE = Duration.ofSeconds(7);
+
+  /** The time in which an owner releases slots and the next one is granted them. */
+  private static final Duration HANDOVER = Duration.ofSeconds(1);
+
+  /** Slots come back to an upstream at this rate, so that it is not given more than it handles. */
+  private static final Duration RETURN_INTERVAL = Duration.ofSeconds(30);
+
+  private static final double RETURN_SHARE = 0.02;
+
+  private final Intent intent;
+  private final PlanBasis basis;
+
+  private PlanBuilder(Intent intent, PlanBasis basis) {
+    this.intent = intent;
+    this.basis = basis;
+  }
+
+  /**
+   * Makes a plan.
+   *
+   * @param intent what the operator wants
+   * @param basis what the plan is made from
+   * @return the plan, with refusals if it cannot be confirmed
+   */
+  public static Plan plan(Intent intent, PlanBasis basis) {
+    return new PlanBuilder(intent, basis).build();
+  }
+
+  private Plan build() {
+    ConfigurationChange change =
+        ConfigurationChange.of(intent, basis.configuration(), basis.hosts());
+    Configuration result = change.result();
+    ImmutableList<ServiceDefinition> services = affected(result);
+    var moves = ImmutableList.<Plan.Move>builder();
+    var loads = ImmutableList.<Plan.Load>builder();
+    var refusals = ImmutableList.<String>builder().addAll(change.refusals());
+    for (ServiceDefinition service : services) {
+      var prediction = MovePrediction.of(service, result, basis.assignments(service.name()));
+      moves.addAll(prediction.moves());
+      if (result.services().containsKey(service.name())) {
+        var capacity = new CapacityPrediction(service, result, basis, prediction.slotsAfter());
+        loads.addAll(capacity.upstreamLoads()).addAll(capacity.zoneLoads());
+        refusals.addAll(refusals(capacity));
+      }
+    }
+    ImmutableMap<String, Epoch> versions = assignmentVersions(services);
+    return new Plan(
+        PlanIds.of(intent, basis.configuration().version(), versions),
+        intent,
+        basis.configuration().version(),
+        versions,
+        result,
+        moves.build(),
+        loads.build(),
+        duration(services, moves.build()),
+        refusals.build());
+  }
+
+  /** Returns the services that are defined anew or of which other upstreams get work. */
+  private ImmutableList<ServiceDefinition> affected(Configuration result) {
+    Configuration present = basis.configuration();
+    return Sets.union(present.services().keySet(), result.services().keySet()).stream()
+        .filter(s -> !state(present, s).equals(state(result, s)))
+        .map(s -> result.services().getOrDefault(s, present.services().get(s)))
+        .collect(toImmutableList());
+  }
+
+  private record ServiceState(
+      ServiceDefinition definition, ImmutableList<UpstreamDefinition> admitted) {}
+
+  private static Optional<ServiceState> state(Configuration configuration, ServiceName service) {
+    return Optional.ofNullable(configuration.services().get(service))
+        .map(s -> new ServiceState(s, admitted(configuration, s)));
+  }
+
+  private static ImmutableList<UpstreamDefinition> admitted(
+      Configuration configuration, ServiceDefinition service) {
+    return service.upstreams().stream().filter(configuration::admits).collect(toImmutableList());
+  }
+
+  /**
+   * A lost availability zone is gone whatever the others bear, so it is refused only as the last.
+   */
+  private ImmutableList<String> refusals(CapacityPrediction capacity) {
+    return switch (intent) {
+      case Intent.DeclareZoneLost i -> capacity.refusalIfNoneIsLeft();
+      case Intent.PutService i -> capacity.refusals();
+      case Intent.RemoveService i -> capacity.refusals();
+      case Intent.DrainZone i -> capacity.refusals();
+      case Intent.ReturnZone i -> ImmutableList.of();
+      case Intent.RetireUpstream i -> capacity.refusals();
+      case Intent.RetireHost i -> capacity.refusals();
+    };
+  }
+
+  private ImmutableMap<String, Epoch> assignmentVersions(
+      ImmutableList<ServiceDefinition> services) {
+    return services.stream()
+        .flatMap(s -> basis.assignments(s.name()).stream())
+        .collect(toImmutableMap(a -> a.service() + "/" + a.cell(), Assignment::version));
+  }
+
+  private Duration duration(
+      ImmutableList<ServiceDefinition> services, ImmutableList<Plan.Move> moves) {
+    Duration moving = Duration.ZERO;
+    for (ServiceDefinition service : services) {
+      Duration own = moving(service, moves);
+      moving = own.compareTo(moving) > 0 ? own : moving;
+    }
+    return IN_FORCE.plus(isolationLimit(services)).plus(moving);
+  }
+
+  private Duration moving(ServiceDefinition service, ImmutableList<Plan.Move> moves) {
+    int slots =
+        moves.stream()
+            .filter(m -> m.service().equals(service.name()))
+            .mapToInt(Plan.Move::slots)
+            .sum();
+    if (slots == 0) {
+      return Duration.ZERO;
+    }
+    boolean isReturn =
+        intent instanceof Intent.ReturnZone && service.kind() instanceof ServiceKind.Keyed;
+    return isReturn ? returning(slots, (ServiceKind.Keyed) service.kind()) : HANDOVER;
+  }
+
+  private static Duration returning(int slots, ServiceKind.Keyed kind) {
+    double perInterval = Math.max(1, RETURN_SHARE * kind.slotCount());
+    return RETURN_INTERVAL.multipliedBy((long) Math.ceil(slots / perInterval));
+  }
+
+  /** Hosts that are not off may serve until the longest isolation limit has passed. */
+  private Duration isolationLimit(ImmutableList<ServiceDefinition> services) {
+    if (!(intent instanceof Intent.DeclareZoneLost lost) || lost.hostsAreOff()) {
+      return Duration.ZERO;
+    }
+    return services.stream()
+        .map(ServiceDefinition::kind)
+        .map(PlanBuilder::isolationLimit)
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
+  private static Duration isolationLimit(ServiceKind kind) {
+    return kind instanceof ServiceKind.Keyed k && k.cutOffRule() instanceof CutOffRule.Hold h
+        ? h.isolationLimit().orElse(Duration.ZERO)
+        : Duration.ZERO;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
@@ -0,0 +1,181 @@
+package org.catkinlift.plans;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Optional;
+import org.catkinlift.configuration.ConfigurationAge;
+import org.catkinlift.control.CallNumbers;
+import org.catkinlift.control.ControlAction;
+import org.catkinlift.control.ControlAction.ReplyToOperator;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.MembershipView;
+import org.catkinlift.control.OwnershipView;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.PlatformRequest;
+import org.catkinlift.control.VersionStore;
+
+/**
+ * Answers operators on any daemon: makes, shows and confirms plans and explains the present state.
+ *
+ * <p>Plans are kept in the platform, so a plan made on one daemon can be confirmed on another.
+ */
+public final class PlanControl implements ControlPart {
+  private final PresentLoads loads = new PresentLoads();
+  private final PlanMaking making;
+  private final PlanConfirmation confirmation;
+  private final PlanQueries queries;
+  private final StatusFacts facts;
+
+  private PlanControl(Builder builder) {
+    VersionStore store = checkNotNull(builder.store, "store");
+    MembershipView members = checkNotNull(builder.members, "members");
+    CallNumbers calls = checkNotNull(builder.calls, "calls");
+    making = new PlanMaking(store, members, calls, loads);
+    confirmation = new PlanConfirmation(store, members, calls);
+    queries = new PlanQueries(calls);
+    facts =
+        new StatusFacts(store, members, checkNotNull(builder.ownership, "ownership"), builder.age);
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @return the builder
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  @Override
+  public ImmutableList<ControlAction> handle(ControlEvent event, long nowNanos) {
+    return switch (event) {
+      case ControlEvent.Tick t -> confirmation.tick(nowNanos);
+      case ControlEvent.PeerMessageReceived m -> onMessage(m.message(), nowNanos);
+      case ControlEvent.PlatformReplied r -> onReply(r.call(), r.reply(), nowNanos);
+      case ControlEvent.LoadReported l -> onLoads(l.loads(), nowNanos);
+      case ControlEvent.OperatorRequested o -> onRequest(o.call(), o.request(), nowNanos);
+      case ControlEvent.UpstreamReplied u -> ImmutableList.of();
+      case ControlEvent.StopRequested s -> ImmutableList.of();
+    };
+  }
+
+  private ImmutableList<ControlAction> onMessage(PeerMessage message, long nowNanos) {
+    return message instanceof PeerMessage.HeartbeatAck ack
+        ? onLoads(ack.loads(), nowNanos)
+        : ImmutableList.of();
+  }
+
+  private ImmutableList<ControlAction> onLoads(
+      ImmutableList<PeerMessage.UpstreamLoad> reported, long nowNanos) {
+    loads.report(reported, nowNanos);
+    return ImmutableList.of();
+  }
+
+  private ImmutableList<ControlAction> onReply(
+      long call, PlatformRequest.Reply reply, long nowNanos) {
+    return ImmutableList.<ControlAction>builder()
+        .addAll(making.reply(call, reply, nowNanos))
+        .addAll(confirmation.reply(call, reply, nowNanos))
+        .addAll(queries.reply(call, reply))
+        .build();
+  }
+
+  private ImmutableList<ControlAction> onRequest(
+      long call, OperatorRequest request, long nowNanos) {
+    return switch (request) {
+      case OperatorRequest.MakePlan r -> making.start(call, r.intent());
+      case OperatorRequest.ConfirmPlan r -> confirmation.start(call, r.plan());
+      case OperatorRequest.ShowPlan r -> queries.show(call, r.plan());
+      case OperatorRequest.ListPlans r -> queries.list(call);
+      case OperatorRequest.ShowStatus r -> answer(call, facts.status(nowNanos));
+      case OperatorRequest.ExplainKey r -> answer(call, facts.explain(r.service(), r.key()));
+    };
+  }
+
+  private static ImmutableList<ControlAction> answer(long call, OperatorReply reply) {
+    return ImmutableList.of(new ReplyToOperator(call, reply));
+  }
+
+  /** Builds a {@link PlanControl}. */
+  public static final class Builder {
+    private VersionStore store;
+    private MembershipView members;
+    private OwnershipView ownership;
+    private CallNumbers calls;
+    private ConfigurationAge age = nowNanos -> Optional.empty();
+
+    private Builder() {}
+
+    /**
+     * Sets the store that the parts of the daemon share.
+     *
+     * @param store the store
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder store(VersionStore store) {
+      this.store = store;
+      return this;
+    }
+
+    /**
+     * Sets the view of the known daemons.
+     *
+     * @param members the view
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder members(MembershipView members) {
+      this.members = members;
+      return this;
+    }
+
+    /**
+     * Sets the view of the coordinator role.
+     *
+     * @param ownership the view
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder ownership(OwnershipView ownership) {
+      this.ownership = ownership;
+      return this;
+    }
+
+    /**
+     * Sets the numbers of the platform calls, shared among the parts of the daemon.
+     *
+     * @param calls the numbers
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder calls(CallNumbers calls) {
+      this.calls = calls;
+      return this;
+    }
+
+    /**
+     * Sets the view of the configuration's age, which the status shows; unknown by default.
+     *
+     * @param age the view
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder age(ConfigurationAge age) {
+      this.age = age;
+      return this;
+    }
+
+    /**
+     * Builds the part.
+     *
+     * @return the part
+     */
+    public PlanControl build() {
+      return new PlanControl(this);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanRows.java
@@ -0,0 +1,52 @@
+package org.catkinlift.plans;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.PlatformRequest.Row;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.PlanId;
+
+/** Names and finds the platform rows that plans are made from and kept in. */
+final class PlanRows {
+  static final String PLANS = "plan/";
+  static final String ASSIGNMENTS = "assignment/";
+
+  private PlanRows() {}
+
+  static String nameOf(PlanId plan) {
+    return PLANS + plan;
+  }
+
+  /** Returns the rows of a reply; empty if the platform did not answer. */
+  static Optional<ImmutableList<Row>> rows(Reply reply) {
+    return switch (reply) {
+      case Reply.Rows r -> Optional.of(r.rows());
+      case Reply.Conflict c -> Optional.of(c.rows());
+      case Reply.Applied a -> Optional.empty();
+      case Reply.Hosts h -> Optional.empty();
+      case Reply.NoAnswer n -> Optional.empty();
+    };
+  }
+
+  static Optional<Row> find(ImmutableList<Row> rows, String name) {
+    return rows.stream().filter(r -> r.name().equals(name)).findFirst();
+  }
+
+  static Optional<PlanRecord> plan(ImmutableList<Row> rows, PlanId plan) {
+    return find(rows, nameOf(plan))
+        .map(Row::value)
+        .filter(RowValue.PlanRow.class::isInstance)
+        .map(v -> ((RowValue.PlanRow) v).plan());
+  }
+
+  /** Returns the configuration among the rows, or the empty one before the first change. */
+  static Configuration configuration(ImmutableList<Row> rows) {
+    return find(rows, Configuration.NAME)
+        .map(Row::value)
+        .filter(RowValue.ConfigurationRow.class::isInstance)
+        .map(v -> ((RowValue.ConfigurationRow) v).configuration())
+        .orElse(Configuration.EMPTY);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PresentLoads.java
@@ -0,0 +1,69 @@
+package org.catkinlift.plans;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Averages the requests in flight and in the queue of the upstreams whose load this daemon sees.
+ *
+ * <p>A daemon sees the load of its own upstreams and, as the coordinator, that of its cell. For
+ * other upstreams of a service the mean use of the seen ones is assumed, because callers are spread
+ * over all availability zones.
+ */
+final class PresentLoads {
+  private static final Duration HALF_LIFE = Duration.ofSeconds(30);
+  private static final Duration OLD_AFTER = Duration.ofSeconds(60);
+
+  private record Average(double inFlight, long atNanos) {}
+
+  private final Map<UpstreamId, Average> averages = new HashMap<>();
+
+  void report(ImmutableList<UpstreamLoad> loads, long nowNanos) {
+    loads.forEach(l -> averages.merge(l.upstream(), sample(l, nowNanos), PresentLoads::average));
+  }
+
+  private static Average sample(UpstreamLoad load, long nowNanos) {
+    return new Average(load.inFlight() + load.queued(), nowNanos);
+  }
+
+  private static Average average(Average before, Average sample) {
+    double halfLives = (double) (sample.atNanos() - before.atNanos()) / HALF_LIFE.toNanos();
+    double weight = Math.pow(0.5, halfLives);
+    return new Average(
+        weight * before.inFlight() + (1 - weight) * sample.inFlight(), sample.atNanos());
+  }
+
+  /** Returns the load of all upstreams of a configuration; 0 where nothing is known. */
+  ImmutableMap<UpstreamId, Double> of(Configuration configuration, long nowNanos) {
+    averages.values().removeIf(a -> nowNanos - a.atNanos() > OLD_AFTER.toNanos());
+    var loads = new HashMap<UpstreamId, Double>();
+    configuration.services().values().forEach(s -> loads.putAll(loadsOf(s)));
+    return ImmutableMap.copyOf(loads);
+  }
+
+  private Map<UpstreamId, Double> loadsOf(ServiceDefinition service) {
+    double seen = 0;
+    double seenLimit = 0;
+    for (UpstreamDefinition upstream : service.upstreams()) {
+      Average average = averages.get(upstream.id());
+      seen += average == null ? 0 : average.inFlight();
+      seenLimit += average == null ? 0 : upstream.concurrencyLimit();
+    }
+    double use = seenLimit == 0 ? 0 : seen / seenLimit;
+    var loads = new HashMap<UpstreamId, Double>();
+    for (UpstreamDefinition upstream : service.upstreams()) {
+      Average average = averages.get(upstream.id());
+      loads.put(
+          upstream.id(), average == null ? use * upstream.concurrencyLimit() : average.inFlight());
+    }
+    return loads;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/ServiceCheck.java
@@ -0,0 +1,90 @@
+package org.catkinlift.plans;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+
+/** Finds what is wrong with a service definition that an operator wants. */
+final class ServiceCheck {
+  private ServiceCheck() {}
+
+  /** Returns the problems; empty if the definition may be put into force. */
+  static ImmutableList<String> problems(
+      ServiceDefinition wanted, Configuration present, ImmutableSet<HostDefinition> hosts) {
+    ServiceDefinition before = present.services().get(wanted.name());
+    if (wanted.equals(before)) {
+      return ImmutableList.of("service " + wanted.name() + " already has this definition");
+    }
+    var problems = ImmutableList.<String>builder();
+    if (wanted.upstreams().isEmpty()) {
+      problems.add("service " + wanted.name() + " has no upstreams");
+    }
+    if (before != null && !isSameDivision(before.kind(), wanted.kind())) {
+      problems.add(
+          "service " + wanted.name() + " cannot change how its keys are divided; create a new one");
+    }
+    problems.addAll(upstreamProblems(wanted, present, hosts));
+    return problems.build();
+  }
+
+  private static boolean isSameDivision(ServiceKind before, ServiceKind after) {
+    return switch (before) {
+      case ServiceKind.Shared s -> after instanceof ServiceKind.Shared;
+      case ServiceKind.Keyed k ->
+          after instanceof ServiceKind.Keyed a && a.slotCount() == k.slotCount();
+    };
+  }
+
+  private static ImmutableList<String> upstreamProblems(
+      ServiceDefinition wanted, Configuration present, ImmutableSet<HostDefinition> hosts) {
+    ImmutableMap<CellId, ZoneName> zoneOfCell =
+        hosts.stream()
+            .collect(toImmutableMap(HostDefinition::cell, HostDefinition::zone, (a, b) -> a));
+    ImmutableSet<UpstreamId> taken = upstreamsOfOthers(wanted, present);
+    var seen = new HashSet<UpstreamId>();
+    var problems = ImmutableList.<String>builder();
+    for (UpstreamDefinition upstream : wanted.upstreams()) {
+      if (!seen.add(upstream.id())) {
+        problems.add("upstream " + upstream.id() + " is named twice");
+      }
+      if (taken.contains(upstream.id())) {
+        problems.add("upstream " + upstream.id() + " belongs to another service");
+      }
+      if (!wanted.zones().contains(upstream.zone())) {
+        problems.add(
+            "upstream "
+                + upstream.id()
+                + " is in "
+                + upstream.zone()
+                + ", where the service is not");
+      }
+      if (!upstream.zone().equals(zoneOfCell.get(upstream.cell()))) {
+        problems.add(
+            "upstream %s names cell %s, which has no known host in availability zone %s"
+                .formatted(upstream.id(), upstream.cell(), upstream.zone()));
+      }
+    }
+    return problems.build();
+  }
+
+  private static ImmutableSet<UpstreamId> upstreamsOfOthers(
+      ServiceDefinition wanted, Configuration present) {
+    return present.services().values().stream()
+        .filter(s -> !s.name().equals(wanted.name()))
+        .flatMap(s -> s.upstreams().stream())
+        .map(UpstreamDefinition::id)
+        .collect(toImmutableSet());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/WaterFill.java
@@ -0,0 +1,86 @@
+package org.catkinlift.plans;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Divides slots over upstreams so that those with the least slots per capacity get them.
+ *
+ * <p>The share of each upstream is computed at once, because dividing a million slots one by one
+ * would occupy the control thread for longer than a heartbeat interval.
+ */
+final class WaterFill {
+  private WaterFill() {}
+
+  private record Target(UpstreamId id, int slots, int capacity) {
+    double level() {
+      return (double) slots / capacity;
+    }
+
+    Target plusOne() {
+      return new Target(id, slots + 1, capacity);
+    }
+  }
+
+  /** Returns how many of {@code count} slots each upstream gets in addition to those it has. */
+  static ImmutableMap<UpstreamId, Integer> divide(
+      int count,
+      ImmutableList<UpstreamDefinition> upstreams,
+      ImmutableMap<UpstreamId, Integer> present) {
+    if (upstreams.isEmpty() || count == 0) {
+      return ImmutableMap.of();
+    }
+    ImmutableList<Target> targets =
+        upstreams.stream()
+            .map(u -> new Target(u.id(), present.getOrDefault(u.id(), 0), u.concurrencyLimit()))
+            .sorted(Comparator.comparingDouble(Target::level))
+            .collect(ImmutableList.toImmutableList());
+    double level = level(count, targets);
+    var filled =
+        new PriorityQueue<Target>(
+            Comparator.comparingDouble(Target::level).thenComparing(Target::id));
+    int rest = count;
+    for (Target target : targets) {
+      int added = Math.max(0, (int) Math.floor(level * target.capacity()) - target.slots());
+      filled.add(new Target(target.id(), target.slots() + added, target.capacity()));
+      rest -= added;
+    }
+    while (rest > 0) {
+      filled.add(filled.remove().plusOne());
+      rest--;
+    }
+    return additions(filled, present);
+  }
+
+  /** The slots per capacity that all upstreams below it reach when the slots are divided. */
+  private static double level(int count, ImmutableList<Target> targets) {
+    double slots = count;
+    double capacity = 0;
+    double level = 0;
+    for (Target target : targets) {
+      if (capacity > 0 && target.level() >= level) {
+        return level;
+      }
+      slots += target.slots();
+      capacity += target.capacity();
+      level = slots / capacity;
+    }
+    return level;
+  }
+
+  private static ImmutableMap<UpstreamId, Integer> additions(
+      Iterable<Target> filled, ImmutableMap<UpstreamId, Integer> present) {
+    var additions = ImmutableMap.<UpstreamId, Integer>builder();
+    for (Target target : filled) {
+      int added = target.slots() - present.getOrDefault(target.id(), 0);
+      if (added > 0) {
+        additions.put(target.id(), added);
+      }
+    }
+    return additions.buildOrThrow();
+  }
+}
