Test membership and dissemination on virtual time

Change: FakeSite runs daemons, a platform and a network on virtual time. Tests lose, pause and replace daemons, cut zones off, take the platform down and restart all daemons in turn. The first run found that a coordinator addressed no other cell in its first 10 s, because it grouped the known hosts only once in that time; it now groups them after a change of their number too. Plans now read the assignments they depend on from the platform.

--- a/catkinlift-decision/src/main/java/org/catkinlift/configuration/CellContacts.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/configuration/CellContacts.java
@@ -21,7 +21,7 @@
 final class CellContacts {
   private static final Duration SENDER_LIMIT = Duration.ofSeconds(10);
 
-  /** Grouping 19,000 hosts takes milliseconds, so it is not done in each round. */
+  /** Grouping 19,000 hosts takes milliseconds, so it is done after changes and now and then. */
   private static final Duration REGROUP_INTERVAL = Duration.ofSeconds(10);
 
   private record Sender(HostId host, long heardNanos) {}
@@ -53,7 +53,7 @@
   }
 
   private void regroup(long nowNanos) {
-    if (nowNanos < regroupNanos) {
+    if (nowNanos < regroupNanos && members.known().size() == byCell.size()) {
       return;
     }
     regroupNanos = nowNanos + REGROUP_INTERVAL.toNanos();
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanBuilder.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanBuilder.java
@@ -49,6 +49,17 @@
     return new PlanBuilder(intent, basis).build();
   }
 
+  /** Returns the keyed services whose present assignments a plan depends on. */
+  static ImmutableList<ServiceName> affectedServices(Intent intent, PlanBasis basis) {
+    ConfigurationChange change =
+        ConfigurationChange.of(intent, basis.configuration(), basis.hosts());
+    return new PlanBuilder(intent, basis)
+        .affected(change.result()).stream()
+            .filter(s -> s.kind() instanceof ServiceKind.Keyed)
+            .map(ServiceDefinition::name)
+            .collect(toImmutableList());
+  }
+
   private Plan build() {
     ConfigurationChange change =
         ConfigurationChange.of(intent, basis.configuration(), basis.hosts());
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConfirmation.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConfirmation.java
@@ -111,10 +111,16 @@
           rows.map(r -> basisRead(s, r)).orElseGet(() -> retry(s.attempt(), nowNanos));
       case Step.Write s when reply instanceof Reply.Applied ->
           confirmed(s.attempt(), s.plan().plan());
+      case Step.Write s when reply instanceof Reply.Conflict -> readAgain(s.attempt(), nowNanos);
       case Step.Write s -> retry(s.attempt(), nowNanos);
     };
   }
 
+  /** Finds out what changed between reading and writing. */
+  private ImmutableList<ControlAction> readAgain(Attempt attempt, long nowNanos) {
+    return attempt.number() < MAX_ATTEMPTS ? read(attempt.next()) : retry(attempt, nowNanos);
+  }
+
   private ImmutableList<ControlAction> retry(Attempt attempt, long nowNanos) {
     if (attempt.number() < MAX_ATTEMPTS) {
       waiting.add(new Waiting(attempt.next(), nowNanos + RETRY_DELAY.toNanos()));
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
@@ -22,6 +22,7 @@
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.Configuration;
+import org.catkinlift.model.ServiceName;
 
 /**
  * Makes plans from the newest configuration and stores them in the platform, so that any daemon can
@@ -34,6 +35,10 @@
     /** Reads the newest configuration. */
     record ReadHead(long operator, Intent intent) implements Step {}
 
+    /** Reads the assignments that the plan depends on, one service after the other. */
+    record ReadAssignments(long operator, Intent intent, ImmutableList<ServiceName> rest)
+        implements Step {}
+
     /** Stores the plan, which must not exist yet. */
     record Store(long operator, Plan plan) implements Step {}
 
@@ -69,8 +74,9 @@
     Optional<ImmutableList<Row>> rows = PlanRows.rows(reply);
     return switch (step) {
       case Step.ReadHead s ->
-          rows.map(r -> make(s, PlanRows.configuration(r), nowNanos))
-              .orElseGet(() -> unreachable(s.operator(), "no plan was made; ask again"));
+          rows.map(r -> headRead(s, r, nowNanos)).orElseGet(() -> notMade(s.operator()));
+      case Step.ReadAssignments s ->
+          rows.map(r -> assignmentsRead(s, r, nowNanos)).orElseGet(() -> notMade(s.operator()));
       case Step.Store s when reply instanceof Reply.Applied -> made(s.operator(), s.plan());
       case Step.Store s -> rows.map(r -> exists(s, r)).orElseGet(() -> check(s));
       case Step.Check s ->
@@ -86,24 +92,55 @@
     };
   }
 
-  private ImmutableList<ControlAction> make(
-      Step.ReadHead step, Configuration newest, long nowNanos) {
-    boolean changed = store.offer(newest);
-    Plan plan = PlanBuilder.plan(step.intent(), basis(nowNanos));
-    var record = new PlanRecord(plan, PlanRecord.State.OPEN);
-    String row = PlanRows.nameOf(plan.id());
-    var actions = ImmutableList.<ControlAction>builder();
-    if (changed) {
-      actions.add(new RoutingChanged());
+  private ImmutableList<ControlAction> headRead(
+      Step.ReadHead step, ImmutableList<Row> rows, long nowNanos) {
+    boolean changed = store.offer(PlanRows.configuration(rows));
+    var next =
+        readNext(
+            step.operator(),
+            step.intent(),
+            PlanBuilder.affectedServices(step.intent(), basis(nowNanos)),
+            nowNanos);
+    return withRoutingChange(changed, next);
+  }
+
+  private ImmutableList<ControlAction> assignmentsRead(
+      Step.ReadAssignments step, ImmutableList<Row> rows, long nowNanos) {
+    boolean changed = false;
+    for (Row row : rows) {
+      changed |= row.value() instanceof RowValue.AssignmentRow a && store.offer(a.assignment());
     }
-    actions.add(
+    return withRoutingChange(
+        changed, readNext(step.operator(), step.intent(), step.rest(), nowNanos));
+  }
+
+  private static ImmutableList<ControlAction> withRoutingChange(
+      boolean changed, ImmutableList<ControlAction> next) {
+    return changed
+        ? ImmutableList.<ControlAction>builder().add(new RoutingChanged()).addAll(next).build()
+        : next;
+  }
+
+  private ImmutableList<ControlAction> readNext(
+      long operator, Intent intent, ImmutableList<ServiceName> rest, long nowNanos) {
+    if (rest.isEmpty()) {
+      return storePlan(operator, PlanBuilder.plan(intent, basis(nowNanos)));
+    }
+    var step = new Step.ReadAssignments(operator, intent, rest.subList(1, rest.size()));
+    String prefix = PlanRows.ASSIGNMENTS + rest.get(0) + "/";
+    return ImmutableList.of(call(step, new PlatformRequest.ReadRows(prefix)));
+  }
+
+  private ImmutableList<ControlAction> storePlan(long operator, Plan plan) {
+    String row = PlanRows.nameOf(plan.id());
+    var record = new PlanRecord(plan, PlanRecord.State.OPEN);
+    return ImmutableList.of(
         call(
-            new Step.Store(step.operator(), plan),
+            new Step.Store(operator, plan),
             new PlatformRequest.Transact(
                 "make-" + plan.id(),
                 ImmutableMap.of(row, 0L),
                 ImmutableMap.of(row, new RowValue.PlanRow(record)))));
-    return actions.build();
   }
 
   private PlanBasis basis(long nowNanos) {
@@ -144,6 +181,10 @@
     return ImmutableList.of(new ReplyToOperator(operator, new OperatorReply.PlanShown(record)));
   }
 
+  private static ImmutableList<ControlAction> notMade(long operator) {
+    return unreachable(operator, "no plan was made; ask again");
+  }
+
   private static ImmutableList<ControlAction> unreachable(long operator, String detail) {
     return ImmutableList.of(
         new ReplyToOperator(
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/configuration/DisseminationControlTest.java
@@ -0,0 +1,196 @@
+package org.catkinlift.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import java.time.Duration;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.control.fake.FakeDaemon;
+import org.catkinlift.control.fake.FakeSite;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.junit.jupiter.api.Test;
+
+final class DisseminationControlTest {
+  /** The bound of the design within which a configuration is in force everywhere. */
+  private static final Duration IN_FORCE = Duration.ofSeconds(7);
+
+  private final FakeSite site = new FakeSite(1);
+
+  private void putHead(long version) {
+    site.platform()
+        .put(Configuration.NAME, new RowValue.ConfigurationRow(FakeSite.configuration(version)));
+  }
+
+  private void startThreeZones() {
+    putHead(1);
+    site.startAll(3, "suva", "nadi", "lautoka");
+    site.run(IN_FORCE);
+  }
+
+  private Duration age(FakeDaemon daemon) {
+    return daemon.dissemination().age(site.nowNanos()).orElseThrow();
+  }
+
+  /** Guards against daemons that miss a configuration which someone wrote to the platform. */
+  @Test
+  void configurationReachesAllDaemonsWithinTheBound() {
+    startThreeZones();
+    assertThat(site.allHave(1)).isTrue();
+
+    putHead(2);
+    site.run(IN_FORCE);
+
+    assertThat(site.allHave(2)).isTrue();
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(daemon.logged(EventCode.CONFIGURATION_APPLIED)).isEqualTo(2);
+    }
+  }
+
+  /** Guards against a daemon that knows nothing because it starts during an outage. */
+  @Test
+  void daemonThatStartsDuringAnOutageTakesWhatItsPeersHaveAndShowsItsAge() {
+    startThreeZones();
+    site.platform().down(true);
+    site.run(Duration.ofSeconds(20));
+    HostDefinition late = FakeSite.host("nadi", 4);
+    site.start(late, FakeSite.host("suva", 1));
+
+    site.run(Duration.ofSeconds(40));
+
+    assertThat(site.allHave(1)).isTrue();
+    assertThat(age(site.daemon("nadi-04"))).isAtLeast(Duration.ofSeconds(58));
+    assertThat(site.daemon("suva-01").logged(EventCode.PLATFORM_UNREACHABLE)).isEqualTo(1);
+
+    site.platform().down(false);
+    site.run(Duration.ofSeconds(10));
+
+    assertThat(age(site.daemon("nadi-04"))).isAtMost(IN_FORCE);
+    assertThat(site.daemon("suva-01").logged(EventCode.PLATFORM_REACHABLE)).isEqualTo(1);
+  }
+
+  /** Guards against daemons that confirm each other's configuration for ever. */
+  @Test
+  void ageGrowsWithoutThePlatformHoweverManyDigestsCome() {
+    startThreeZones();
+    site.platform().down(true);
+
+    site.run(Duration.ofMinutes(1));
+
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(age(daemon)).isAtLeast(Duration.ofSeconds(59));
+      assertThat(age(daemon)).isAtMost(Duration.ofSeconds(59).plus(IN_FORCE));
+    }
+  }
+
+  /** Guards against a reversion when a zone that was cut off offers what it had. */
+  @Test
+  void oldVersionOfAHealedPeerIsNotTakenOver() {
+    startThreeZones();
+    site.cut("lautoka", true);
+    site.daemon("suva-01").store().offer(FakeSite.configuration(2));
+    site.platform().down(true);
+    site.run(IN_FORCE);
+    assertThat(site.daemon("lautoka-01").store().configuration().version()).isEqualTo(1);
+    assertThat(site.daemon("suva-03").store().configuration().version()).isEqualTo(2);
+
+    var old = new PeerMessage.PullReply(ImmutableList.of(FakeSite.configuration(1)));
+    site.daemon("suva-02")
+        .deliver(new ControlEvent.PeerMessageReceived(HostId.of("lautoka-01"), old));
+    assertThat(site.daemon("suva-02").logged(EventCode.CONFIGURATION_STALE)).isEqualTo(1);
+    site.cut("lautoka", false);
+    site.run(IN_FORCE);
+
+    assertThat(site.allHave(2)).isTrue();
+  }
+
+  /** Guards against a cell that learns nothing while its coordinator is gone. */
+  @Test
+  void cellWithoutItsCoordinatorStillGetsTheConfiguration() {
+    startThreeZones();
+    site.daemon("nadi-01").pause();
+    site.run(Duration.ofSeconds(2));
+    putHead(2);
+    site.run(IN_FORCE);
+    assertThat(site.daemon("nadi-02").store().configuration().version()).isEqualTo(2);
+    assertThat(site.daemon("nadi-03").store().configuration().version()).isEqualTo(2);
+
+    site.daemon("nadi-01").resume();
+    site.run(IN_FORCE);
+
+    assertThat(site.allHave(2)).isTrue();
+  }
+
+  /** Guards against a configuration that is lost or reverts while all daemons are restarted. */
+  @Test
+  void rollingRestartOfAllDaemonsKeepsTheConfigurationDuringAnOutage() {
+    startThreeZones();
+    site.platform().down(true);
+    for (FakeDaemon daemon : site.daemons()) {
+      daemon.deliver(new ControlEvent.StopRequested());
+      site.lose(daemon.id());
+      site.start(daemon.definition(), FakeSite.host("suva", 1), FakeSite.host("nadi", 1));
+      site.run(Duration.ofSeconds(5));
+    }
+
+    assertThat(site.allHave(1)).isTrue();
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(daemon.members().known()).hasSize(9);
+    }
+  }
+
+  /** Guards against values that other parts change and that nobody passes on. */
+  @Test
+  void assignmentOfOneCoordinatorReachesAllDaemons() {
+    startThreeZones();
+    var assignment =
+        new Assignment(
+            ServiceName.of("order-desk"),
+            CellId.of("suva"),
+            Epoch.of(1, 1),
+            ImmutableSortedMap.of(),
+            ImmutableMap.of());
+    site.daemon("suva-01").store().offer(assignment);
+
+    site.run(Duration.ofSeconds(1));
+
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(daemon.store().value(assignment.name())).isPresent();
+    }
+  }
+
+  /** Guards against a lost digest of a change that is never repeated. */
+  @Test
+  void valueThatAZoneMissedWhileCutOffArrivesAfterwards() {
+    startThreeZones();
+    site.cut("lautoka", true);
+    for (int i = 0; i < 30; i++) {
+      site.daemon("suva-01")
+          .store()
+          .offer(
+              new Assignment(
+                  ServiceName.of("service-" + i),
+                  CellId.of("suva"),
+                  Epoch.of(1, 1),
+                  ImmutableSortedMap.of(),
+                  ImmutableMap.of()));
+    }
+    site.run(Duration.ofSeconds(10));
+    site.cut("lautoka", false);
+
+    site.run(Duration.ofSeconds(30));
+
+    assertThat(site.daemon("lautoka-03").store().digest())
+        .isEqualTo(site.daemon("suva-01").store().digest());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/control/fake/FakeDaemon.java
@@ -0,0 +1,183 @@
+package org.catkinlift.control.fake;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.catkinlift.configuration.DisseminationControl;
+import org.catkinlift.control.CallNumbers;
+import org.catkinlift.control.ControlAction;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.OwnershipView;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.membership.MembershipControl;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.PlanControl;
+
+/** Runs the control parts of one daemon; the coordinator role is set by the test. */
+public final class FakeDaemon implements OwnershipView {
+  private static final PeerMessage.Digest NO_VERSIONS = new PeerMessage.Digest(ImmutableMap.of());
+
+  private final FakeSite site;
+  private final HostDefinition definition;
+  private final VersionStore store = new VersionStore();
+  private final MembershipControl members;
+  private final DisseminationControl dissemination;
+  private final ImmutableList<ControlPart> parts;
+  private final List<DecisionEvent> log = new ArrayList<>();
+  private final List<OperatorReply> replies = new ArrayList<>();
+  private final ArrayDeque<ControlEvent> held = new ArrayDeque<>();
+  private Optional<HostId> coordinator = Optional.empty();
+  private long heartbeats;
+  private boolean paused;
+  private boolean stopped;
+
+  FakeDaemon(
+      FakeSite site, HostDefinition definition, ImmutableSet<HostDefinition> seeds, long seed) {
+    this.site = site;
+    this.definition = definition;
+    var calls = new CallNumbers();
+    members = MembershipControl.builder().self(definition).seeds(seeds).calls(calls).build();
+    dissemination =
+        DisseminationControl.builder()
+            .store(store)
+            .members(members)
+            .ownership(this)
+            .calls(calls)
+            .random(new SplittableRandom(seed))
+            .build();
+    PlanControl plans =
+        PlanControl.builder()
+            .store(store)
+            .members(members)
+            .ownership(this)
+            .calls(calls)
+            .age(dissemination)
+            .build();
+    parts = ImmutableList.of(members, dissemination, plans);
+  }
+
+  void tick() {
+    deliver(new ControlEvent.Tick());
+  }
+
+  /** Sends the heartbeats of a coordinator to the cell mates that it knows. */
+  void heartbeat(long term) {
+    if (paused || stopped) {
+      return;
+    }
+    coordinator = Optional.of(id());
+    heartbeats++;
+    var heartbeat =
+        new PeerMessage.Heartbeat(
+            definition.cell(), term, heartbeats, 0, NO_VERSIONS, ImmutableList.of());
+    members.known().stream()
+        .filter(h -> h.cell().equals(definition.cell()) && !h.id().equals(id()))
+        .forEach(h -> site.send(id(), h.id(), heartbeat));
+  }
+
+  public void deliver(ControlEvent event) {
+    if (stopped) {
+      return;
+    }
+    if (paused) {
+      held.add(event);
+      return;
+    }
+    answerHeartbeat(event);
+    long now = site.nowNanos();
+    parts.forEach(p -> p.handle(event, now).forEach(this::act));
+  }
+
+  private void answerHeartbeat(ControlEvent event) {
+    if (event instanceof ControlEvent.PeerMessageReceived m
+        && m.message() instanceof PeerMessage.Heartbeat h) {
+      coordinator = Optional.of(m.from());
+      var ack =
+          new PeerMessage.HeartbeatAck(
+              h.cell(), h.term(), h.sequence(), NO_VERSIONS, ImmutableList.of());
+      site.send(id(), m.from(), ack);
+    }
+  }
+
+  private void act(ControlAction action) {
+    switch (action) {
+      case ControlAction.SendToPeer a -> site.send(id(), a.to(), a.message());
+      case ControlAction.CallPlatform a -> site.callPlatform(this, a);
+      case ControlAction.Log a -> log.add(a.event());
+      case ControlAction.ReplyToOperator a -> replies.add(a.reply());
+      case ControlAction.CallUpstream a -> throw new AssertionError("unexpected " + a);
+      case ControlAction.RoutingChanged a -> {}
+      case ControlAction.DutiesHandedOver a -> {}
+    }
+  }
+
+  public void pause() {
+    paused = true;
+  }
+
+  public void resume() {
+    paused = false;
+    while (!held.isEmpty()) {
+      deliver(held.remove());
+    }
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  public HostId id() {
+    return definition.id();
+  }
+
+  public HostDefinition definition() {
+    return definition;
+  }
+
+  public MembershipControl members() {
+    return members;
+  }
+
+  public DisseminationControl dissemination() {
+    return dissemination;
+  }
+
+  public VersionStore store() {
+    return store;
+  }
+
+  public ImmutableList<OperatorReply> replies() {
+    return ImmutableList.copyOf(replies);
+  }
+
+  public long logged(EventCode code) {
+    return log.stream().filter(e -> e.code() == code).count();
+  }
+
+  @Override
+  public Optional<HostId> coordinator() {
+    return coordinator;
+  }
+
+  @Override
+  public boolean hasAuthority(long nowNanos) {
+    return coordinator.equals(Optional.of(id()));
+  }
+
+  @Override
+  public ImmutableList<DispatchLease> heldLeases(long nowNanos) {
+    return ImmutableList.of();
+  }
+}
