--- a/catkinlift-decision/src/test/java/org/catkinlift/control/fake/FakeSite.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/control/fake/FakeSite.java
@@ -11,6 +11,7 @@
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.ControlPart;
 import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.CutOffRule;
@@ -98,7 +99,7 @@
     daemons.remove(host).stop();
   }
 
-  /** Cuts an availability zone off from the other ones. */
+  /** Cuts an availability zone off from the other ones and from the platform. */
   public void cut(String zone, boolean isCut) {
     if (isCut) {
       cutZones.add(zone);
@@ -131,7 +132,8 @@
     timers.after(
         PLATFORM_LATENCY,
         () -> {
-          var reply = platform.handle(call.request());
+          boolean isCut = cutZones.contains(zoneOf(daemon.id()));
+          var reply = isCut ? new Reply.NoAnswer() : platform.handle(call.request());
           daemon.deliver(new ControlEvent.PlatformReplied(call.call(), reply));
         });
   }
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanBuilderTest.java
@@ -0,0 +1,203 @@
+package org.catkinlift.plans;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Iterables;
+import java.time.Duration;
+import java.util.Optional;
+import org.catkinlift.control.fake.FakeSite;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.CutOffRule;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.GrantChecking;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.junit.jupiter.api.Test;
+
+final class PlanBuilderTest {
+  private static final ServiceName DESK = ServiceName.of("desk");
+  private static final ServiceDefinition SERVICE =
+      FakeSite.service("desk", 4, "suva", "nadi", "lautoka");
+  private static final ImmutableSet<HostDefinition> HOSTS =
+      ImmutableSet.of(
+          FakeSite.host("suva", 1),
+          FakeSite.host("suva", 2),
+          FakeSite.host("nadi", 1),
+          FakeSite.host("lautoka", 1));
+  private static final Configuration CONFIGURATION =
+      Configuration.builder().version(5).services(ImmutableMap.of(DESK, SERVICE)).build();
+
+  /** Each upstream has the slots of its index modulo the number of upstreams. */
+  private static ImmutableList<Assignment> assignments() {
+    var slots = new ImmutableSortedMap.Builder<Integer, SlotOwner>(Integer::compare);
+    for (int slot = 0; slot < 64; slot++) {
+      UpstreamId owner = SERVICE.upstreams().get(slot % 6).id();
+      slots.put(slot, SlotOwner.of(owner, Epoch.of(1, slot)));
+    }
+    return ImmutableList.of(
+        new Assignment(DESK, CellId.of("suva"), Epoch.of(1, 64), slots.build(), ImmutableMap.of()));
+  }
+
+  private static PlanBasis basis(Configuration configuration, double load) {
+    ImmutableMap<UpstreamId, Double> loads =
+        SERVICE.upstreams().stream().collect(toImmutableMap(UpstreamDefinition::id, u -> load));
+    return new PlanBasis(configuration, assignments(), loads, HOSTS);
+  }
+
+  private static Plan plan(Intent intent) {
+    return PlanBuilder.plan(intent, basis(CONFIGURATION, 1));
+  }
+
+  private static void assertRefused(Plan plan, String reason) {
+    assertThat(Iterables.getOnlyElement(plan.refusals())).contains(reason);
+  }
+
+  /** Guards against a drain that leaves slots behind or moves those of other upstreams. */
+  @Test
+  void drainMovesExactlyTheSlotsOfTheZone() {
+    Plan plan = plan(new Intent.DrainZone(ZoneName.of("nadi")));
+
+    assertThat(plan.refusals()).isEmpty();
+    assertThat(plan.result().version()).isEqualTo(6);
+    assertThat(plan.moves().stream().mapToInt(Plan.Move::slots).sum()).isEqualTo(22);
+    for (Plan.Move move : plan.moves()) {
+      assertThat(move.from().orElseThrow().value()).startsWith("desk-nadi");
+      assertThat(move.to().orElseThrow().value()).doesNotContain("nadi");
+    }
+    assertThat(plan.loads().stream().map(Plan.Load::subject)).contains("zone/suva");
+    assertThat(plan.loads().stream().map(Plan.Load::subject)).doesNotContain("zone/nadi");
+    assertThat(plan.assignmentVersions()).containsExactly("desk/suva", Epoch.of(1, 64));
+    assertThat(plan.expectedDuration()).isEqualTo(Duration.ofSeconds(8));
+  }
+
+  /** Guards against a drain that overloads the remaining zones. */
+  @Test
+  void drainThatLeavesTooLittleCapacityIsRefused() {
+    Intent drain = new Intent.DrainZone(ZoneName.of("nadi"));
+    assertThat(PlanBuilder.plan(drain, basis(CONFIGURATION, 2.5)).refusals()).isEmpty();
+    assertRefused(
+        PlanBuilder.plan(drain, basis(CONFIGURATION, 3)),
+        "service desk needs 18.0 requests in flight, and the remaining upstreams bear 16");
+  }
+
+  /** Guards against a site without any availability zone. */
+  @Test
+  void lastZoneCannotGoOut() {
+    Configuration last =
+        CONFIGURATION.toBuilder()
+            .drainedZones(ImmutableSet.of(ZoneName.of("nadi"), ZoneName.of("suva")))
+            .build();
+    ZoneName lautoka = ZoneName.of("lautoka");
+    assertRefused(
+        PlanBuilder.plan(new Intent.DrainZone(lautoka), basis(last, 1)), "no upstream left");
+    assertRefused(
+        PlanBuilder.plan(new Intent.DeclareZoneLost(lautoka, true), basis(last, 1)),
+        "no upstream left");
+  }
+
+  /** Guards against two owners of a key: the zone may run on if it is only cut off. */
+  @Test
+  void zoneIsDeclaredLostOnlyIfItsHostsAreOffOrItEndsByItself() {
+    ZoneName nadi = ZoneName.of("nadi");
+    assertRefused(plan(new Intent.DeclareZoneLost(nadi, false)), "switched off");
+    assertThat(plan(new Intent.DeclareZoneLost(nadi, true)).refusals()).isEmpty();
+
+    var rule =
+        new CutOffRule.Hold(CutOffRule.DEFAULT_LONG_PROMISE, Optional.of(Duration.ofSeconds(90)));
+    var kind = new ServiceKind.Keyed(64, rule, GrantChecking.checked());
+    var limited =
+        new ServiceDefinition(
+            DESK, kind, SERVICE.zones(), SERVICE.upstreams(), SERVICE.zoneLimit());
+    Configuration configuration =
+        CONFIGURATION.toBuilder().services(ImmutableMap.of(DESK, limited)).build();
+    Plan plan = PlanBuilder.plan(new Intent.DeclareZoneLost(nadi, false), basis(configuration, 1));
+    assertThat(plan.refusals()).isEmpty();
+    assertThat(plan.expectedDuration()).isEqualTo(Duration.ofSeconds(98));
+  }
+
+  /** Guards against intents that name something that does not exist or change nothing. */
+  @Test
+  void unknownNamesAndIntentsWithoutEffectAreRefused() {
+    assertRefused(plan(new Intent.DrainZone(ZoneName.of("labasa"))), "neither a host");
+    assertRefused(plan(new Intent.ReturnZone(ZoneName.of("nadi"))), "is not out");
+    assertRefused(plan(new Intent.RemoveService(ServiceName.of("other"))), "does not exist");
+    assertRefused(plan(new Intent.RetireUpstream(UpstreamId.of("none"))), "does not exist");
+    assertRefused(plan(new Intent.RetireHost(HostId.of("none"))), "is not known");
+    assertRefused(plan(new Intent.PutService(SERVICE)), "already has this definition");
+    assertRefused(plan(new Intent.RetireHost(HostId.of("nadi-01"))), "is the last of cell");
+    assertThat(plan(new Intent.RetireHost(HostId.of("suva-01"))).refusals()).isEmpty();
+  }
+
+  /** Guards against moves to other zones when one upstream of a cell goes out. */
+  @Test
+  void slotsOfARetiredUpstreamStayInItsCell() {
+    Plan plan = plan(new Intent.RetireUpstream(UpstreamId.of("desk-suva-1")));
+
+    Plan.Move move = Iterables.getOnlyElement(plan.moves());
+    assertThat(move.to()).hasValue(UpstreamId.of("desk-suva-2"));
+    assertThat(move.slots()).isEqualTo(11);
+  }
+
+  /** Guards against a returning zone that takes more than its fair share. */
+  @Test
+  void returningZoneTakesNoMoreThanItsFairShare() {
+    Configuration without =
+        CONFIGURATION.toBuilder().drainedZones(ImmutableSet.of(ZoneName.of("nadi"))).build();
+    var slots = new ImmutableSortedMap.Builder<Integer, SlotOwner>(Integer::compare);
+    ImmutableList<UpstreamDefinition> rest =
+        SERVICE.upstreams().stream()
+            .filter(without::admits)
+            .collect(ImmutableList.toImmutableList());
+    for (int slot = 0; slot < 64; slot++) {
+      slots.put(slot, SlotOwner.of(rest.get(slot % 4).id(), Epoch.of(1, slot)));
+    }
+    var assignment =
+        new Assignment(DESK, CellId.of("suva"), Epoch.of(1, 1), slots.build(), ImmutableMap.of());
+    var basis = new PlanBasis(without, ImmutableList.of(assignment), ImmutableMap.of(), HOSTS);
+
+    Plan plan = PlanBuilder.plan(new Intent.ReturnZone(ZoneName.of("nadi")), basis);
+
+    assertThat(plan.moves().stream().mapToInt(Plan.Move::slots).sum()).isEqualTo(20);
+    for (Plan.Move move : plan.moves()) {
+      assertThat(move.to().orElseThrow().value()).startsWith("desk-nadi");
+    }
+  }
+
+  /** Guards against definitions that no daemon could put into force. */
+  @Test
+  void malformedServiceIsRefused() {
+    var kind = new ServiceKind.Keyed(128, CutOffRule.hold(), GrantChecking.checked());
+    var other = new ServiceDefinition(DESK, kind, SERVICE.zones(), SERVICE.upstreams(), 0);
+    assertRefused(plan(new Intent.PutService(other)), "cannot change how its keys are divided");
+    assertThat(plan(new Intent.PutService(FakeSite.service("new", 1, "labasa"))).refusals())
+        .hasSize(2);
+    ServiceDefinition fresh = FakeSite.service("new", 1, "suva", "nadi");
+    Plan plan = plan(new Intent.PutService(fresh));
+    assertThat(plan.refusals()).isEmpty();
+    assertThat(plan.moves().stream().mapToInt(Plan.Move::slots).sum()).isEqualTo(64);
+  }
+
+  /** Guards against plan ids that differ for the same plan or are shared by different ones. */
+  @Test
+  void idDependsOnIntentAndVersionsOnly() {
+    Intent drain = new Intent.DrainZone(ZoneName.of("nadi"));
+    assertThat(plan(drain).id()).isEqualTo(plan(drain).id());
+    assertThat(plan(new Intent.DrainZone(ZoneName.of("suva"))).id()).isNotEqualTo(plan(drain).id());
+    Configuration later = CONFIGURATION.toBuilder().version(6).build();
+    assertThat(PlanBuilder.plan(drain, basis(later, 1)).id()).isNotEqualTo(plan(drain).id());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
@@ -0,0 +1,207 @@
+package org.catkinlift.plans;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Iterables;
+import java.time.Duration;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.control.fake.FakeSite;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.PlanId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.ZoneName;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class PlanControlTest {
+  private static final Duration IN_FORCE = Duration.ofSeconds(7);
+  private static final Intent CREATE =
+      new Intent.PutService(FakeSite.service("desk", 4, "suva", "nadi"));
+
+  private final FakeSite site = new FakeSite(1);
+
+  @BeforeEach
+  void start() {
+    site.startAll(2, "suva", "nadi");
+    site.run(Duration.ofSeconds(5));
+  }
+
+  private PlanId make(String host, Intent intent) {
+    var reply = (OperatorReply.PlanShown) site.ask(host, new OperatorRequest.MakePlan(intent));
+    assertThat(reply.plan().plan().refusals()).isEmpty();
+    return reply.plan().plan().id();
+  }
+
+  private OperatorReply confirm(String host, PlanId plan) {
+    return site.ask(host, new OperatorRequest.ConfirmPlan(plan));
+  }
+
+  private static PlanRecord.State stateOf(OperatorReply reply) {
+    return ((OperatorReply.PlanShown) reply).plan().state();
+  }
+
+  private static OperatorReply.Failed failure(OperatorReply reply) {
+    return (OperatorReply.Failed) reply;
+  }
+
+  private static Intent drain(String zone) {
+    return new Intent.DrainZone(ZoneName.of(zone));
+  }
+
+  /** Guards against an intent that takes effect without a confirmation. */
+  @Test
+  void nothingChangesBeforeTheConfirmation() {
+    PlanId plan = make("suva-01", CREATE);
+    site.run(IN_FORCE);
+    assertThat(site.allHave(0)).isTrue();
+
+    assertThat(stateOf(confirm("nadi-02", plan))).isEqualTo(PlanRecord.State.CONFIRMED);
+    site.run(IN_FORCE);
+
+    assertThat(site.allHave(1)).isTrue();
+  }
+
+  /** Guards against a second effect of a confirmation that an operator repeats. */
+  @Test
+  void repeatedConfirmationTakesEffectOnce() {
+    PlanId plan = make("suva-01", CREATE);
+    for (String host : ImmutableList.of("suva-01", "nadi-01", "suva-01")) {
+      assertThat(stateOf(confirm(host, plan))).isEqualTo(PlanRecord.State.CONFIRMED);
+    }
+    assertThat(site.platform().configurationVersions()).containsExactly(1L);
+  }
+
+  /** Guards against two operators who both believe that they have changed the same version. */
+  @Test
+  void conflictingIntentsConfirmedAtOnceGiveOneSuccessAndOneConflict() {
+    confirm("suva-01", make("suva-01", CREATE));
+    PlanId first = make("suva-01", drain("suva"));
+    PlanId second = make("nadi-01", drain("nadi"));
+    site.daemon("suva-01")
+        .deliver(new ControlEvent.OperatorRequested(7, new OperatorRequest.ConfirmPlan(first)));
+    site.daemon("nadi-01")
+        .deliver(new ControlEvent.OperatorRequested(7, new OperatorRequest.ConfirmPlan(second)));
+    site.run(Duration.ofSeconds(3));
+
+    OperatorReply winner = Iterables.getLast(site.daemon("suva-01").replies());
+    OperatorReply loser = Iterables.getLast(site.daemon("nadi-01").replies());
+    assertThat(stateOf(winner)).isEqualTo(PlanRecord.State.CONFIRMED);
+    assertThat(failure(loser).reason()).isEqualTo(OperatorReply.Reason.CONFLICT);
+    assertThat(failure(loser).detail()).contains("made from version 1");
+    assertThat(failure(loser).detail()).contains("availability zone suva drained");
+    assertThat(site.platform().configurationVersions()).containsExactly(1L, 2L).inOrder();
+    var shown = site.ask("nadi-02", new OperatorRequest.ShowPlan(second));
+    assertThat(stateOf(shown)).isEqualTo(PlanRecord.State.CONFLICT);
+  }
+
+  /** Guards against a conflict message that does not say what the other operator did. */
+  @Test
+  void conflictNamesTheChangesOfOthers() {
+    PlanId create = make("suva-01", CREATE);
+    PlanId drain = make("nadi-01", drain("nadi"));
+    confirm("suva-01", create);
+
+    OperatorReply.Failed reply = failure(confirm("nadi-01", drain));
+
+    assertThat(reply.detail()).contains("service desk created");
+  }
+
+  /** Guards against a plan whose moves no longer describe what will happen. */
+  @Test
+  void changedAssignmentIsAConflict() {
+    confirm("suva-01", make("suva-01", CREATE));
+    putAssignment(1);
+    PlanId plan = make("suva-01", drain("nadi"));
+    putAssignment(2);
+
+    OperatorReply.Failed reply = failure(confirm("suva-01", plan));
+
+    assertThat(reply.reason()).isEqualTo(OperatorReply.Reason.CONFLICT);
+    assertThat(reply.detail()).contains("assignment desk/suva is at version 1.2");
+    assertThat(stateOf(confirm("suva-01", make("suva-01", drain("nadi")))))
+        .isEqualTo(PlanRecord.State.CONFIRMED);
+  }
+
+  private void putAssignment(long counter) {
+    var assignment =
+        new Assignment(
+            ServiceName.of("desk"),
+            CellId.of("suva"),
+            Epoch.of(1, counter),
+            ImmutableSortedMap.of(),
+            ImmutableMap.of());
+    site.platform().put(assignment.name(), new RowValue.AssignmentRow(assignment));
+  }
+
+  /** Guards against reporting a failure, or writing twice, when only the answer was lost. */
+  @Test
+  void lostAnswerOfAConfirmationIsResolvedByReading() {
+    PlanId plan = make("suva-01", CREATE);
+    site.platform().loseAnswersOfWrites(1);
+
+    assertThat(stateOf(confirm("suva-01", plan))).isEqualTo(PlanRecord.State.CONFIRMED);
+    assertThat(site.platform().configurationVersions()).containsExactly(1L);
+    assertThat(site.daemon("suva-01").logged(EventCode.PLAN_CONFIRMED)).isEqualTo(1);
+  }
+
+  /** Guards against a plan that is lost because only the answer to its storing was. */
+  @Test
+  void lostAnswerOfAPlanIsResolvedByReading() {
+    site.platform().loseAnswersOfWrites(1);
+    PlanId plan = make("suva-01", CREATE);
+    assertThat(make("nadi-01", CREATE)).isEqualTo(plan);
+    var plans = (OperatorReply.PlansListed) site.ask("nadi-01", new OperatorRequest.ListPlans());
+    assertThat(plans.plans()).hasSize(1);
+  }
+
+  /** Guards against confirmations that seem to work, or plans that vanish, in an outage. */
+  @Test
+  void unreachablePlatformIsAClearErrorAndTheConfirmationCanBeRepeated() {
+    PlanId plan = make("suva-01", CREATE);
+    site.platform().down(true);
+    assertThat(failure(site.ask("suva-01", new OperatorRequest.MakePlan(drain("nadi")))).reason())
+        .isEqualTo(OperatorReply.Reason.PLATFORM_UNREACHABLE);
+    OperatorReply.Failed reply = failure(confirm("suva-01", plan));
+    assertThat(reply.reason()).isEqualTo(OperatorReply.Reason.PLATFORM_UNREACHABLE);
+    assertThat(reply.detail()).contains("was not confirmed");
+
+    site.platform().down(false);
+
+    assertThat(stateOf(confirm("suva-01", plan))).isEqualTo(PlanRecord.State.CONFIRMED);
+  }
+
+  /** Guards against putting a refused plan into force. */
+  @Test
+  void planWithRefusalsCannotBeConfirmed() {
+    var made =
+        (OperatorReply.PlanShown)
+            site.ask("suva-01", new OperatorRequest.MakePlan(drain("labasa")));
+    OperatorReply.Failed reply = failure(confirm("suva-01", made.plan().plan().id()));
+    assertThat(reply.reason()).isEqualTo(OperatorReply.Reason.REFUSED);
+    assertThat(failure(confirm("suva-01", PlanId.of("p-0"))).reason())
+        .isEqualTo(OperatorReply.Reason.NOT_FOUND);
+  }
+
+  /** Guards against status and explain answers that need the platform. */
+  @Test
+  void statusAndExplainAreAnsweredDuringAnOutage() {
+    confirm("suva-01", make("suva-01", CREATE));
+    site.run(IN_FORCE);
+    site.platform().down(true);
+
+    var status = (OperatorReply.Facts) site.ask("nadi-01", new OperatorRequest.ShowStatus());
+    assertThat(status.facts()).containsEntry("configuration version", "1");
+    assertThat(status.facts()).containsEntry("live daemons of the cell", "nadi-01, nadi-02");
+    var explain =
+        (OperatorReply.Facts)
+            site.ask("nadi-01", new OperatorRequest.ExplainKey(ServiceName.of("desk"), "o-17"));
+    assertThat(explain.facts()).containsEntry("owner", "none");
+  }
+}
