Add the inner protocol: frames, codecs and links between daemons

Control messages and relays use separate links. A link that leaves a ping unanswered for 500 ms is closed, so that the next message opens a new one; connections can go silent while both ends consider them open.

--- /dev/null
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
@@ -0,0 +1,92 @@
+package org.catkinlift.protocol;
+
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.function.Consumer;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.model.HostId;
+import org.catkinlift.protocol.generated.Frame;
+import org.catkinlift.protocol.generated.PongFrame;
+
+/** Reads the frames of one connection and passes them to the listener. */
+final class FrameHandler extends SimpleChannelInboundHandler<Frame> {
+  private final PeerListener listener;
+  private final LinkNumbers numbers;
+  private final Consumer<PeerLink> onClose;
+  private PeerLink link;
+
+  /** Handles a connection that the other side opened; its first frame names the peer. */
+  FrameHandler(PeerListener listener, LinkNumbers numbers) {
+    this.listener = listener;
+    this.numbers = numbers;
+    this.onClose = l -> {};
+  }
+
+  /** Handles a connection that this side opened. */
+  FrameHandler(PeerListener listener, PeerLink link, Consumer<PeerLink> onClose) {
+    this.listener = listener;
+    this.numbers = null;
+    this.link = link;
+    this.onClose = onClose;
+  }
+
+  /** Returns the link, or null before the peer has introduced itself. */
+  PeerLink link() {
+    return link;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    switch (frame.getBodyCase()) {
+      case OPEN -> accept(context, frame);
+      case PING -> answerPing(context, frame);
+      case PONG -> link.pongReceived(frame.getPong().getNumber());
+      default -> deliver(frame);
+    }
+  }
+
+  private void accept(ChannelHandlerContext context, Frame frame) {
+    int version = frame.getOpen().getProtocolVersion();
+    if (version != PeerTransport.PROTOCOL_VERSION) {
+      throw new ProtocolException(
+          ProtocolException.Code.VERSION_MISMATCH, "peer speaks protocol version " + version);
+    }
+    link = new PeerLink(context.channel(), HostId.of(frame.getOpen().getHost()), numbers.next());
+  }
+
+  private static void answerPing(ChannelHandlerContext context, Frame frame) {
+    context
+        .writeAndFlush(
+            Frame.newBuilder()
+                .setPong(PongFrame.newBuilder().setNumber(frame.getPing().getNumber()))
+                .build())
+        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  private void deliver(Frame frame) {
+    if (link == null) {
+      throw new ProtocolException(
+          ProtocolException.Code.MALFORMED_FRAME, "first frame must introduce the peer");
+    }
+    PeerMessageCodec.decode(frame).ifPresent(this::deliverMessage);
+    RelayCodec.decode(frame).ifPresent(relay -> listener.relayReceived(link, relay));
+  }
+
+  private void deliverMessage(PeerMessage message) {
+    listener.messageReceived(link.peer(), message);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (link != null) {
+      onClose.accept(link);
+      listener.linkClosed(link);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    var unused = context.close();
+  }
+}
--- /dev/null
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerLink.java
@@ -0,0 +1,104 @@
+package org.catkinlift.protocol;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.model.HostId;
+import org.catkinlift.protocol.generated.Frame;
+import org.catkinlift.protocol.generated.PingFrame;
+
+/**
+ * Sends frames over one connection to another daemon and closes it when it goes silent.
+ *
+ * <p>A connection can lose its path while both ends consider it open. Therefore each message is
+ * followed by a ping unless one is under way, and a ping without an answer closes the connection,
+ * so that the next message opens a new one.
+ */
+public final class PeerLink {
+  private static final Duration PONG_TIMEOUT = Duration.ofMillis(500);
+
+  private final Channel channel;
+  private final HostId peer;
+  private final long number;
+  private boolean pingOutstanding;
+  private long pingNumber;
+
+  PeerLink(Channel channel, HostId peer, long number) {
+    this.channel = channel;
+    this.peer = peer;
+    this.number = number;
+  }
+
+  /**
+   * Returns the daemon at the other end.
+   *
+   * @return the host
+   */
+  public HostId peer() {
+    return peer;
+  }
+
+  /**
+   * Returns the number of the link, unique within the process.
+   *
+   * @return the number
+   */
+  public long number() {
+    return number;
+  }
+
+  /**
+   * Sends a part of a relayed request or of its answer. May be called on any thread; frames of one
+   * thread keep their order.
+   *
+   * @param frame the frame
+   */
+  public void send(RelayFrame frame) {
+    write(RelayCodec.encode(frame));
+  }
+
+  void send(PeerMessage message) {
+    write(PeerMessageCodec.encode(message));
+  }
+
+  void write(Frame frame) {
+    channel.writeAndFlush(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    channel.eventLoop().execute(this::pingIfIdle);
+  }
+
+  /** Stops the timeout of the outstanding ping. Event loop only. */
+  void pongReceived(long answered) {
+    if (answered == pingNumber) {
+      pingOutstanding = false;
+    }
+  }
+
+  void close() {
+    var unused = channel.close();
+  }
+
+  private void pingIfIdle() {
+    if (pingOutstanding || !channel.isActive()) {
+      return;
+    }
+    pingOutstanding = true;
+    long expected = ++pingNumber;
+    channel
+        .writeAndFlush(
+            Frame.newBuilder().setPing(PingFrame.newBuilder().setNumber(expected)).build())
+        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    var unused =
+        channel
+            .eventLoop()
+            .schedule(
+                () -> closeIfUnanswered(expected), PONG_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void closeIfUnanswered(long expected) {
+    if (pingOutstanding && pingNumber == expected) {
+      var unused = channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
@@ -0,0 +1,207 @@
+package org.catkinlift.protocol;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.protocol.generated.Frame;
+import org.catkinlift.protocol.generated.OpenFrame;
+
+/**
+ * Carries the inner protocol: listens for other daemons and opens links to them.
+ *
+ * <p>Control messages and relays use separate links, so that a heartbeat never waits behind a large
+ * body.
+ */
+public final class PeerTransport {
+  /** The version of the inner protocol; daemons of different versions do not talk. */
+  public static final int PROTOCOL_VERSION = 1;
+
+  private static final int THREADS = 2;
+  private static final int LENGTH_BYTES = 4;
+  private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  private final HostId self;
+  private final PeerListener listener;
+  private final MultiThreadIoEventLoopGroup loops;
+  private final LinkNumbers numbers = new LinkNumbers();
+  private final ConcurrentMap<LinkKey, CompletableFuture<PeerLink>> links =
+      new ConcurrentHashMap<>();
+  private Channel server;
+
+  private PeerTransport(HostId self, PeerListener listener) {
+    this.self = self;
+    this.listener = listener;
+    this.loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+  }
+
+  /** What a link is used for. */
+  private enum Use {
+    CONTROL,
+    RELAY
+  }
+
+  private record LinkKey(HostDefinition peer, Use use) {}
+
+  /**
+   * Starts listening.
+   *
+   * @param self this daemon's host
+   * @param address where to listen
+   * @param listener what receives messages
+   * @return the transport, or a {@link ProtocolException} with code {@code BIND_FAILED}
+   */
+  public static CompletableFuture<PeerTransport> start(
+      HostId self, NetworkAddress address, PeerListener listener) {
+    var transport = new PeerTransport(self, listener);
+    var started = new CompletableFuture<PeerTransport>();
+    new ServerBootstrap()
+        .group(transport.loops)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(initializer(c -> new FrameHandler(listener, transport.numbers)))
+        .bind(new InetSocketAddress(address.ip(), address.port()))
+        .addListener((ChannelFuture bound) -> transport.finishStart(bound, address, started));
+    return started;
+  }
+
+  private void finishStart(
+      ChannelFuture bound, NetworkAddress address, CompletableFuture<PeerTransport> started) {
+    if (bound.isSuccess()) {
+      server = bound.channel();
+      started.complete(this);
+      return;
+    }
+    var unused = loops.shutdownGracefully();
+    started.completeExceptionally(
+        new ProtocolException(
+            ProtocolException.Code.BIND_FAILED, "cannot listen on " + address, bound.cause()));
+  }
+
+  /**
+   * Sends a control message; it is lost if no link can be opened.
+   *
+   * @param to the receiver
+   * @param message the message
+   */
+  public void send(HostDefinition to, PeerMessage message) {
+    var unused = link(new LinkKey(to, Use.CONTROL)).thenAccept(link -> link.send(message));
+  }
+
+  /**
+   * Returns the link for relays to a daemon, and opens it if there is none.
+   *
+   * @param to the daemon
+   * @return the link, or a failure if it cannot be opened
+   */
+  public CompletableFuture<PeerLink> relayLink(HostDefinition to) {
+    return link(new LinkKey(to, Use.RELAY));
+  }
+
+  /**
+   * Closes all links and stops listening.
+   *
+   * @return completes when all is closed
+   */
+  public CompletableFuture<Void> close() {
+    var unusedServer = server.close();
+    for (CompletableFuture<PeerLink> link : links.values()) {
+      var unused = link.thenAccept(PeerLink::close);
+    }
+    var closed = new CompletableFuture<Void>();
+    loops
+        .shutdownGracefully(0, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .addListener(done -> closed.complete(null));
+    return closed;
+  }
+
+  private CompletableFuture<PeerLink> link(LinkKey key) {
+    CompletableFuture<PeerLink> present = links.get(key);
+    if (present != null) {
+      return present;
+    }
+    var opening = new CompletableFuture<PeerLink>();
+    CompletableFuture<PeerLink> raced = links.putIfAbsent(key, opening);
+    if (raced != null) {
+      return raced;
+    }
+    open(key, opening);
+    return opening;
+  }
+
+  private void open(LinkKey key, CompletableFuture<PeerLink> opening) {
+    Consumer<PeerLink> onClose = link -> links.remove(key, opening);
+    NetworkAddress address = key.peer().peerAddress();
+    new Bootstrap()
+        .group(loops)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+        .handler(
+            initializer(
+                channel ->
+                    new FrameHandler(
+                        listener, new PeerLink(channel, key.peer().id(), numbers.next()), onClose)))
+        .connect(new InetSocketAddress(address.ip(), address.port()))
+        .addListener((ChannelFuture connected) -> finishOpen(key, connected, opening));
+  }
+
+  private void finishOpen(
+      LinkKey key, ChannelFuture connected, CompletableFuture<PeerLink> opening) {
+    if (!connected.isSuccess()) {
+      links.remove(key, opening);
+      opening.completeExceptionally(connected.cause());
+      return;
+    }
+    PeerLink link = connected.channel().pipeline().get(FrameHandler.class).link();
+    link.write(
+        Frame.newBuilder()
+            .setOpen(
+                OpenFrame.newBuilder().setHost(self.value()).setProtocolVersion(PROTOCOL_VERSION))
+            .build());
+    opening.complete(link);
+  }
+
+  private static ChannelInitializer<Channel> initializer(
+      Function<Channel, ChannelHandler> handler) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        channel
+            .pipeline()
+            .addLast(
+                new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                new ProtobufDecoder(Frame.getDefaultInstance()),
+                new LengthFieldPrepender(LENGTH_BYTES),
+                new ProtobufEncoder(),
+                handler.apply(channel));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/VersionedCodec.java
@@ -0,0 +1,192 @@
+package org.catkinlift.protocol;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.Versioned;
+import org.catkinlift.protocol.generated.AssignmentProto;
+import org.catkinlift.protocol.generated.DispatcherMapProto;
+import org.catkinlift.protocol.generated.HomeMapProto;
+import org.catkinlift.protocol.generated.OverrideProto;
+import org.catkinlift.protocol.generated.SlotOwnerProto;
+import org.catkinlift.protocol.generated.VersionedProto;
+
+/** Translates the values that spread among daemons to and from protobuf messages. */
+final class VersionedCodec {
+  private VersionedCodec() {}
+
+  static VersionedProto encode(Versioned value) {
+    var builder = VersionedProto.newBuilder();
+    return switch (value) {
+      case Configuration c -> builder.setConfiguration(ModelCodec.encode(c)).build();
+      case HomeMap h -> builder.setHomeMap(encodeHomes(h)).build();
+      case Assignment a -> builder.setAssignment(encodeAssignment(a)).build();
+      case DispatcherMap d -> builder.setDispatcherMap(encodeDispatchers(d)).build();
+    };
+  }
+
+  static Versioned decode(VersionedProto proto) {
+    return switch (proto.getValueCase()) {
+      case CONFIGURATION -> ModelCodec.decode(proto.getConfiguration());
+      case HOME_MAP -> decodeHomes(proto.getHomeMap());
+      case ASSIGNMENT -> decodeAssignment(proto.getAssignment());
+      case DISPATCHER_MAP -> decodeDispatchers(proto.getDispatcherMap());
+      case VALUE_NOT_SET ->
+          throw new ProtocolException(
+              ProtocolException.Code.MALFORMED_FRAME, "versioned value of unknown type");
+    };
+  }
+
+  private static HomeMapProto encodeHomes(HomeMap map) {
+    var builder =
+        HomeMapProto.newBuilder().setService(map.service().value()).setVersion(map.version());
+    Map<CellId, Integer> indexes = new HashMap<>();
+    CellId runCell = null;
+    int runLength = 0;
+    for (CellId home : map.homes()) {
+      if (!home.equals(runCell)) {
+        addRun(builder, indexes, runCell, runLength);
+        runCell = home;
+        runLength = 0;
+      }
+      runLength++;
+    }
+    addRun(builder, indexes, runCell, runLength);
+    return builder.build();
+  }
+
+  private static void addRun(
+      HomeMapProto.Builder builder, Map<CellId, Integer> indexes, CellId cell, int length) {
+    if (length == 0) {
+      return;
+    }
+    Integer index = indexes.get(cell);
+    if (index == null) {
+      index = indexes.size();
+      indexes.put(cell, index);
+      builder.addCells(cell.value());
+    }
+    builder.addRunCell(index).addRunLength(length);
+  }
+
+  private static HomeMap decodeHomes(HomeMapProto proto) {
+    List<CellId> cells = proto.getCellsList().stream().map(CellId::of).toList();
+    var homes = ImmutableList.<CellId>builder();
+    for (int i = 0; i < proto.getRunCellCount(); i++) {
+      CellId cell = cells.get(proto.getRunCell(i));
+      for (int n = proto.getRunLength(i); n > 0; n--) {
+        homes.add(cell);
+      }
+    }
+    return new HomeMap(ServiceName.of(proto.getService()), proto.getVersion(), homes.build());
+  }
+
+  private static AssignmentProto encodeAssignment(Assignment assignment) {
+    var indexes = new OwnerIndexes();
+    var builder =
+        AssignmentProto.newBuilder()
+            .setService(assignment.service().value())
+            .setCell(assignment.cell().value())
+            .setVersion(ModelCodec.encode(assignment.version()));
+    assignment
+        .slots()
+        .forEach(
+            (slot, owner) ->
+                builder.addSlots(
+                    SlotOwnerProto.newBuilder()
+                        .setSlot(slot)
+                        .setOwner(indexes.of(owner))
+                        .setEpoch(ModelCodec.encode(owner.epoch()))));
+    assignment
+        .overrides()
+        .forEach(
+            (key, owner) ->
+                builder.addOverrides(
+                    OverrideProto.newBuilder()
+                        .setKey(key)
+                        .setOwner(indexes.of(owner))
+                        .setEpoch(ModelCodec.encode(owner.epoch()))));
+    return builder.addAllUpstreams(indexes.names).build();
+  }
+
+  private static Assignment decodeAssignment(AssignmentProto proto) {
+    List<UpstreamId> upstreams = proto.getUpstreamsList().stream().map(UpstreamId::of).toList();
+    var slots = ImmutableSortedMap.<Integer, SlotOwner>naturalOrder();
+    for (SlotOwnerProto slot : proto.getSlotsList()) {
+      slots.put(
+          slot.getSlot(),
+          new SlotOwner(ownerAt(upstreams, slot.getOwner()), ModelCodec.decode(slot.getEpoch())));
+    }
+    var overrides = ImmutableMap.<String, SlotOwner>builder();
+    for (OverrideProto override : proto.getOverridesList()) {
+      overrides.put(
+          override.getKey(),
+          new SlotOwner(
+              ownerAt(upstreams, override.getOwner()), ModelCodec.decode(override.getEpoch())));
+    }
+    return new Assignment(
+        ServiceName.of(proto.getService()),
+        CellId.of(proto.getCell()),
+        ModelCodec.decode(proto.getVersion()),
+        slots.buildOrThrow(),
+        overrides.buildOrThrow());
+  }
+
+  private static Optional<UpstreamId> ownerAt(List<UpstreamId> upstreams, int owner) {
+    return owner == 0 ? Optional.empty() : Optional.of(upstreams.get(owner - 1));
+  }
+
+  private static DispatcherMapProto encodeDispatchers(DispatcherMap map) {
+    var builder =
+        DispatcherMapProto.newBuilder()
+            .setCell(map.cell().value())
+            .setVersion(ModelCodec.encode(map.version()));
+    map.dispatchers()
+        .forEach((upstream, host) -> builder.putDispatchers(upstream.value(), host.value()));
+    return builder.build();
+  }
+
+  private static DispatcherMap decodeDispatchers(DispatcherMapProto proto) {
+    var dispatchers = ImmutableMap.<UpstreamId, HostId>builder();
+    proto
+        .getDispatchersMap()
+        .forEach((upstream, host) -> dispatchers.put(UpstreamId.of(upstream), HostId.of(host)));
+    return new DispatcherMap(
+        CellId.of(proto.getCell()),
+        ModelCodec.decode(proto.getVersion()),
+        dispatchers.buildOrThrow());
+  }
+
+  /** Numbers the upstreams of an assignment from 1, in order of appearance. */
+  private static final class OwnerIndexes {
+    private final Map<UpstreamId, Integer> indexes = new HashMap<>();
+    private final List<String> names = new ArrayList<>();
+
+    private int of(SlotOwner owner) {
+      return owner.owner().map(this::indexOf).orElse(0);
+    }
+
+    private int indexOf(UpstreamId upstream) {
+      return indexes.computeIfAbsent(
+          upstream,
+          u -> {
+            names.add(u.value());
+            return names.size();
+          });
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** The inner protocol between daemons: frames, codecs and connections. */
+package org.catkinlift.protocol;
