--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/connections/TrackedConnection.java
@@ -0,0 +1,33 @@
+package org.catkinlift.connections;
+
+/**
+ * The state of one connection.
+ *
+ * @param attempt the attempt that it carries; the smallest long if it is idle
+ * @param sinceNanos when the attempt was sent or the connection became idle
+ * @param overdueAtNanos when the answer is overdue
+ * @param abandoned whether the caller of the attempt no longer waits
+ */
+record TrackedConnection(long attempt, long sinceNanos, long overdueAtNanos, boolean abandoned) {
+  private static final long NONE = Long.MIN_VALUE;
+
+  static TrackedConnection idle(long nowNanos) {
+    return new TrackedConnection(NONE, nowNanos, Long.MAX_VALUE, false);
+  }
+
+  static TrackedConnection busy(long attempt, long nowNanos, long overdueAtNanos) {
+    return new TrackedConnection(attempt, nowNanos, overdueAtNanos, false);
+  }
+
+  TrackedConnection abandon() {
+    return new TrackedConnection(attempt, sinceNanos, overdueAtNanos, true);
+  }
+
+  boolean carries(long candidate) {
+    return attempt != NONE && attempt == candidate;
+  }
+
+  boolean isOverdue(long nowNanos) {
+    return attempt != NONE && nowNanos >= overdueAtNanos;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/RequestQueue.java
@@ -0,0 +1,68 @@
+package org.catkinlift.limits;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Holds the requests that wait for an upstream, first in, first out, up to a bound. */
+final class RequestQueue {
+  /** Queue length per execution slot. */
+  private static final int LENGTH_FACTOR = 4;
+
+  private final Map<Long, WaitingRequest> waiting = new LinkedHashMap<>();
+  private int capacity;
+
+  RequestQueue(int limit) {
+    changeLimit(limit);
+  }
+
+  void changeLimit(int limit) {
+    capacity = limit * LENGTH_FACTOR;
+  }
+
+  boolean isFull() {
+    return waiting.size() >= capacity;
+  }
+
+  int size() {
+    return waiting.size();
+  }
+
+  void add(WaitingRequest request) {
+    waiting.put(request.attempt(), request);
+  }
+
+  boolean remove(long attempt) {
+    return waiting.remove(attempt) != null;
+  }
+
+  Optional<WaitingRequest> poll() {
+    var entries = waiting.values().iterator();
+    if (!entries.hasNext()) {
+      return Optional.empty();
+    }
+    WaitingRequest first = entries.next();
+    entries.remove();
+    return Optional.of(first);
+  }
+
+  /** Removes and returns the requests whose deadline or, without a lease, wait has ended. */
+  ImmutableList<WaitingRequest> removeExpired(long nowNanos, boolean hasLease) {
+    var expired = ImmutableList.<WaitingRequest>builder();
+    for (var entries = waiting.values().iterator(); entries.hasNext(); ) {
+      WaitingRequest request = entries.next();
+      if (request.hasExpired(nowNanos, hasLease)) {
+        expired.add(request);
+        entries.remove();
+      }
+    }
+    return expired.build();
+  }
+
+  ImmutableList<WaitingRequest> removeAll() {
+    var all = ImmutableList.copyOf(waiting.values());
+    waiting.clear();
+    return all;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/SlowStartLimiter.java
@@ -0,0 +1,137 @@
+package org.catkinlift.limits;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Holds the number of requests that an upstream gets at once, and lowers it while the upstream is
+ * cold.
+ *
+ * <p>The limit of a cold upstream starts at 1 and grows only with completed work, because an
+ * upstream that makes no progress does not become warm by waiting. Confined to one event loop.
+ */
+final class SlowStartLimiter {
+  private static final int FIRST_LIMIT = 1;
+  private static final int MEDIAN = 50;
+
+  /** An answer is slow if it takes more than this times the upstream's own past median. */
+  private static final int SLOW_FACTOR = 3;
+
+  /** So many slow answers in a row are a cold start; fewer are normal for a mixed load. */
+  private static final int SLOW_ANSWERS_IN_A_ROW = 8;
+
+  private final UpstreamId upstream;
+  private final LatencyTracker latencies = new LatencyTracker();
+  private int fullLimit;
+  private int limit;
+  private int completedAtLimit;
+  private int slowInARow;
+  private String instance = "";
+  private boolean unconfirmed;
+
+  SlowStartLimiter(UpstreamId upstream, int fullLimit) {
+    this.upstream = upstream;
+    this.fullLimit = fullLimit;
+    this.limit = fullLimit;
+  }
+
+  int limit() {
+    return unconfirmed ? FIRST_LIMIT : limit;
+  }
+
+  int fullLimit() {
+    return fullLimit;
+  }
+
+  String instance() {
+    return instance;
+  }
+
+  /** Returns the usual latency; zero before enough answers were seen. */
+  Duration usualLatency() {
+    return latencies.percentile(MEDIAN);
+  }
+
+  void changeFullLimit(int newLimit) {
+    limit = isCold() ? Math.min(limit, newLimit) : newLimit;
+    fullLimit = newLimit;
+  }
+
+  /** Keeps the limit at 1 until the next answer shows whether the upstream restarted. */
+  void connectionLost() {
+    unconfirmed = true;
+  }
+
+  ImmutableList<DecisionEvent> instanceSeen(String seen) {
+    if (seen.isEmpty()) {
+      return ImmutableList.of();
+    }
+    unconfirmed = false;
+    if (seen.equals(instance)) {
+      return ImmutableList.of();
+    }
+    boolean isFirst = instance.isEmpty();
+    instance = seen;
+    return isFirst ? ImmutableList.of() : becomeCold("restarted");
+  }
+
+  ImmutableList<DecisionEvent> answered(Duration latency) {
+    unconfirmed = false;
+    slowInARow = isSlow(latency) ? slowInARow + 1 : 0;
+    latencies.record(latency);
+    if (slowInARow >= SLOW_ANSWERS_IN_A_ROW) {
+      return becomeCold("slow");
+    }
+    return grow();
+  }
+
+  ImmutableList<DecisionEvent> shed() {
+    unconfirmed = false;
+    boolean wasCold = isCold();
+    limit = Math.max(FIRST_LIMIT, limit / 2);
+    completedAtLimit = 0;
+    return wasCold || !isCold() ? ImmutableList.of() : reportCold("shed");
+  }
+
+  private ImmutableList<DecisionEvent> becomeCold(String reason) {
+    boolean wasCold = isCold();
+    limit = Math.min(FIRST_LIMIT, fullLimit);
+    completedAtLimit = 0;
+    slowInARow = 0;
+    // The median is learned again, so an upstream that stays slow is not found cold forever.
+    latencies.clear();
+    return wasCold || !isCold() ? ImmutableList.of() : reportCold(reason);
+  }
+
+  private ImmutableList<DecisionEvent> grow() {
+    if (!isCold()) {
+      return ImmutableList.of();
+    }
+    completedAtLimit++;
+    if (completedAtLimit < limit) {
+      return ImmutableList.of();
+    }
+    limit++;
+    completedAtLimit = 0;
+    return isCold()
+        ? ImmutableList.of()
+        : ImmutableList.of(DecisionEvent.of(EventCode.UPSTREAM_WARM, "upstream", upstream));
+  }
+
+  private ImmutableList<DecisionEvent> reportCold(String reason) {
+    return ImmutableList.of(
+        DecisionEvent.of(EventCode.UPSTREAM_COLD, "upstream", upstream, "reason", reason));
+  }
+
+  private boolean isCold() {
+    return limit < fullLimit;
+  }
+
+  private boolean isSlow(Duration latency) {
+    return latencies.isMeaningful()
+        && latency.compareTo(usualLatency().multipliedBy(SLOW_FACTOR)) > 0;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/HedgeRace.java
@@ -0,0 +1,101 @@
+package org.catkinlift.retries;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.catkinlift.model.Outcome;
+
+/** Lets exactly one of the attempts of a hedged request answer the caller. */
+public final class HedgeRace {
+  private final Set<Long> running = new LinkedHashSet<>();
+  private Optional<Outcome> failure = Optional.empty();
+  private boolean decided;
+
+  /** Says what follows the end of an attempt. */
+  public sealed interface Step {
+
+    /**
+     * The answer of this attempt goes to the caller; the others are cancelled.
+     *
+     * @param attempt the winner
+     * @param cancel the losers
+     */
+    record Deliver(long attempt, ImmutableList<Long> cancel) implements Step {}
+
+    /** Another attempt still runs. */
+    record Continue() implements Step {}
+
+    /**
+     * No attempt is left.
+     *
+     * @param outcome the combined outcome
+     */
+    record Fail(Outcome outcome) implements Step {}
+
+    /** The caller has its answer already; this one is dropped. */
+    record Drop() implements Step {}
+  }
+
+  /**
+   * Starts with the first attempt.
+   *
+   * @param first the attempt
+   */
+  public HedgeRace(long first) {
+    running.add(first);
+  }
+
+  /**
+   * Adds the second attempt.
+   *
+   * @param attempt the attempt
+   */
+  public void hedged(long attempt) {
+    running.add(attempt);
+  }
+
+  /**
+   * Takes the beginning of an answer.
+   *
+   * @param attempt the attempt that is answered
+   * @return {@link Step.Deliver} for the first answer, else {@link Step.Drop}
+   */
+  public Step answered(long attempt) {
+    if (decided || !running.remove(attempt)) {
+      return new Step.Drop();
+    }
+    decided = true;
+    return new Step.Deliver(attempt, ImmutableList.copyOf(running));
+  }
+
+  /**
+   * Takes the failure of an attempt.
+   *
+   * @param attempt the attempt
+   * @param outcome how it ended
+   * @return {@link Step.Fail} after the last attempt, {@link Step.Drop} once an answer was
+   *     delivered, else {@link Step.Continue}
+   */
+  public Step failed(long attempt, Outcome outcome) {
+    if (decided || !running.remove(attempt)) {
+      return new Step.Drop();
+    }
+    failure = Optional.of(failure.map(f -> RetryRule.combine(f, outcome)).orElse(outcome));
+    if (!running.isEmpty()) {
+      return new Step.Continue();
+    }
+    decided = true;
+    return new Step.Fail(failure.get());
+  }
+
+  /**
+   * Returns the attempts that have not ended.
+   *
+   * @return the attempts
+   */
+  public ImmutableSet<Long> running() {
+    return ImmutableSet.copyOf(running);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
@@ -0,0 +1,126 @@
+package org.catkinlift.retries;
+
+import java.time.Duration;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.RequestClass;
+import org.catkinlift.retries.RetryDecision.GiveUp;
+import org.catkinlift.retries.RetryDecision.Retry;
+
+/** Decides whether a request is sent again. */
+public final class RetryRule {
+  private static final int MAX_ATTEMPTS = 3;
+
+  /** Doubles with each attempt; short against the 16 ms in which most requests are answered. */
+  private static final Duration FIRST_DELAY = Duration.ofMillis(5);
+
+  private RetryRule() {}
+
+  /**
+   * Decides what follows an attempt.
+   *
+   * <p>An at-most-once request is sent again only after {@link Outcome.NotRun}. The outcome must be
+   * the one of all attempts so far, see {@link #combine}.
+   *
+   * @param requestClass whether the request may be executed more than once
+   * @param attemptsMade the attempts so far, at least 1
+   * @param outcome the combined outcome of the attempts
+   * @param remaining the time until the caller's deadline
+   * @param budget the retry budget of the service
+   * @param nowNanos the time
+   * @return the decision
+   */
+  public static RetryDecision decide(
+      RequestClass requestClass,
+      int attemptsMade,
+      Outcome outcome,
+      Duration remaining,
+      RetryBudget budget,
+      long nowNanos) {
+    Duration delay = delayAfter(attemptsMade, outcome);
+    if (!mayRepeat(requestClass, outcome)
+        || attemptsMade >= MAX_ATTEMPTS
+        || delay.compareTo(remaining) >= 0) {
+      return new GiveUp(outcome);
+    }
+    if (!budget.tryTake(nowNanos)) {
+      return new GiveUp(withoutBudget(outcome));
+    }
+    return new Retry(delay);
+  }
+
+  /**
+   * Returns the outcome of a request from those of two successive attempts.
+   *
+   * <p>A later refusal does not undo an earlier attempt: once an attempt may have run, the request
+   * is never reported as not run.
+   *
+   * @param earlier the outcome of the earlier attempts
+   * @param later the outcome of the last attempt
+   * @return the combined outcome
+   */
+  public static Outcome combine(Outcome earlier, Outcome later) {
+    return switch (later) {
+      case Outcome.Answered answered -> answered;
+      case Outcome.Unknown unknown -> unknown;
+      case Outcome.NotRun notRun -> earlier instanceof Outcome.Unknown ? earlier : notRun;
+    };
+  }
+
+  private static boolean mayRepeat(RequestClass requestClass, Outcome outcome) {
+    return switch (outcome) {
+      case Outcome.Answered answered -> false;
+      case Outcome.NotRun notRun -> isWorthRepeating(notRun.code());
+      case Outcome.Unknown unknown -> isRepeatable(requestClass);
+    };
+  }
+
+  private static boolean isRepeatable(RequestClass requestClass) {
+    return switch (requestClass) {
+      case RequestClass.Repeatable repeatable -> true;
+      case RequestClass.AtMostOnce atMostOnce -> false;
+    };
+  }
+
+  private static boolean isWorthRepeating(RefusalCode code) {
+    return switch (code) {
+      case NO_OWNER,
+          DISPATCHER_UNREACHABLE,
+          QUEUE_FULL,
+          UPSTREAM_SHED,
+          STALE_EPOCH,
+          CONNECT_FAILED,
+          CONNECTION_LOST,
+          ANSWER_OVERDUE ->
+          true;
+      case BAD_REQUEST,
+          UNKNOWN_SERVICE,
+          DEADLINE_TOO_SHORT,
+          DEADLINE_PASSED,
+          ZONE_UNAVAILABLE,
+          RETRY_BUDGET_EXHAUSTED,
+          STOPPING ->
+          false;
+    };
+  }
+
+  private static Duration delayAfter(int attemptsMade, Outcome outcome) {
+    Duration backoff = FIRST_DELAY.multipliedBy(1L << Math.min(attemptsMade - 1, MAX_ATTEMPTS));
+    return switch (outcome) {
+      case Outcome.NotRun notRun when notRun.retryAfter().compareTo(backoff) > 0 ->
+          notRun.retryAfter();
+      case Outcome.NotRun notRun -> backoff;
+      case Outcome.Answered answered -> backoff;
+      case Outcome.Unknown unknown -> backoff;
+    };
+  }
+
+  private static Outcome withoutBudget(Outcome outcome) {
+    return switch (outcome) {
+      case Outcome.NotRun notRun ->
+          Outcome.notRun(RefusalCode.RETRY_BUDGET_EXHAUSTED, notRun.retryAfter());
+      case Outcome.Answered answered -> answered;
+      case Outcome.Unknown unknown -> unknown;
+    };
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/SharedChooser.java
@@ -0,0 +1,110 @@
+package org.catkinlift.routing;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Chooses upstreams of services whose work is not divided by key, by power of two choices.
+ *
+ * <p>The cost of an upstream follows only from what this daemon observed itself: its own requests
+ * in flight, their latency and recent failures. Load reports of upstreams are late or misleading
+ * and are not used. Confined to one event loop.
+ */
+public final class SharedChooser {
+  private static final double USUAL_LATENCY_WEIGHT = 0.05;
+  private static final double FIRST_LATENCY_NANOS = Duration.ofMillis(10).toNanos();
+
+  private final SplittableRandom random;
+  private final Map<UpstreamId, UpstreamView> views = new HashMap<>();
+  private double usualLatencyNanos = FIRST_LATENCY_NANOS;
+
+  /**
+   * Creates a chooser that has seen no request.
+   *
+   * @param random draws the two candidates
+   */
+  public SharedChooser(SplittableRandom random) {
+    this.random = random;
+  }
+
+  /**
+   * Chooses one of several upstreams.
+   *
+   * @param candidates the upstreams that may get the request, at least one
+   * @param nowNanos the time
+   * @return the cheaper one of two candidates drawn at random
+   */
+  public UpstreamDefinition choose(ImmutableList<UpstreamDefinition> candidates, long nowNanos) {
+    int count = candidates.size();
+    if (count == 1) {
+      return candidates.get(0);
+    }
+    int first = random.nextInt(count);
+    int second = (first + 1 + random.nextInt(count - 1)) % count;
+    UpstreamDefinition a = candidates.get(first);
+    UpstreamDefinition b = candidates.get(second);
+    return cost(b, nowNanos) < cost(a, nowNanos) ? b : a;
+  }
+
+  /**
+   * Records that a request was sent towards an upstream.
+   *
+   * @param upstream the upstream
+   * @param nowNanos the time
+   */
+  public void started(UpstreamId upstream, long nowNanos) {
+    view(upstream).started(nowNanos);
+  }
+
+  /**
+   * Records how a started request ended.
+   *
+   * @param upstream the upstream
+   * @param latency the time since it was started
+   * @param outcome how it ended
+   * @param nowNanos the time
+   */
+  public void finished(UpstreamId upstream, Duration latency, Outcome outcome, long nowNanos) {
+    switch (outcome) {
+      case Outcome.Answered answered -> {
+        view(upstream).answered(latency, nowNanos);
+        usualLatencyNanos += USUAL_LATENCY_WEIGHT * (latency.toNanos() - usualLatencyNanos);
+      }
+      case Outcome.NotRun notRun -> view(upstream).failed(nowNanos);
+      case Outcome.Unknown unknown -> view(upstream).failed(nowNanos);
+    }
+  }
+
+  /**
+   * Records that a started request was cancelled, which says nothing about the upstream.
+   *
+   * @param upstream the upstream
+   */
+  public void cancelled(UpstreamId upstream) {
+    view(upstream).abandoned();
+  }
+
+  /**
+   * Returns the requests of this daemon that have not ended.
+   *
+   * @param upstream the upstream
+   * @return the number of requests
+   */
+  public int inFlight(UpstreamId upstream) {
+    return view(upstream).inFlight();
+  }
+
+  private double cost(UpstreamDefinition upstream, long nowNanos) {
+    return view(upstream.id()).cost(upstream.concurrencyLimit(), usualLatencyNanos, nowNanos);
+  }
+
+  private UpstreamView view(UpstreamId upstream) {
+    return views.computeIfAbsent(upstream, id -> new UpstreamView());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
@@ -0,0 +1,87 @@
+package org.catkinlift.routing;
+
+import java.time.Duration;
+
+/**
+ * Holds what one daemon itself observed of one upstream.
+ *
+ * <p>Latency includes the wait in the queue of the upstream's dispatcher. Confined to one thread.
+ */
+final class UpstreamView {
+  /** Weight of a new answer that is faster than the average. */
+  private static final double SMOOTHING = 0.2;
+
+  /** Weight of a new answer that is slower, so that a straggler is seen after few answers. */
+  private static final double SMOOTHING_UP = 0.5;
+
+  /** After this time without answers half of a bad impression is forgotten. */
+  private static final double HALF_LIFE_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /** Factor on the cost of an upstream for each recent failure. */
+  private static final double FAILURE_PENALTY = 1.0;
+
+  private int inFlight;
+  private double latencyNanos;
+  private double failures;
+  private long lastProgressNanos;
+
+  void started(long nowNanos) {
+    if (inFlight == 0) {
+      lastProgressNanos = nowNanos;
+    }
+    inFlight++;
+  }
+
+  void answered(Duration latency, long nowNanos) {
+    double sample = latency.toNanos();
+    double weight = sample > latencyNanos ? SMOOTHING_UP : SMOOTHING;
+    latencyNanos = latencyNanos == 0 ? sample : latencyNanos + weight * (sample - latencyNanos);
+    finished(nowNanos);
+  }
+
+  void failed(long nowNanos) {
+    failures = failuresAt(nowNanos) + 1;
+    finished(nowNanos);
+  }
+
+  void abandoned() {
+    inFlight = Math.max(0, inFlight - 1);
+  }
+
+  /** Returns the expected cost of one more request, in nanoseconds per execution slot. */
+  double cost(int concurrencyLimit, double usualLatencyNanos, long nowNanos) {
+    double work = (inFlight + 1.0) / concurrencyLimit;
+    double penalty = 1 + FAILURE_PENALTY * failuresAt(nowNanos);
+    return work * penalty * expectedNanos(usualLatencyNanos, nowNanos);
+  }
+
+  double latencyNanos() {
+    return latencyNanos;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  private void finished(long nowNanos) {
+    abandoned();
+    lastProgressNanos = nowNanos;
+  }
+
+  private double expectedNanos(double usualLatencyNanos, long nowNanos) {
+    double known = latencyNanos == 0 ? usualLatencyNanos : latencyNanos;
+    double silence = nowNanos - lastProgressNanos;
+    if (inFlight > 0) {
+      return Math.max(known, silence);
+    }
+    return usualLatencyNanos + (known - usualLatencyNanos) * halving(silence);
+  }
+
+  private double failuresAt(long nowNanos) {
+    return failures * halving(nowNanos - lastProgressNanos);
+  }
+
+  private static double halving(double elapsedNanos) {
+    return Math.pow(0.5, elapsedNanos / HALF_LIFE_NANOS);
+  }
+}
