Read daemon settings strictly and report every error at once

Cause: the daemon needs settings that an operator can correct in one pass, and a misspelt key must not be ignored. Change: SettingsReader reads a JSON document into the immutable DaemonSettings. Every key is declared once, in SettingsKeys, with unit, default and range. Errors name path, value and what is allowed; the token and the values of unknown keys are never shown. The strict JSON reading lives in daemon.json, because the operator API uses it too. Conclusion: the daemon can be wired to DaemonSettings.

--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/StrictJson.java
@@ -0,0 +1,48 @@
+package org.catkinlift.daemon.json;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.Optional;
+
+/** Parses JSON text; refuses repeated keys and text after the document. */
+public final class StrictJson {
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private StrictJson() {}
+
+  /**
+   * Parses a document.
+   *
+   * <p>The error names the position only: the parser's own message quotes the text, which may hold
+   * a secret.
+   *
+   * @param text the document
+   * @param errors gets one error if the text is not JSON
+   * @return the document; empty if an error was added
+   */
+  public static Optional<JsonNode> parse(String text, JsonErrors errors) {
+    try {
+      JsonNode node = MAPPER.readTree(text);
+      if (node.isMissingNode()) {
+        errors.addMissing(JsonError.ROOT, "JSON document");
+        return Optional.empty();
+      }
+      return Optional.of(node);
+    } catch (JsonProcessingException e) {
+      var place = e.getLocation();
+      String at =
+          place == null
+              ? ""
+              : " (line " + place.getLineNr() + ", column " + place.getColumnNr() + ")";
+      errors.addHidden(JsonError.ROOT, "JSON without repeated keys" + at);
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/OperatorToken.java
@@ -0,0 +1,57 @@
+package org.catkinlift.daemon.settings;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.errorprone.annotations.Immutable;
+import java.security.MessageDigest;
+
+/** The secret that operators present. Its text cannot be read back, so it cannot be logged. */
+@Immutable
+public final class OperatorToken {
+  /** The fewest characters; a shorter token could be guessed. */
+  public static final int MIN_LENGTH = 16;
+
+  private static final String HIDDEN = "(hidden)";
+
+  private final String text;
+
+  private OperatorToken(String text) {
+    this.text = text;
+  }
+
+  /**
+   * Returns the token with this text.
+   *
+   * @param text the text
+   * @return the token
+   * @throws SettingsException with code {@code INVALID} if it is shorter than {@link #MIN_LENGTH}
+   */
+  public static OperatorToken of(String text) {
+    if (text.length() < MIN_LENGTH) {
+      throw new SettingsException(
+          SettingsException.Code.INVALID, new SettingsError("operatorToken", HIDDEN, allowed()));
+    }
+    return new OperatorToken(text);
+  }
+
+  /**
+   * Compares a text with the token.
+   *
+   * <p>The time taken does not depend on how much of the text is right.
+   *
+   * @param other the text that somebody presented
+   * @return true if it is the token
+   */
+  public boolean matches(String other) {
+    return MessageDigest.isEqual(text.getBytes(UTF_8), other.getBytes(UTF_8));
+  }
+
+  @Override
+  public String toString() {
+    return HIDDEN;
+  }
+
+  static String allowed() {
+    return "string of at least " + MIN_LENGTH + " characters";
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/ParsedSettings.java
@@ -0,0 +1,126 @@
+package org.catkinlift.daemon.settings;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ZoneName;
+
+/**
+ * Holds what was read of a settings document, so that the values that are right can be checked
+ * against each other even if others are missing or wrong.
+ */
+record ParsedSettings(
+    Optional<HostId> host,
+    Optional<ZoneName> zone,
+    Optional<CellId> cell,
+    Optional<ImmutableList<ZoneName>> zones,
+    Optional<NetworkAddress> callerAddress,
+    Optional<NetworkAddress> peerAddress,
+    Optional<NetworkAddress> operatorAddress,
+    Optional<OperatorToken> operatorToken,
+    Optional<NetworkAddress> platformAddress,
+    ImmutableList<PlacedHost> peers,
+    LoggingSettings logging,
+    LimitSettings limits,
+    Duration shutdownGrace) {
+
+  /**
+   * Makes a host of its parts.
+   *
+   * @param host the host
+   * @param zone its availability zone
+   * @param cell its cell; the zone's name if empty
+   * @param address its address for other daemons
+   * @return the host; empty if a part is missing
+   */
+  static Optional<HostDefinition> combine(
+      Optional<HostId> host,
+      Optional<ZoneName> zone,
+      Optional<CellId> cell,
+      Optional<NetworkAddress> address) {
+    if (host.isEmpty() || zone.isEmpty() || address.isEmpty()) {
+      return Optional.empty();
+    }
+    CellId ownCell = cell.orElseGet(() -> CellId.of(zone.get().value()));
+    return Optional.of(new HostDefinition(host.get(), zone.get(), ownCell, address.get()));
+  }
+
+  /**
+   * Returns the hosts that the document names.
+   *
+   * @return this host first, then its peers
+   */
+  ImmutableList<PlacedHost> hosts() {
+    Stream<PlacedHost> self =
+        combine(host, zone, cell, peerAddress).map(h -> new PlacedHost("", h)).stream();
+    return Stream.concat(self, peers.stream()).collect(toImmutableList());
+  }
+
+  /**
+   * Returns every address of the document.
+   *
+   * @return the addresses, in the order of the document
+   */
+  ImmutableList<PlacedAddress> allAddresses() {
+    return Stream.of(
+            placed(SettingsKeys.CALLER_ADDRESS, callerAddress, true),
+            placed(SettingsKeys.OPERATOR_ADDRESS, operatorAddress, true),
+            reachableAddresses().stream())
+        .flatMap(s -> s)
+        .collect(toImmutableList());
+  }
+
+  /**
+   * Returns the addresses that daemons connect to.
+   *
+   * @return the addresses, in the order of the document
+   */
+  ImmutableList<PlacedAddress> reachableAddresses() {
+    return Stream.of(
+            placed(SettingsKeys.PEER_ADDRESS, peerAddress, true),
+            placed(SettingsKeys.PLATFORM_ADDRESS, platformAddress, false),
+            peers.stream()
+                .map(
+                    p -> new PlacedAddress(p.pathOf("peerAddress"), p.host().peerAddress(), false)))
+        .flatMap(s -> s)
+        .collect(toImmutableList());
+  }
+
+  /**
+   * Builds the settings.
+   *
+   * @return the settings
+   * @throws java.util.NoSuchElementException if a required value is missing
+   */
+  DaemonSettings toSettings() {
+    var builder =
+        DaemonSettings.builder()
+            .host(host.orElseThrow())
+            .zone(zone.orElseThrow())
+            .callerAddress(callerAddress.orElseThrow())
+            .peerAddress(peerAddress.orElseThrow())
+            .operatorAddress(operatorAddress.orElseThrow())
+            .operatorToken(operatorToken.orElseThrow())
+            .platformAddress(platformAddress.orElseThrow())
+            .peers(peers.stream().map(PlacedHost::host).collect(toImmutableList()))
+            .logging(logging)
+            .limits(limits)
+            .shutdownGrace(shutdownGrace);
+    cell.ifPresent(builder::cell);
+    zones.map(ImmutableSet::copyOf).ifPresent(builder::zones);
+    return builder.build();
+  }
+
+  private static Stream<PlacedAddress> placed(
+      SettingsKey<NetworkAddress> key, Optional<NetworkAddress> address, boolean local) {
+    return address.map(a -> new PlacedAddress(key.path(), a, local)).stream();
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/PlacedHost.java
@@ -0,0 +1,22 @@
+package org.catkinlift.daemon.settings;
+
+import org.catkinlift.model.HostDefinition;
+
+/**
+ * A host that a settings document names, with the place for errors about it.
+ *
+ * @param path the path prefix of its keys; empty for the host of the daemon itself
+ * @param host the host
+ */
+record PlacedHost(String path, HostDefinition host) {
+
+  /**
+   * Returns the path of one of its keys.
+   *
+   * @param key the key
+   * @return the path
+   */
+  String pathOf(String key) {
+    return path + key;
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/SettingsException.java
@@ -0,0 +1,74 @@
+package org.catkinlift.daemon.settings;
+
+import com.google.common.base.Joiner;
+import com.google.common.collect.ImmutableList;
+
+/** Reports settings that cannot be used, with every error in them. */
+public final class SettingsException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  /** What is wrong with the settings. */
+  public enum Code {
+    /** The file cannot be read. */
+    NOT_READABLE,
+    /** The text is not JSON. */
+    MALFORMED,
+    /** Values are missing, unknown, not allowed or contradict each other. */
+    INVALID
+  }
+
+  private final Code code;
+  private final transient ImmutableList<SettingsError> errors;
+
+  /**
+   * Creates the exception for errors of a document.
+   *
+   * @param code what is wrong
+   * @param errors all errors, in the order of the document
+   */
+  public SettingsException(Code code, ImmutableList<SettingsError> errors) {
+    super(code + ": " + Joiner.on("; ").join(errors));
+    this.code = code;
+    this.errors = errors;
+  }
+
+  /**
+   * Creates the exception for a single error.
+   *
+   * @param code what is wrong
+   * @param error the error
+   */
+  public SettingsException(Code code, SettingsError error) {
+    this(code, ImmutableList.of(error));
+  }
+
+  /**
+   * Creates the exception for an error of a lower layer.
+   *
+   * @param code what is wrong
+   * @param error the error
+   * @param cause the exception of the lower layer
+   */
+  public SettingsException(Code code, SettingsError error, Throwable cause) {
+    this(code, error);
+    initCause(cause);
+  }
+
+  /**
+   * Returns what is wrong.
+   *
+   * @return the code
+   */
+  public Code code() {
+    return code;
+  }
+
+  /**
+   * Returns every error.
+   *
+   * @return the errors, in the order of the document
+   */
+  public ImmutableList<SettingsError> errors() {
+    return errors;
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/SettingsRules.java
@@ -0,0 +1,107 @@
+package org.catkinlift.daemon.settings;
+
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ZoneName;
+
+/** Checks the values of a settings document against each other. */
+final class SettingsRules {
+  private final JsonErrors errors;
+
+  SettingsRules(JsonErrors errors) {
+    this.errors = errors;
+  }
+
+  /**
+   * Reports each address that overlaps with an earlier one.
+   *
+   * @param addresses the addresses of the document
+   */
+  void checkOverlaps(ImmutableList<PlacedAddress> addresses) {
+    for (int i = 0; i < addresses.size(); i++) {
+      PlacedAddress later = addresses.get(i);
+      addresses.subList(0, i).stream()
+          .filter(later::overlaps)
+          .findFirst()
+          .ifPresent(
+              first ->
+                  errors.add(
+                      later.path(),
+                      later.address(),
+                      "address that does not overlap with " + first.path()));
+    }
+  }
+
+  /**
+   * Reports each address that others connect to and that names no single host.
+   *
+   * @param addresses the addresses that others connect to
+   */
+  void checkReachable(ImmutableList<PlacedAddress> addresses) {
+    addresses.stream()
+        .filter(PlacedAddress::isWildcard)
+        .forEach(
+            a -> errors.add(a.path(), a.address(), "IP number that other hosts can connect to"));
+  }
+
+  /**
+   * Reports each host that is named twice.
+   *
+   * @param hosts this host first, then its peers
+   */
+  void checkHostsDiffer(ImmutableList<PlacedHost> hosts) {
+    Set<HostId> seen = new HashSet<>();
+    for (PlacedHost placed : hosts) {
+      if (!seen.add(placed.host().id())) {
+        errors.add(placed.pathOf("host"), placed.host().id(), "host that is not named elsewhere");
+      }
+    }
+  }
+
+  /**
+   * Reports each cell that lies in two availability zones.
+   *
+   * @param hosts this host first, then its peers
+   */
+  void checkCells(ImmutableList<PlacedHost> hosts) {
+    Map<CellId, ZoneName> zones = new HashMap<>();
+    for (PlacedHost placed : hosts) {
+      ZoneName zone = zones.computeIfAbsent(placed.host().cell(), c -> placed.host().zone());
+      if (!zone.equals(placed.host().zone())) {
+        errors.add(
+            placed.pathOf("cell"),
+            placed.host().cell(),
+            "cell of zone " + placed.host().zone() + "; another host has it in zone " + zone);
+      }
+    }
+  }
+
+  /**
+   * Reports each availability zone without a host and each host outside the availability zones.
+   *
+   * @param zones the availability zones of the site
+   * @param hosts this host first, then its peers
+   */
+  void checkZones(ImmutableList<ZoneName> zones, ImmutableList<PlacedHost> hosts) {
+    ImmutableSet<ZoneName> named =
+        hosts.stream().map(h -> h.host().zone()).collect(toImmutableSet());
+    for (int i = 0; i < zones.size(); i++) {
+      if (!named.contains(zones.get(i))) {
+        errors.add("zones[" + i + ']', zones.get(i), "zone that the host or a peer names");
+      }
+    }
+    hosts.stream()
+        .filter(h -> !zones.contains(h.host().zone()))
+        .forEach(
+            h -> errors.add(h.pathOf("zone"), h.host().zone(), "zone that is listed in zones"));
+  }
+}
