--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/HomeMapPlanner.java
@@ -0,0 +1,129 @@
+package org.catkinlift.placement;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hashing;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.ServiceName;
+
+/**
+ * Plans the home cell of each slot by weighted rendezvous hashing with quotas.
+ *
+ * <p>The quota of a cell is its share of the weights, so cells get slots exactly in proportion to
+ * their capacity. Plain rendezvous hashing of 1,024 slots over three cells misses the share by 4 %
+ * (one standard deviation), which would use up most of the imbalance target. Stateless.
+ */
+public final class HomeMapPlanner {
+  private HomeMapPlanner() {}
+
+  /**
+   * Plans the first home map of a service.
+   *
+   * @param service the service
+   * @param slotCount the number of slots
+   * @param weights the capacity of each cell, all positive; at least one cell
+   * @return the home map, with version 1
+   */
+  public static HomeMap create(
+      ServiceName service, int slotCount, ImmutableMap<CellId, Double> weights) {
+    Map<CellId, Integer> room = quotas(slotCount, weights);
+    List<CellId> homes = new ArrayList<>(Collections.nCopies(slotCount, null));
+    IntStream.range(0, slotCount).forEach(slot -> homes.set(slot, claim(slot, room, weights)));
+    return new HomeMap(service, 1, ImmutableList.copyOf(homes));
+  }
+
+  /**
+   * Plans a bounded change towards new weights.
+   *
+   * <p>Slots of cells without a weight always move. Beyond them, at most {@code budget} slots move,
+   * and only from cells that have more than their quota to cells that have less.
+   *
+   * @param present the present home map
+   * @param weights the capacity of each cell, all positive
+   * @param budget the most slots that may move from cells that keep a weight
+   * @return the next home map; the present one if nothing moves
+   */
+  public static HomeMap change(HomeMap present, ImmutableMap<CellId, Double> weights, int budget) {
+    if (weights.isEmpty()) {
+      return present;
+    }
+    Map<CellId, Integer> room = quotas(present.homes().size(), weights);
+    present.homes().forEach(c -> room.computeIfPresent(c, (cell, left) -> left - 1));
+    List<CellId> homes = new ArrayList<>(present.homes());
+    int left = budget;
+    for (int slot : movingFirst(present, weights)) {
+      CellId home = homes.get(slot);
+      boolean homeless = !weights.containsKey(home);
+      boolean surplus = !homeless && room.get(home) < 0 && left > 0;
+      if (!homeless && !surplus) {
+        continue;
+      }
+      left -= surplus ? 1 : 0;
+      homes.set(slot, claim(slot, room, weights));
+      room.computeIfPresent(home, (c, r) -> r + 1);
+    }
+    if (homes.equals(present.homes())) {
+      return present;
+    }
+    return new HomeMap(present.service(), present.version() + 1, ImmutableList.copyOf(homes));
+  }
+
+  /** Slots without a valid home come first, so that they find room before others move. */
+  private static ImmutableList<Integer> movingFirst(
+      HomeMap present, ImmutableMap<CellId, Double> weights) {
+    return IntStream.range(0, present.homes().size())
+        .boxed()
+        .sorted(Comparator.comparing(s -> weights.containsKey(present.homes().get(s))))
+        .collect(toImmutableList());
+  }
+
+  private static Map<CellId, Integer> quotas(int slots, ImmutableMap<CellId, Double> weights) {
+    double total = weights.values().stream().mapToDouble(Double::doubleValue).sum();
+    Map<CellId, Integer> quotas = new HashMap<>();
+    double sum = 0;
+    for (CellId cell : ImmutableList.sortedCopyOf(weights.keySet())) {
+      long before = Math.round(sum / total * slots);
+      sum += weights.get(cell);
+      quotas.put(cell, (int) (Math.round(sum / total * slots) - before));
+    }
+    return quotas;
+  }
+
+  /** Chooses the highest score among the cells with room, else among all, and takes the room. */
+  private static CellId claim(
+      int slot, Map<CellId, Integer> room, ImmutableMap<CellId, Double> weights) {
+    Comparator<CellId> byScore =
+        Comparator.<CellId>comparingDouble(c -> score(slot, c, weights.get(c)))
+            .thenComparing(Comparator.naturalOrder());
+    CellId chosen =
+        weights.keySet().stream()
+            .filter(c -> room.get(c) > 0)
+            .max(byScore)
+            .or(() -> weights.keySet().stream().max(byScore))
+            .orElseThrow();
+    room.merge(chosen, -1, Integer::sum);
+    return chosen;
+  }
+
+  private static double score(int slot, CellId cell, double weight) {
+    long hash =
+        Hashing.murmur3_128()
+            .newHasher()
+            .putInt(slot)
+            .putUnencodedChars(cell.value())
+            .hash()
+            .asLong();
+    double uniform = ((hash >>> 11) + 0.5) / (1L << 53);
+    return -weight / Math.log(uniform);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
@@ -0,0 +1,95 @@
+package org.catkinlift.placement;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.catkinlift.model.UpstreamId;
+
+/** Sums the load per upstream while a plan moves slots one by one. Not thread-safe. */
+final class LoadSums {
+  /**
+   * The load of a slot that reports none, relative to the mean load of a slot, so that idle slots
+   * are spread too.
+   */
+  private static final double IDLE_SHARE = 0.01;
+
+  private final PlacementInput input;
+  private final Map<Integer, Optional<UpstreamId>> owners;
+  private final Map<UpstreamId, Double> sums = new TreeMap<>();
+  private final Map<Integer, Double> loads = new HashMap<>();
+
+  LoadSums(PlacementInput input) {
+    this.input = input;
+    this.owners = new TreeMap<>(input.owners());
+    double total = input.loads().values().stream().mapToDouble(Double::doubleValue).sum();
+    double idle = total > 0 ? total / Math.max(1, owners.size()) * IDLE_SHARE : 1;
+    owners.keySet().forEach(s -> loads.put(s, Math.max(idle, input.loads().getOrDefault(s, 0.0))));
+    input.capacities().keySet().forEach(u -> sums.put(u, 0.0));
+    owners.forEach((slot, owner) -> owner.ifPresent(u -> add(u, loadOf(slot))));
+  }
+
+  double loadOf(int slot) {
+    return loads.get(slot);
+  }
+
+  boolean isOwned(int slot) {
+    return owners.get(slot).filter(sums::containsKey).isPresent();
+  }
+
+  double imbalance() {
+    return Imbalance.of(sums, input.capacities());
+  }
+
+  UpstreamId mostLoaded() {
+    return sums.keySet().stream().max(Comparator.comparingDouble(this::relative)).orElseThrow();
+  }
+
+  UpstreamId leastLoaded() {
+    return sums.keySet().stream().min(Comparator.comparingDouble(this::relative)).orElseThrow();
+  }
+
+  /** The upstream that has the least load per capacity once it owns the slot too. */
+  UpstreamId leastLoadedAfter(int slot) {
+    return sums.keySet().stream()
+        .min(Comparator.comparingDouble(u -> (sums.get(u) + loadOf(slot)) / capacity(u)))
+        .orElseThrow();
+  }
+
+  /** The load above which a move would only exchange the two upstreams' roles. */
+  double roomBetween(UpstreamId from, UpstreamId to) {
+    double gap = relative(from) - relative(to);
+    return gap / (1 / capacity(from) + 1 / capacity(to));
+  }
+
+  ImmutableList<Integer> movableSlots(UpstreamId owner) {
+    return owners.entrySet().stream()
+        .filter(e -> e.getValue().filter(owner::equals).isPresent())
+        .map(Map.Entry::getKey)
+        .filter(s -> !input.pinned().contains(s))
+        .collect(toImmutableList());
+  }
+
+  SlotMove move(int slot, UpstreamId to) {
+    Optional<UpstreamId> from = owners.put(slot, Optional.of(to));
+    from.ifPresent(u -> add(u, -loadOf(slot)));
+    add(to, loadOf(slot));
+    return new SlotMove(slot, from, to);
+  }
+
+  private void add(UpstreamId upstream, double load) {
+    sums.computeIfPresent(upstream, (u, sum) -> sum + load);
+  }
+
+  private double relative(UpstreamId upstream) {
+    return sums.get(upstream) / capacity(upstream);
+  }
+
+  private double capacity(UpstreamId upstream) {
+    return input.capacities().get(upstream);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementInput.java
@@ -0,0 +1,21 @@
+package org.catkinlift.placement;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Optional;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * What a placement of slots is planned from.
+ *
+ * @param owners the present owner of each slot; empty for a slot without one
+ * @param loads the load of each slot; a slot without an entry has none
+ * @param capacities the capacity of each upstream that may own slots; all positive
+ * @param pinned the slots that must not be moved for balance, as they were moved lately
+ */
+public record PlacementInput(
+    ImmutableSortedMap<Integer, Optional<UpstreamId>> owners,
+    ImmutableMap<Integer, Double> loads,
+    ImmutableMap<UpstreamId, Double> capacities,
+    ImmutableSet<Integer> pinned) {}
