Add the platform stand-in

Tests, the demo and the load tool need a transactional table, an object store and a host list that misbehave on demand.

PlatformState decides every call and is replaced as a whole; PlatformStandin only translates HTTP. Faults are an outage, slow answers, answers lost after the write took effect, and a host list that is behind. They are set by method or by POST /faults.

--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/platform/PlatformStandin.java
@@ -0,0 +1,183 @@
+package org.catkinlift.standin.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableMap;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.URLDecoder;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.catkinlift.model.ModelException;
+import org.catkinlift.model.NetworkAddress;
+
+/**
+ * Serves the platform's table, object store and host list over HTTP, in memory.
+ *
+ * <p>All requests are handled on one event loop; the other methods may be called from any thread.
+ * The paths {@code /faults} and {@code PUT /hosts} control the stand-in and work during an outage.
+ */
+public final class PlatformStandin {
+
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+
+  private final Vertx vertx;
+  private final String ip;
+  private final HttpServer server;
+  private volatile PlatformState state = PlatformState.EMPTY;
+
+  private PlatformStandin(Vertx vertx, String ip) {
+    this.vertx = vertx;
+    this.ip = ip;
+    this.server = vertx.createHttpServer();
+    server.requestHandler(this::handle);
+  }
+
+  /**
+   * Starts the stand-in.
+   *
+   * @param vertx runs the server
+   * @param ip the loopback IP number to listen on
+   * @param port the port; 0 for any free one
+   * @return the stand-in once it listens
+   */
+  public static Future<PlatformStandin> start(Vertx vertx, String ip, int port) {
+    var standin = new PlatformStandin(vertx, ip);
+    return standin.server.listen(port, ip).map(s -> standin);
+  }
+
+  /**
+   * Returns where the stand-in listens.
+   *
+   * @return the address
+   */
+  public NetworkAddress address() {
+    return NetworkAddress.of(ip, server.actualPort());
+  }
+
+  /**
+   * Returns the table as it is now.
+   *
+   * @return the table
+   */
+  public TableState table() {
+    return state.table();
+  }
+
+  /**
+   * Writes one row without a condition and without faults, to prepare a run.
+   *
+   * @param name the row's name
+   * @param json the content as JSON text
+   */
+  public void putRow(String name, String json) {
+    var write = new TableTransaction("prepared", ImmutableMap.of(), ImmutableMap.of(name, json));
+    update(
+        s ->
+            switch (s.table().apply(write)) {
+              case TableState.Result.Applied a -> s.withTable(a.next());
+              case TableState.Result.Conflict c -> s;
+            });
+  }
+
+  /**
+   * Returns the faults in force.
+   *
+   * @return the faults
+   */
+  public PlatformFaults faults() {
+    return state.faults();
+  }
+
+  /**
+   * Replaces the faults.
+   *
+   * @param faults the faults from now on
+   */
+  public void setFaults(PlatformFaults faults) {
+    update(s -> s.withFaults(faults));
+  }
+
+  /**
+   * Replaces the host list; readers see it after {@link PlatformFaults#hostListLag}.
+   *
+   * @param list the list that is true from now on
+   */
+  public void setHosts(HostList list) {
+    update(s -> s.withHosts(System.nanoTime(), list));
+  }
+
+  /**
+   * Stops the server.
+   *
+   * @return completes when the port is free
+   */
+  public Future<Void> stop() {
+    return server.close();
+  }
+
+  private synchronized void update(UnaryOperator<PlatformState> change) {
+    state = change.apply(state);
+  }
+
+  private synchronized PlatformAnswer take(PlatformCall call) {
+    PlatformState.Step step = state.take(call, System.nanoTime());
+    state = step.next();
+    return step.answer();
+  }
+
+  private void handle(HttpServerRequest request) {
+    request.body().onSuccess(body -> answer(request, body));
+  }
+
+  private void answer(HttpServerRequest request, Buffer body) {
+    try {
+      parse(request, body)
+          .map(this::take)
+          .ifPresentOrElse(a -> send(request, a), () -> end(request, NOT_FOUND, Buffer.buffer()));
+    } catch (IllegalArgumentException | ModelException e) {
+      end(request, BAD_REQUEST, Buffer.buffer(e.getMessage()));
+    }
+  }
+
+  private static Optional<PlatformCall> parse(HttpServerRequest request, Buffer body) {
+    return PlatformCall.parse(
+        request.method().name(),
+        URLDecoder.decode(request.path(), UTF_8),
+        Optional.ofNullable(request.getParam("prefix")),
+        body);
+  }
+
+  private void send(HttpServerRequest request, PlatformAnswer answer) {
+    switch (answer) {
+      case PlatformAnswer.Lost a -> request.connection().close();
+      case PlatformAnswer.Immediate a -> end(request, a.status(), a.body());
+      case PlatformAnswer.Delayed a -> afterDelay(() -> end(request, a.status(), a.body()));
+    }
+  }
+
+  private void afterDelay(Runnable send) {
+    Duration delay = faults().delay();
+    if (delay.isZero()) {
+      send.run();
+      return;
+    }
+    vertx.setTimer(delay.toMillis(), id -> send.run());
+  }
+
+  private static void end(HttpServerRequest request, int status, Buffer body) {
+    if (request.response().closed()) {
+      return;
+    }
+    request
+        .response()
+        .setStatusCode(status)
+        .putHeader("Content-Type", "application/json")
+        .end(body);
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/platform/PlatformState.java
@@ -0,0 +1,162 @@
+package org.catkinlift.standin.platform;
+
+import com.google.common.collect.ImmutableMap;
+import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
+
+/**
+ * Holds everything that the platform keeps, replaced as a whole by each call, and decides calls.
+ *
+ * @param table the rows
+ * @param objects the content by object name
+ * @param hosts the host lists, past and present
+ * @param faults how the platform misbehaves
+ * @param transactions the number of transactions so far, which selects those whose answer is lost
+ */
+public record PlatformState(
+    TableState table,
+    ImmutableMap<String, Buffer> objects,
+    HostListHistory hosts,
+    PlatformFaults faults,
+    long transactions) {
+
+  /** The platform without content and faults. */
+  public static final PlatformState EMPTY =
+      new PlatformState(
+          TableState.EMPTY, ImmutableMap.of(), HostListHistory.EMPTY, PlatformFaults.NONE, 0);
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int UNAVAILABLE = 503;
+  private static final String APPLIED = "{\"applied\":true}";
+
+  /**
+   * What a call came to.
+   *
+   * @param next the state afterwards
+   * @param answer what the client sees
+   */
+  public record Step(PlatformState next, PlatformAnswer answer) {}
+
+  /**
+   * Decides a call.
+   *
+   * @param call the call
+   * @param nowNanos the time, for the host list
+   * @return the step
+   * @throws IllegalArgumentException if the content of the call is malformed
+   */
+  Step take(PlatformCall call, long nowNanos) {
+    return switch (call) {
+      case PlatformCall.ReplaceHosts c -> control(withHosts(nowNanos, c.list()), "");
+      case PlatformCall.ReadFaults c -> control(this, PlatformJson.ofFaults(faults));
+      case PlatformCall.ChangeFaults c -> changeFaults(c);
+      case PlatformCall.ReadRow c -> unlessDown(readRow(c.name()));
+      case PlatformCall.ReadRows c ->
+          unlessDown(reply(OK, PlatformJson.ofRows(table.rowsFrom(c.prefix()))));
+      case PlatformCall.Transact c -> unlessDown(transact(c.transaction()));
+      case PlatformCall.ReadObject c -> unlessDown(readObject(c.name()));
+      case PlatformCall.WriteObject c ->
+          unlessDown(new Step(withObject(c.name(), c.content()), delayed(OK, "")));
+      case PlatformCall.ReadHosts c ->
+          unlessDown(
+              reply(OK, PlatformJson.ofHosts(hosts.visibleAt(nowNanos, faults.hostListLag()))));
+    };
+  }
+
+  /**
+   * Returns the state with other faults.
+   *
+   * @param faults the faults
+   * @return the state
+   */
+  public PlatformState withFaults(PlatformFaults faults) {
+    return new PlatformState(table, objects, hosts, faults, transactions);
+  }
+
+  /**
+   * Returns the state with a new host list.
+   *
+   * @param nowNanos the time
+   * @param list the list that is true from now on
+   * @return the state
+   */
+  public PlatformState withHosts(long nowNanos, HostList list) {
+    return new PlatformState(table, objects, hosts.with(nowNanos, list), faults, transactions);
+  }
+
+  /**
+   * Returns the state with another table.
+   *
+   * @param table the table
+   * @return the state
+   */
+  public PlatformState withTable(TableState table) {
+    return new PlatformState(table, objects, hosts, faults, transactions);
+  }
+
+  private PlatformState withObject(String name, Buffer content) {
+    var next =
+        ImmutableMap.<String, Buffer>builder()
+            .putAll(objects)
+            .put(name, content)
+            .buildKeepingLast();
+    return new PlatformState(table, next, hosts, faults, transactions);
+  }
+
+  private Step changeFaults(PlatformCall.ChangeFaults call) {
+    PlatformFaults next = PlatformJson.toFaults(call.json(), faults);
+    return control(withFaults(next), PlatformJson.ofFaults(next));
+  }
+
+  private Step readRow(String name) {
+    return table
+        .row(name)
+        .map(row -> reply(OK, PlatformJson.ofRow(row)))
+        .orElseGet(() -> reply(NOT_FOUND, ""));
+  }
+
+  private Step readObject(String name) {
+    return Optional.ofNullable(objects.get(name))
+        .map(content -> new Step(this, new PlatformAnswer.Delayed(OK, content.copy())))
+        .orElseGet(() -> reply(NOT_FOUND, ""));
+  }
+
+  private Step transact(TableTransaction transaction) {
+    Step step =
+        switch (table.apply(transaction)) {
+          case TableState.Result.Applied a -> new Step(withTable(a.next()), delayed(OK, APPLIED));
+          case TableState.Result.Conflict c -> reply(CONFLICT, PlatformJson.ofRows(c.rows()));
+        };
+    return step.next().countTransaction(step.answer());
+  }
+
+  private Step countTransaction(PlatformAnswer answer) {
+    long count = transactions + 1;
+    boolean losesNext = faults.loseNext() > 0;
+    boolean losesInTurn = faults.loseEveryNth() > 0 && count % faults.loseEveryNth() == 0;
+    PlatformFaults left =
+        losesNext ? faults.toBuilder().loseNext(faults.loseNext() - 1).build() : faults;
+    return new Step(
+        new PlatformState(table, objects, hosts, left, count),
+        losesNext || losesInTurn ? new PlatformAnswer.Lost() : answer);
+  }
+
+  /** Replaces a step by a failure without effect during an outage. */
+  private Step unlessDown(Step step) {
+    return faults.outage() ? reply(UNAVAILABLE, "") : step;
+  }
+
+  private Step reply(int status, String body) {
+    return new Step(this, delayed(status, body));
+  }
+
+  private static Step control(PlatformState next, String body) {
+    return new Step(next, new PlatformAnswer.Immediate(OK, Buffer.buffer(body)));
+  }
+
+  private static PlatformAnswer delayed(int status, String body) {
+    return new PlatformAnswer.Delayed(status, Buffer.buffer(body));
+  }
+}
