--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread and what carries out its actions. */
+package org.catkinlift.daemon.control;
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon process. */
+package org.catkinlift.daemon;
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/ContextDispatchEnd.java
@@ -0,0 +1,36 @@
+package org.catkinlift.daemon.relay;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+
+/** Passes calls to a dispatcher side on the event loop that owns it. */
+public final class ContextDispatchEnd implements DispatchEnd {
+  private final Context context;
+  private final DispatchEnd target;
+
+  /**
+   * Creates the adapter.
+   *
+   * @param context the event loop of the target
+   * @param target the dispatcher side
+   */
+  public ContextDispatchEnd(Context context, DispatchEnd target) {
+    this.context = context;
+    this.target = target;
+  }
+
+  @Override
+  public void body(Buffer data, boolean last) {
+    context.runOnContext(v -> target.body(data, last));
+  }
+
+  @Override
+  public void credit(int bytes) {
+    context.runOnContext(v -> target.credit(bytes));
+  }
+
+  @Override
+  public void cancel() {
+    context.runOnContext(v -> target.cancel());
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/ContextEntryEnd.java
@@ -0,0 +1,43 @@
+package org.catkinlift.daemon.relay;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import org.catkinlift.model.Outcome;
+
+/** Passes calls to an entry side on the event loop that owns it. */
+public final class ContextEntryEnd implements EntryEnd {
+  private final Context context;
+  private final EntryEnd target;
+
+  /**
+   * Creates the adapter.
+   *
+   * @param context the event loop of the target
+   * @param target the entry side
+   */
+  public ContextEntryEnd(Context context, EntryEnd target) {
+    this.context = context;
+    this.target = target;
+  }
+
+  @Override
+  public void head(int status, ImmutableListMultimap<String, String> headers) {
+    context.runOnContext(v -> target.head(status, headers));
+  }
+
+  @Override
+  public void body(Buffer data, boolean last) {
+    context.runOnContext(v -> target.body(data, last));
+  }
+
+  @Override
+  public void credit(int bytes) {
+    context.runOnContext(v -> target.credit(bytes));
+  }
+
+  @Override
+  public void failed(Outcome outcome) {
+    context.runOnContext(v -> target.failed(outcome));
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/Dispatching.java
@@ -0,0 +1,18 @@
+package org.catkinlift.daemon.relay;
+
+import org.catkinlift.protocol.RelayHead;
+
+/** Opens the dispatcher side of attempts. */
+public interface Dispatching {
+  /** The body bytes that may be under way in one direction, in bytes. */
+  int WINDOW_BYTES = 256 * 1024;
+
+  /**
+   * Opens the dispatcher side of an attempt.
+   *
+   * @param head the request
+   * @param entry the entry side; called on the thread of the dispatcher side
+   * @return the dispatcher side; may be called on any thread
+   */
+  DispatchEnd open(RelayHead head, EntryEnd entry);
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/RelayClient.java
@@ -0,0 +1,152 @@
+package org.catkinlift.daemon.relay;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.protocol.PeerLink;
+import org.catkinlift.protocol.PeerTransport;
+import org.catkinlift.protocol.RelayFrame;
+import org.catkinlift.protocol.RelayHead;
+
+/** Relays attempts to the dispatchers of other daemons and passes their answers back. */
+public final class RelayClient {
+  private static final Duration RETRY_AFTER_LINK_FAILURE = Duration.ofMillis(250);
+
+  private final AtomicLong lastStream = new AtomicLong();
+  private final Map<Long, OpenStream> streams = new ConcurrentHashMap<>();
+  private volatile PeerTransport transport;
+
+  /** An open stream and the link that carries it. */
+  private record OpenStream(EntryEnd entry, PeerLink link) {}
+
+  /**
+   * Sets the transport; called once, before the first attempt.
+   *
+   * @param transport the transport
+   */
+  public void connect(PeerTransport transport) {
+    this.transport = transport;
+  }
+
+  /**
+   * Opens an attempt at another daemon.
+   *
+   * @param to the dispatcher
+   * @param head the request
+   * @param entry the entry side; may be called on any thread
+   * @return the dispatcher side
+   */
+  public DispatchEnd open(HostDefinition to, RelayHead head, EntryEnd entry) {
+    long stream = lastStream.incrementAndGet();
+    var end = new RemoteDispatchEnd(stream);
+    var unused =
+        transport
+            .relayLink(to)
+            .whenComplete(
+                (link, failure) -> {
+                  if (failure != null) {
+                    entry.failed(
+                        Outcome.notRun(
+                            RefusalCode.DISPATCHER_UNREACHABLE, RETRY_AFTER_LINK_FAILURE));
+                    return;
+                  }
+                  streams.put(stream, new OpenStream(entry, link));
+                  link.send(new RelayFrame.Request(stream, head));
+                  end.connected(link);
+                  if (!link.isOpen()) {
+                    linkClosed(link);
+                  }
+                });
+    return end;
+  }
+
+  /**
+   * Takes a frame of an answer.
+   *
+   * @param frame the frame; ignored if its stream has ended
+   */
+  public void received(RelayFrame frame) {
+    OpenStream open = streams.get(frame.stream());
+    if (open == null) {
+      return;
+    }
+    switch (frame) {
+      case RelayFrame.Response r -> open.entry().head(r.status(), r.headers());
+      case RelayFrame.Body b -> bodyReceived(open, b);
+      case RelayFrame.Failure f -> {
+        streams.remove(f.stream());
+        open.entry().failed(f.outcome());
+      }
+      case RelayFrame.Credit c -> open.entry().credit(c.bytes());
+      case RelayFrame.Request r -> {}
+      case RelayFrame.Cancel c -> {}
+    }
+  }
+
+  private void bodyReceived(OpenStream open, RelayFrame.Body body) {
+    if (body.last()) {
+      streams.remove(body.stream());
+    }
+    open.entry().body(Buffer.buffer(body.data().toByteArray()), body.last());
+  }
+
+  /**
+   * Ends the streams of a link that is gone; whether their requests ran is not known.
+   *
+   * @param link the link
+   */
+  public void linkClosed(PeerLink link) {
+    streams.forEach(
+        (stream, open) -> {
+          if (link.equals(open.link()) && streams.remove(stream, open)) {
+            open.entry().failed(Outcome.unknown(RefusalCode.CONNECTION_LOST));
+          }
+        });
+  }
+
+  /** Sends frames on the stream; keeps them back until the link is open. */
+  private final class RemoteDispatchEnd implements DispatchEnd {
+    private final long stream;
+    private PeerLink link;
+    private boolean cancelled;
+
+    private RemoteDispatchEnd(long stream) {
+      this.stream = stream;
+    }
+
+    private synchronized void connected(PeerLink opened) {
+      link = opened;
+      if (cancelled) {
+        link.send(new RelayFrame.Cancel(stream));
+      }
+    }
+
+    @Override
+    public synchronized void body(Buffer data, boolean last) {
+      ByteString bytes = UnsafeByteOperations.unsafeWrap(data.getBytes());
+      // Body bytes follow credit, which arrives on the open link.
+      link.send(new RelayFrame.Body(stream, bytes, last));
+    }
+
+    @Override
+    public synchronized void credit(int bytes) {
+      link.send(new RelayFrame.Credit(stream, bytes));
+    }
+
+    @Override
+    public synchronized void cancel() {
+      cancelled = true;
+      streams.remove(stream);
+      if (link != null) {
+        link.send(new RelayFrame.Cancel(stream));
+      }
+    }
+  }
+}
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerLink.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerLink.java
@@ -22,13 +22,15 @@
   private final Channel channel;
   private final HostId peer;
   private final long number;
+  private final boolean outgoing;
   private boolean pingOutstanding;
   private long pingNumber;
 
-  PeerLink(Channel channel, HostId peer, long number) {
+  PeerLink(Channel channel, HostId peer, long number, boolean outgoing) {
     this.channel = channel;
     this.peer = peer;
     this.number = number;
+    this.outgoing = outgoing;
   }
 
   /**
@@ -49,6 +51,24 @@
     return number;
   }
 
+  /**
+   * Tells which side opened the link, and so which side sends requests on it.
+   *
+   * @return true if this daemon opened it
+   */
+  public boolean isOutgoing() {
+    return outgoing;
+  }
+
+  /**
+   * Tells whether frames can still be sent.
+   *
+   * @return false once the connection is closed
+   */
+  public boolean isOpen() {
+    return channel.isActive();
+  }
+
   /**
    * Sends a part of a relayed request or of its answer. May be called on any thread; frames of one
    * thread keep their order.
