--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/JsonFields.java
@@ -0,0 +1,140 @@
+package org.catkinlift.daemon.platform;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Streams;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.Function;
+import org.catkinlift.model.Epoch;
+
+/** Reads and writes the fields that several rows have in common, with checks. */
+final class JsonFields {
+
+  private JsonFields() {}
+
+  static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  static <T> ArrayNode array(Collection<T> values, Function<T, JsonNode> encode) {
+    return array().addAll(values.stream().map(encode).collect(toImmutableList()));
+  }
+
+  static ArrayNode names(Collection<?> values) {
+    ArrayNode array = array();
+    values.forEach(v -> array.add(v.toString()));
+    return array;
+  }
+
+  static ArrayNode epoch(Epoch epoch) {
+    return array().add(epoch.term()).add(epoch.counter());
+  }
+
+  static Epoch epoch(JsonNode parent, String field) {
+    JsonNode node = required(parent, field);
+    return Epoch.of(number(node, 0), number(node, 1));
+  }
+
+  static JsonNode required(JsonNode parent, String field) {
+    JsonNode value = parent.get(field);
+    if (value == null || value.isNull()) {
+      throw malformed("field '" + field + "' is missing");
+    }
+    return value;
+  }
+
+  static String text(JsonNode parent, String field) {
+    JsonNode value = required(parent, field);
+    if (!value.isTextual()) {
+      throw malformed("field '" + field + "' is not a text");
+    }
+    return value.textValue();
+  }
+
+  static Optional<String> optionalText(JsonNode parent, String field) {
+    return parent.hasNonNull(field) ? Optional.of(text(parent, field)) : Optional.empty();
+  }
+
+  static long number(JsonNode parent, String field) {
+    JsonNode value = required(parent, field);
+    if (!value.canConvertToLong()) {
+      throw malformed("field '" + field + "' is not a whole number");
+    }
+    return value.longValue();
+  }
+
+  static int integer(JsonNode parent, String field) {
+    return toInt(number(parent, field));
+  }
+
+  static long number(JsonNode array, int index) {
+    JsonNode value = array.get(index);
+    if (value == null || !value.canConvertToLong()) {
+      throw malformed("element " + index + " is not a whole number");
+    }
+    return value.longValue();
+  }
+
+  static int integer(JsonNode array, int index) {
+    return toInt(number(array, index));
+  }
+
+  static boolean flag(JsonNode parent, String field) {
+    JsonNode value = required(parent, field);
+    if (!value.isBoolean()) {
+      throw malformed("field '" + field + "' is not true or false");
+    }
+    return value.booleanValue();
+  }
+
+  static <T> ImmutableList<T> list(JsonNode parent, String field, Function<JsonNode, T> decode) {
+    JsonNode values = required(parent, field);
+    if (!values.isArray()) {
+      throw malformed("field '" + field + "' is not a list");
+    }
+    return Streams.stream(values).map(decode).collect(toImmutableList());
+  }
+
+  static <T> ImmutableSet<T> nameSet(JsonNode parent, String field, Function<String, T> decode) {
+    return nameList(parent, field, decode).stream().collect(toImmutableSet());
+  }
+
+  static <T> ImmutableList<T> nameList(JsonNode parent, String field, Function<String, T> decode) {
+    return list(parent, field, n -> decode.apply(n.asText()));
+  }
+
+  static <T> T element(ImmutableList<T> list, int index) {
+    if (index < 0 || index >= list.size()) {
+      throw malformed("index " + index + " is outside a list of " + list.size());
+    }
+    return list.get(index);
+  }
+
+  static PlatformException malformed(String message) {
+    return new PlatformException(PlatformException.Code.MALFORMED_ROW, message);
+  }
+
+  static PlatformException unknownKind(String what, String kind) {
+    return new PlatformException(
+        PlatformException.Code.UNKNOWN_KIND, "unknown kind of " + what + ": '" + kind + "'");
+  }
+
+  private static int toInt(long value) {
+    if (value != (int) value) {
+      throw malformed("number " + value + " is out of range");
+    }
+    return (int) value;
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
@@ -0,0 +1,186 @@
+package org.catkinlift.daemon.platform;
+
+import static com.google.common.collect.ImmutableSortedSet.toImmutableSortedSet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.function.Supplier;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ModelException;
+import org.catkinlift.model.Versioned;
+import org.catkinlift.plans.Intent;
+import org.catkinlift.plans.PlanRecord;
+
+/**
+ * Translates the content of platform rows to and from JSON.
+ *
+ * <p>Fields that this version does not know are ignored, so that a later version may add some. All
+ * decoding methods throw a {@link PlatformException} if the JSON does not hold the wanted value.
+ */
+public final class RowCodec {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String CELL = "cell";
+  private static final String PLAN = "plan";
+
+  private RowCodec() {}
+
+  /**
+   * Encodes the content of a row.
+   *
+   * @param value the content
+   * @return the JSON value, with the field {@code kind}
+   */
+  public static JsonNode encode(RowValue value) {
+    return switch (value) {
+      case RowValue.CellRow v -> encodeCell(v);
+      case RowValue.HomeRow v -> VersionedCodec.encode(v.homes());
+      case RowValue.AssignmentRow v -> VersionedCodec.encode(v.assignment());
+      case RowValue.ConfigurationRow v -> VersionedCodec.encode(v.configuration());
+      case RowValue.PlanRow v -> encodePlan(v.plan()).put("kind", PLAN);
+    };
+  }
+
+  /**
+   * Decodes the content of a row.
+   *
+   * @param node the JSON value
+   * @return the content
+   */
+  public static RowValue decode(JsonNode node) {
+    return checked(
+        () -> {
+          String kind = JsonFields.text(node, "kind");
+          return switch (kind) {
+            case CELL -> decodeCell(node);
+            case PLAN -> new RowValue.PlanRow(PlanCodec.decode(node));
+            default -> toRow(VersionedCodec.decode(node), kind);
+          };
+        });
+  }
+
+  /**
+   * Encodes a value that spreads among daemons.
+   *
+   * @param value the value
+   * @return the JSON value, with the field {@code kind}
+   */
+  public static JsonNode encode(Versioned value) {
+    return VersionedCodec.encode(value);
+  }
+
+  /**
+   * Decodes a value that spreads among daemons.
+   *
+   * @param node the JSON value
+   * @return the value
+   */
+  public static Versioned decodeVersioned(JsonNode node) {
+    return checked(() -> VersionedCodec.decode(node));
+  }
+
+  /**
+   * Encodes a plan.
+   *
+   * @param plan the plan and its state
+   * @return the JSON value
+   */
+  public static ObjectNode encodePlan(PlanRecord plan) {
+    return PlanCodec.encode(plan);
+  }
+
+  /**
+   * Decodes a plan.
+   *
+   * @param node the JSON value
+   * @return the plan and its state
+   */
+  public static PlanRecord decodePlan(JsonNode node) {
+    return checked(() -> PlanCodec.decode(node));
+  }
+
+  /**
+   * Encodes an intent.
+   *
+   * @param intent the intent
+   * @return the JSON value, with the field {@code kind}
+   */
+  public static ObjectNode encodeIntent(Intent intent) {
+    return IntentCodec.encode(intent);
+  }
+
+  /**
+   * Decodes an intent.
+   *
+   * @param node the JSON value
+   * @return the intent
+   */
+  public static Intent decodeIntent(JsonNode node) {
+    return checked(() -> IntentCodec.decode(node));
+  }
+
+  /**
+   * Parses JSON text.
+   *
+   * @param text the text
+   * @return the JSON value
+   * @throws PlatformException with code {@code MALFORMED_JSON} if the text is not JSON
+   */
+  public static JsonNode parse(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new PlatformException(PlatformException.Code.MALFORMED_JSON, "the text is not JSON", e);
+    }
+  }
+
+  private static RowValue toRow(Versioned value, String kind) {
+    return switch (value) {
+      case Configuration v -> new RowValue.ConfigurationRow(v);
+      case HomeMap v -> new RowValue.HomeRow(v);
+      case Assignment v -> new RowValue.AssignmentRow(v);
+      case DispatcherMap v -> throw JsonFields.unknownKind("row", kind);
+    };
+  }
+
+  private static ObjectNode encodeCell(RowValue.CellRow row) {
+    ObjectNode node =
+        JsonFields.object()
+            .put("kind", CELL)
+            .put("holder", row.holder().value())
+            .put("term", row.term())
+            .put("renewal", row.renewal());
+    node.set("voters", JsonFields.names(row.voters()));
+    return node;
+  }
+
+  private static RowValue.CellRow decodeCell(JsonNode node) {
+    return new RowValue.CellRow(
+        HostId.of(JsonFields.text(node, "holder")),
+        JsonFields.number(node, "term"),
+        JsonFields.nameList(node, "voters", HostId::of).stream()
+            .collect(toImmutableSortedSet(Comparator.<HostId>naturalOrder())),
+        JsonFields.number(node, "renewal"));
+  }
+
+  /** Runs a decoder; names and numbers that the model refuses make the row malformed. */
+  static <T> T checked(Supplier<T> decode) {
+    try {
+      return decode.get();
+    } catch (ModelException e) {
+      throw new PlatformException(
+          PlatformException.Code.MALFORMED_ROW, "the row holds a value that is not allowed", e);
+    } catch (IllegalArgumentException e) {
+      throw new PlatformException(
+          PlatformException.Code.MALFORMED_ROW, "the row holds a name twice", e);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/VersionedCodec.java
@@ -0,0 +1,127 @@
+package org.catkinlift.daemon.platform;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.Versioned;
+import org.catkinlift.model.ZoneName;
+
+/** Translates the values that spread among daemons to and from JSON. */
+final class VersionedCodec {
+
+  private static final String CONFIGURATION = "configuration";
+  private static final String HOMES = "homes";
+  private static final String ASSIGNMENT = "assignment";
+  private static final String DISPATCHERS = "dispatchers";
+
+  private VersionedCodec() {}
+
+  static ObjectNode encode(Versioned value) {
+    return switch (value) {
+      case Configuration v -> encodeConfiguration(v);
+      case HomeMap v -> encodeHomes(v);
+      case Assignment v -> encodeAssignment(v);
+      case DispatcherMap v -> encodeDispatchers(v);
+    };
+  }
+
+  static Versioned decode(JsonNode node) {
+    String kind = JsonFields.text(node, "kind");
+    return switch (kind) {
+      case CONFIGURATION -> decodeConfiguration(node);
+      case HOMES -> decodeHomes(node);
+      case ASSIGNMENT -> decodeAssignment(node);
+      case DISPATCHERS -> decodeDispatchers(node);
+      default -> throw JsonFields.unknownKind("value", kind);
+    };
+  }
+
+  static ObjectNode encodeConfiguration(Configuration value) {
+    ObjectNode node = kind(CONFIGURATION).put("version", value.version());
+    node.set("services", JsonFields.array(value.services().values(), ServiceCodec::encode));
+    node.set("drainedZones", JsonFields.names(value.drainedZones()));
+    node.set("lostZones", JsonFields.names(value.lostZones()));
+    node.set("retiringUpstreams", JsonFields.names(value.retiringUpstreams()));
+    node.set("retiringHosts", JsonFields.names(value.retiringHosts()));
+    return node;
+  }
+
+  static Configuration decodeConfiguration(JsonNode node) {
+    return Configuration.builder()
+        .version(JsonFields.number(node, "version"))
+        .services(
+            JsonFields.list(node, "services", ServiceCodec::decode).stream()
+                .collect(toImmutableMap(ServiceDefinition::name, s -> s)))
+        .drainedZones(JsonFields.nameSet(node, "drainedZones", ZoneName::of))
+        .lostZones(JsonFields.nameSet(node, "lostZones", ZoneName::of))
+        .retiringUpstreams(JsonFields.nameSet(node, "retiringUpstreams", UpstreamId::of))
+        .retiringHosts(JsonFields.nameSet(node, "retiringHosts", HostId::of))
+        .build();
+  }
+
+  private static ObjectNode encodeHomes(HomeMap value) {
+    ObjectNode node =
+        kind(HOMES).put("service", value.service().value()).put("version", value.version());
+    return SlotCodec.putHomes(node, value.homes());
+  }
+
+  private static HomeMap decodeHomes(JsonNode node) {
+    return new HomeMap(service(node), JsonFields.number(node, "version"), SlotCodec.homes(node));
+  }
+
+  private static ObjectNode encodeAssignment(Assignment value) {
+    ObjectNode node =
+        kind(ASSIGNMENT).put("service", value.service().value()).put("cell", value.cell().value());
+    node.set("version", JsonFields.epoch(value.version()));
+    return SlotCodec.putOwners(node, value.slots(), value.overrides());
+  }
+
+  private static Assignment decodeAssignment(JsonNode node) {
+    return new Assignment(
+        service(node),
+        cell(node),
+        JsonFields.epoch(node, "version"),
+        SlotCodec.slots(node),
+        SlotCodec.overrides(node));
+  }
+
+  private static ObjectNode encodeDispatchers(DispatcherMap value) {
+    ObjectNode node = kind(DISPATCHERS).put("cell", value.cell().value());
+    node.set("version", JsonFields.epoch(value.version()));
+    ObjectNode hosts = node.putObject("dispatchers");
+    value.dispatchers().forEach((upstream, host) -> hosts.put(upstream.value(), host.value()));
+    return node;
+  }
+
+  private static DispatcherMap decodeDispatchers(JsonNode node) {
+    ImmutableMap<UpstreamId, HostId> hosts =
+        JsonFields.required(node, "dispatchers").properties().stream()
+            .collect(
+                toImmutableMap(
+                    e -> UpstreamId.of(e.getKey()), e -> HostId.of(e.getValue().asText())));
+    return new DispatcherMap(cell(node), JsonFields.epoch(node, "version"), hosts);
+  }
+
+  private static ServiceName service(JsonNode node) {
+    return ServiceName.of(JsonFields.text(node, "service"));
+  }
+
+  private static CellId cell(JsonNode node) {
+    return CellId.of(JsonFields.text(node, "cell"));
+  }
+
+  private static ObjectNode kind(String kind) {
+    return JsonFields.object().put("kind", kind);
+  }
+}
