--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/RoutingStateHolder.java
@@ -0,0 +1,55 @@
+package org.catkinlift.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.catkinlift.model.HostId;
+import org.catkinlift.routing.RoutingSnapshot;
+
+/** Publishes the routing state from the control thread to the traffic threads. */
+public final class RoutingStateHolder {
+  private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
+  private volatile RoutingState state;
+
+  /**
+   * Starts with the state of a daemon that knows nothing.
+   *
+   * @param self the host of the daemon
+   */
+  public RoutingStateHolder(HostId self) {
+    this.state = new RoutingState(RoutingSnapshot.empty(self), ImmutableMap.of());
+  }
+
+  /**
+   * Returns the present state. May be called on any thread.
+   *
+   * @return the state
+   */
+  public RoutingState state() {
+    return state;
+  }
+
+  /**
+   * Replaces the state and calls all listeners that wait for a change. Control thread only.
+   *
+   * @param next the new state
+   */
+  public void publish(RoutingState next) {
+    state = next;
+    var due = ImmutableList.<Runnable>builder();
+    for (Runnable r = waiting.poll(); r != null; r = waiting.poll()) {
+      due.add(r);
+    }
+    due.build().forEach(Runnable::run);
+  }
+
+  /**
+   * Calls a listener once, after the next change.
+   *
+   * @param listener the listener; runs on the control thread and must only hand over
+   */
+  public void onNextChange(Runnable listener) {
+    waiting.add(listener);
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryServices.java
@@ -0,0 +1,54 @@
+package org.catkinlift.daemon.http;
+
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.catkinlift.daemon.EventSink;
+import org.catkinlift.daemon.RoutingStateHolder;
+import org.catkinlift.daemon.relay.Dispatching;
+import org.catkinlift.daemon.relay.RelayClient;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.retries.HedgeRule;
+import org.catkinlift.retries.RetryBudget;
+import org.catkinlift.routing.RequestRouter;
+import org.catkinlift.routing.SharedChooser;
+
+/**
+ * Holds what the entry side of requests needs on one event loop.
+ *
+ * @param vertx runs timers
+ * @param states shows the routing state
+ * @param router chooses upstreams
+ * @param chooser learns how attempts of shared services ended
+ * @param local opens attempts at dispatchers of this daemon
+ * @param relays opens attempts at dispatchers of other daemons
+ * @param events takes log events
+ * @param observer learns how requests ended
+ * @param rules the retry budget and the hedge rule of each service
+ */
+record EntryServices(
+    Vertx vertx,
+    RoutingStateHolder states,
+    RequestRouter router,
+    SharedChooser chooser,
+    Dispatching local,
+    RelayClient relays,
+    EventSink events,
+    Consumer<RequestEnd> observer,
+    Rules rules) {
+
+  /** Keeps one retry budget and one hedge rule for each service. Confined to one event loop. */
+  static final class Rules {
+    private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+    private final Map<ServiceName, HedgeRule> hedges = new HashMap<>();
+
+    RetryBudget budget(ServiceName service) {
+      return budgets.computeIfAbsent(service, s -> new RetryBudget(System.nanoTime()));
+    }
+
+    HedgeRule hedge(ServiceName service) {
+      return hedges.computeIfAbsent(service, s -> new HedgeRule());
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/RequestEnd.java
@@ -0,0 +1,17 @@
+package org.catkinlift.daemon.http;
+
+import java.time.Duration;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.ServiceName;
+
+/**
+ * States how a request ended, for metrics.
+ *
+ * @param service the service
+ * @param outcome how it ended
+ * @param latency the time from its receipt to its end
+ * @param attempts the attempts that were made
+ * @param hedged whether a second upstream was asked
+ */
+public record RequestEnd(
+    ServiceName service, Outcome outcome, Duration latency, int attempts, boolean hedged) {}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -62,8 +62,7 @@
     this.self = self;
     this.events = events;
     this.dispatcher =
-        new UpstreamDispatcher(
-            upstream.id(), self, upstream.concurrencyLimit(), System.nanoTime());
+        new UpstreamDispatcher(upstream.id(), self, upstream.concurrencyLimit(), System.nanoTime());
     this.client =
         vertx.createHttpClient(
             new HttpClientOptions()
@@ -129,8 +128,7 @@
   /** Tells whether an answer belongs to its exchange; drops the connection of one that does not. */
   boolean accepts(UpstreamExchange exchange, HttpClientResponse answer) {
     String answered = answer.getHeader(Headers.REQUEST_ID);
-    boolean crossed =
-        answered != null && !answered.equals(exchange.head().request().id().value());
+    boolean crossed = answered != null && !answered.equals(exchange.head().request().id().value());
     long attempt = crossed ? -exchange.attempt() : exchange.attempt();
     ImmutableList<ConnectionAction> actions =
         health.answered(exchange.connection(), attempt, System.nanoTime());
@@ -140,8 +138,7 @@
 
   void answered(UpstreamExchange exchange, String instance) {
     Duration latency = Duration.ofNanos(System.nanoTime() - exchange.sentNanos());
-    ended(
-        exchange, new AttemptResult.Answered(latency, Optional.ofNullable(instance).orElse("")));
+    ended(exchange, new AttemptResult.Answered(latency, Optional.ofNullable(instance).orElse("")));
   }
 
   void ended(UpstreamExchange exchange, AttemptResult result) {
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -0,0 +1,211 @@
+package org.catkinlift.daemon.upstream;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.daemon.EventSink;
+import org.catkinlift.daemon.RoutingStateHolder;
+import org.catkinlift.daemon.relay.ContextDispatchEnd;
+import org.catkinlift.daemon.relay.DispatchEnd;
+import org.catkinlift.daemon.relay.EntryEnd;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.protocol.RelayHead;
+
+/** Keeps the workers of the upstreams that one event loop dispatches to. */
+public final class UpstreamWorkers {
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+  private static final Duration RETRY_AFTER = Duration.ofMillis(250);
+
+  private final Vertx vertx;
+  private final Context context;
+  private final HostId self;
+  private final RoutingStateHolder states;
+  private final EventSink events;
+  private final AtomicLong attempts;
+  private final Map<UpstreamId, UpstreamWorker> workers = new TreeMap<>();
+  private final long timer;
+
+  /**
+   * Creates the registry of one event loop; called on it.
+   *
+   * @param vertx the event loops
+   * @param self the host of this daemon
+   * @param states shows the definitions of upstreams
+   * @param events takes log events
+   * @param attempts numbers the attempts of the daemon
+   */
+  public UpstreamWorkers(
+      Vertx vertx, HostId self, RoutingStateHolder states, EventSink events, AtomicLong attempts) {
+    this.vertx = vertx;
+    this.context = vertx.getOrCreateContext();
+    this.self = self;
+    this.states = states;
+    this.events = events;
+    this.attempts = attempts;
+    this.timer =
+        vertx.setPeriodic(
+            TICK_INTERVAL.toMillis(), t -> workers.values().forEach(UpstreamWorker::tick));
+  }
+
+  /**
+   * Opens the dispatcher side of an attempt. May be called on any thread.
+   *
+   * @param head the request
+   * @param entry the entry side; called on this event loop
+   * @return the dispatcher side
+   */
+  public DispatchEnd open(RelayHead head, EntryEnd entry) {
+    var end = new OpeningEnd();
+    context.runOnContext(v -> end.target = openHere(head, entry));
+    return new ContextDispatchEnd(context, end);
+  }
+
+  private DispatchEnd openHere(RelayHead head, EntryEnd entry) {
+    UpstreamWorker worker = workers.get(head.upstream());
+    if (worker == null) {
+      entry.failed(Outcome.notRun(RefusalCode.DISPATCHER_UNREACHABLE, RETRY_AFTER));
+      return new OpeningEnd();
+    }
+    return worker.open(attempts.incrementAndGet(), head, entry);
+  }
+
+  /**
+   * Takes the dispatch leases that this daemon holds for the upstreams of this event loop.
+   *
+   * @param leases the leases; an upstream that is left out is no longer dispatched from here
+   * @param atNanos the time from which their remaining times count
+   */
+  public void leasesHeld(ImmutableList<DispatchLease> leases, long atNanos) {
+    context.runOnContext(v -> takeLeases(leases, atNanos));
+  }
+
+  private void takeLeases(ImmutableList<DispatchLease> leases, long atNanos) {
+    ImmutableMap<UpstreamId, UpstreamDefinition> definitions = definitions();
+    for (DispatchLease lease : leases) {
+      UpstreamDefinition definition = definitions.get(lease.upstream());
+      if (definition != null) {
+        workerOf(definition).leaseGranted(lease, atNanos);
+      }
+    }
+    var held = leases.stream().map(DispatchLease::upstream).toList();
+    for (UpstreamWorker worker : ImmutableList.copyOf(workers.values())) {
+      if (!held.contains(worker.upstream().id())) {
+        release(worker);
+      }
+    }
+  }
+
+  private ImmutableMap<UpstreamId, UpstreamDefinition> definitions() {
+    var definitions = ImmutableMap.<UpstreamId, UpstreamDefinition>builder();
+    for (ServiceDefinition service :
+        states.state().snapshot().configuration().services().values()) {
+      service.upstreams().forEach(u -> definitions.put(u.id(), u));
+    }
+    return definitions.buildKeepingLast();
+  }
+
+  private UpstreamWorker workerOf(UpstreamDefinition definition) {
+    UpstreamWorker present = workers.get(definition.id());
+    if (present != null && present.upstream().equals(definition)) {
+      return present;
+    }
+    if (present != null) {
+      release(present);
+    }
+    var worker = new UpstreamWorker(vertx, definition, self, events);
+    workers.put(definition.id(), worker);
+    return worker;
+  }
+
+  /** Refuses what waits; the worker goes once its running requests have ended. */
+  private void release(UpstreamWorker worker) {
+    worker.leaseLost();
+    if (worker.isIdle()) {
+      workers.remove(worker.upstream().id(), worker);
+      worker.close();
+    }
+  }
+
+  /**
+   * Takes the instance of an upstream that the control thread learned from a reply.
+   *
+   * @param upstream the upstream
+   * @param instance the run of its process
+   */
+  public void instanceSeen(UpstreamId upstream, String instance) {
+    context.runOnContext(
+        v -> {
+          UpstreamWorker worker = workers.get(upstream);
+          if (worker != null) {
+            worker.instanceSeen(instance);
+          }
+        });
+  }
+
+  /**
+   * Returns the loads of the upstreams; called on this event loop.
+   *
+   * @return the loads
+   */
+  public ImmutableList<UpstreamLoad> loads() {
+    return workers.values().stream().map(UpstreamWorker::load).collect(toImmutableList());
+  }
+
+  /**
+   * Returns the event loop.
+   *
+   * @return the context
+   */
+  public Context context() {
+    return context;
+  }
+
+  /** Stops the timer and closes all connections; called on this event loop. */
+  public void close() {
+    vertx.cancelTimer(timer);
+    workers.values().forEach(UpstreamWorker::abort);
+    workers.values().forEach(UpstreamWorker::close);
+    workers.clear();
+  }
+
+  /** Stands for an attempt until it is open on its event loop, and for one that was refused. */
+  private static final class OpeningEnd implements DispatchEnd {
+    private DispatchEnd target;
+
+    @Override
+    public void body(Buffer data, boolean last) {
+      if (target != null) {
+        target.body(data, last);
+      }
+    }
+
+    @Override
+    public void credit(int bytes) {
+      if (target != null) {
+        target.credit(bytes);
+      }
+    }
+
+    @Override
+    public void cancel() {
+      if (target != null) {
+        target.cancel();
+      }
+    }
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
@@ -78,7 +78,7 @@
   }
 
   private double failuresAt(long nowNanos) {
-    return failures * halving(nowNanos - lastProgressNanos);
+    return failures * halving((double) (nowNanos - lastProgressNanos));
   }
 
   private static double halving(double elapsedNanos) {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
@@ -52,7 +52,9 @@
       throw new ProtocolException(
           ProtocolException.Code.VERSION_MISMATCH, "peer speaks protocol version " + version);
     }
-    link = new PeerLink(context.channel(), HostId.of(frame.getOpen().getHost()), numbers.next(), false);
+    link =
+        new PeerLink(
+            context.channel(), HostId.of(frame.getOpen().getHost()), numbers.next(), false);
   }
 
   private static void answerPing(ChannelHandlerContext context, Frame frame) {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
@@ -167,7 +167,9 @@
             initializer(
                 channel ->
                     new FrameHandler(
-                        listener, new PeerLink(channel, key.peer().id(), numbers.next(), true), onClose)))
+                        listener,
+                        new PeerLink(channel, key.peer().id(), numbers.next(), true),
+                        onClose)))
         .connect(new InetSocketAddress(address.ip(), address.port()))
         .addListener((ChannelFuture connected) -> finishOpen(key, connected, opening));
   }
