Log decision events as single lines and export metrics as Prometheus text

Cause: operators need one line per decision with a number they can look up, and the daemon's counters in a format that common collectors read. Change: EventLogger writes DecisionEvents through Flogger, with a level and a sampling that depends on the request id only, so that all daemons log the same requests. LoggingSetup leads Flogger, Vert.x and Netty to one handler and one formatter. DaemonMetrics records on a Dropwizard registry and MetricsText prints it. docs/events.md and docs/metrics.md are compared with EventCode and MetricDefinition by tests. DecisionEvent gets the constant REQUEST_FIELD, because the sampling has to know which field holds the request id. Conclusion: the daemon can be wired to EventLogger and DaemonMetrics.

--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/logging/RequestSampler.java
@@ -0,0 +1,39 @@
+package org.catkinlift.daemon.logging;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+
+/**
+ * Chooses the requests whose events are logged.
+ *
+ * <p>The choice depends on the request id only, so that all daemons on the path of a request choose
+ * alike and its log lines are complete.
+ */
+final class RequestSampler {
+  private static final HashFunction HASH = Hashing.farmHashFingerprint64();
+  private static final int BUCKETS = 1_000_000;
+
+  private final long chosenBuckets;
+
+  /**
+   * Creates a sampler.
+   *
+   * @param share the share of requests to choose, from 0 to 1
+   */
+  RequestSampler(double share) {
+    this.chosenBuckets = Math.round(share * BUCKETS);
+  }
+
+  /**
+   * Tells whether the events of a request are logged.
+   *
+   * @param requestId the request id
+   * @return true if the request is chosen
+   */
+  boolean chooses(String requestId) {
+    long hash = HASH.hashString(requestId, UTF_8).asLong();
+    return Long.remainderUnsigned(hash, BUCKETS) < chosenBuckets;
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/metrics/ServiceMetrics.java
@@ -0,0 +1,81 @@
+package org.catkinlift.daemon.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.google.common.base.Ascii;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+
+/** Holds the series of one service, so that a request needs no search by name. Thread-safe. */
+final class ServiceMetrics {
+  private static final String NO_CODE = "none";
+
+  private final MetricRegistry registry;
+  private final String service;
+  private final Counter answered;
+  private final Counter retries;
+  private final Counter hedges;
+  private final Counter relays;
+  private final Timer latency;
+  private final Map<RefusalCode, Counter> notRun = new ConcurrentHashMap<>();
+  private final Map<RefusalCode, Counter> unknown = new ConcurrentHashMap<>();
+
+  ServiceMetrics(MetricRegistry registry, String service) {
+    this.registry = registry;
+    this.service = service;
+    this.answered = requests("answered", NO_CODE);
+    this.retries = registry.counter(MetricDefinition.RETRIES.series(service));
+    this.hedges = registry.counter(MetricDefinition.HEDGES.series(service));
+    this.relays = registry.counter(MetricDefinition.RELAYS.series(service));
+    this.latency =
+        registry.timer(
+            MetricDefinition.REQUEST_SECONDS.series(service),
+            () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
+  }
+
+  /**
+   * Counts a request that ended.
+   *
+   * @param outcome how it ended
+   * @param duration from its arrival to the end of its answer
+   */
+  void ended(Outcome outcome, Duration duration) {
+    counterOf(outcome).inc();
+    latency.update(duration);
+  }
+
+  void retried() {
+    retries.inc();
+  }
+
+  void hedged() {
+    hedges.inc();
+  }
+
+  void relayed() {
+    relays.inc();
+  }
+
+  private Counter counterOf(Outcome outcome) {
+    return switch (outcome) {
+      case Outcome.Answered a -> answered;
+      case Outcome.NotRun n ->
+          notRun.computeIfAbsent(n.code(), c -> requests("not-run", labelOf(c)));
+      case Outcome.Unknown u ->
+          unknown.computeIfAbsent(u.code(), c -> requests("unknown", labelOf(c)));
+    };
+  }
+
+  private Counter requests(String outcome, String code) {
+    return registry.counter(MetricDefinition.REQUESTS.series(service, outcome, code));
+  }
+
+  private static String labelOf(RefusalCode code) {
+    return Ascii.toLowerCase(code.name()).replace('_', '-');
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionEvent.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionEvent.java
@@ -9,6 +9,8 @@
  * @param fields the details, in the order in which they are printed
  */
 public record DecisionEvent(EventCode code, ImmutableMap<String, String> fields) {
+  /** The name of the field that holds the request id; the sampling of request events uses it. */
+  public static final String REQUEST_FIELD = "request";
 
   /**
    * Returns an event with one field.
