--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -0,0 +1,271 @@
+package org.catkinlift.daemon;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.daemon.control.ControlLoop;
+import org.catkinlift.daemon.control.ControlParts;
+import org.catkinlift.daemon.http.RequestEnd;
+import org.catkinlift.daemon.http.TrafficLoop;
+import org.catkinlift.daemon.logging.EventLogger;
+import org.catkinlift.daemon.metrics.DaemonMetrics;
+import org.catkinlift.daemon.platform.HttpPlatform;
+import org.catkinlift.daemon.relay.RelayClient;
+import org.catkinlift.daemon.relay.RelayServer;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.daemon.upstream.UpstreamControlClient;
+import org.catkinlift.daemon.upstream.WorkerLoops;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.protocol.PeerLink;
+import org.catkinlift.protocol.PeerListener;
+import org.catkinlift.protocol.PeerTransport;
+import org.catkinlift.protocol.RelayFrame;
+
+/** Runs one daemon: its control thread, its traffic threads and its servers. */
+public final class Daemon {
+  private static final int TRAFFIC_LOOPS = 2;
+  private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration UPSTREAM_TIMEOUT = Duration.ofMillis(500);
+
+  /** The balancer needs a few failed health checks before it stops sending new connections. */
+  private static final Duration HEALTH_NOTICE = Duration.ofMillis(500);
+
+  private final Vertx vertx;
+  private final DaemonSettings settings;
+  private final EventLogger logger;
+  private final MetricRegistry registry = new MetricRegistry();
+  private final DaemonMetrics metrics = new DaemonMetrics(registry, System::nanoTime);
+  private final RoutingStateHolder states;
+  private final RelayClient relays = new RelayClient();
+  private final SplittableRandom random = new SplittableRandom();
+
+  private ImmutableList<TrafficLoop> loops = ImmutableList.of();
+  private ImmutableList<String> deployments = ImmutableList.of();
+  private WorkerLoops workers;
+  private RelayServer relayServer;
+  private PeerTransport transport;
+  private ControlLoop control;
+  private HttpPlatform platform;
+
+  private Daemon(Vertx vertx, DaemonSettings settings) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.logger = new EventLogger(settings.logging());
+    this.states = new RoutingStateHolder(settings.host());
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param vertx the event loops to run on
+   * @param settings the settings
+   * @return the daemon, once it listens on all its addresses
+   */
+  public static Future<Daemon> start(Vertx vertx, DaemonSettings settings) {
+    var daemon = new Daemon(vertx, settings);
+    return daemon
+        .deployLoops()
+        .compose(v -> daemon.openTransport())
+        .compose(v -> daemon.startControl())
+        .compose(v -> daemon.serveCallers())
+        .map(v -> daemon.started())
+        .recover(failure -> daemon.close().transform(closed -> Future.failedFuture(failure)));
+  }
+
+  private Future<Void> deployLoops() {
+    var shared =
+        new TrafficLoop.Shared(
+            settings,
+            states,
+            relays,
+            logger::log,
+            new AtomicLong(),
+            this::requestEnded,
+            loads -> control.offer(new ControlEvent.LoadReported(loads)));
+    loops =
+        IntStream.range(0, TRAFFIC_LOOPS)
+            .mapToObj(i -> new TrafficLoop(shared, random.split()))
+            .collect(toImmutableList());
+    return Future.all(loops.stream().map(vertx::deployVerticle).toList())
+        .onSuccess(all -> deployments = ImmutableList.copyOf(all.<String>list()))
+        .onSuccess(
+            all ->
+                workers =
+                    new WorkerLoops(
+                        loops.stream().map(TrafficLoop::workers).collect(toImmutableList())))
+        .mapEmpty();
+  }
+
+  private Future<Void> openTransport() {
+    relayServer = new RelayServer(workers);
+    return Future.fromCompletionStage(
+            PeerTransport.start(settings.host(), settings.peerAddress(), new Listener()))
+        .onSuccess(
+            opened -> {
+              transport = opened;
+              relays.connect(opened);
+            })
+        .mapEmpty();
+  }
+
+  private Future<Void> startControl() {
+    platform = HttpPlatform.create(vertx, settings.platformAddress(), PLATFORM_TIMEOUT);
+    var ports =
+        new DaemonPorts(
+            transport,
+            platform,
+            UpstreamControlClient.create(vertx, UPSTREAM_TIMEOUT),
+            workers,
+            logger,
+            metrics);
+    ControlParts parts =
+        ControlParts.create(
+            settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
+    control = ControlLoop.start(parts, states, ports, workers::leasesHeld);
+    return Future.succeededFuture();
+  }
+
+  private Future<Void> serveCallers() {
+    return Future.all(loops.stream().map(loop -> loop.serve(workers)).toList()).mapEmpty();
+  }
+
+  private Daemon started() {
+    logger.log(
+        DecisionEvent.of(
+            EventCode.DAEMON_STARTED,
+            "host",
+            settings.host(),
+            "caller_address",
+            settings.callerAddress()));
+    return this;
+  }
+
+  private void requestEnded(RequestEnd end) {
+    metrics.requestEnded(end.service(), end.outcome(), end.latency());
+    for (int i = 1; i < end.attempts(); i++) {
+      metrics.requestRetried(end.service());
+    }
+    if (end.hedged()) {
+      metrics.requestHedged(end.service());
+    }
+  }
+
+  /**
+   * Returns where callers are served.
+   *
+   * @return the address
+   */
+  public NetworkAddress callerAddress() {
+    return settings.callerAddress();
+  }
+
+  /**
+   * Returns where operators are served.
+   *
+   * @return the address
+   */
+  public NetworkAddress operatorAddress() {
+    return settings.operatorAddress();
+  }
+
+  /**
+   * Stops the daemon without cutting a request: the health check fails first, duties are handed
+   * over, running requests finish, then all closes. No step waits longer than the shutdown grace.
+   *
+   * @return completes when all is closed
+   */
+  public Future<Void> stop() {
+    logger.log(DecisionEvent.of(EventCode.DAEMON_STOPPING, "host", settings.host()));
+    return all(loops.stream().map(TrafficLoop::failHealth))
+        .compose(v -> delay(HEALTH_NOTICE))
+        .compose(v -> bounded(control.handOver()))
+        .compose(v -> bounded(all(loops.stream().map(TrafficLoop::drain))))
+        .compose(v -> bounded(all(loops.stream().map(loop -> loop.workers().drained()))))
+        .eventually(this::close)
+        .onSuccess(
+            v -> logger.log(DecisionEvent.of(EventCode.DAEMON_STOPPED, "host", settings.host())));
+  }
+
+  private Future<Void> delay(Duration duration) {
+    Promise<Void> promise = Promise.promise();
+    vertx.setTimer(duration.toMillis(), t -> promise.complete());
+    return promise.future();
+  }
+
+  private Future<Void> bounded(Future<Void> step) {
+    Promise<Void> promise = Promise.promise();
+    long timer =
+        vertx.setTimer(settings.shutdownGrace().toMillis(), t -> promise.tryComplete());
+    step.onComplete(
+        done -> {
+          vertx.cancelTimer(timer);
+          promise.tryComplete();
+        });
+    return promise.future();
+  }
+
+  private static Future<Void> all(Stream<Future<Void>> futures) {
+    return Future.all(futures.toList()).mapEmpty();
+  }
+
+  private Future<Void> close() {
+    if (control != null) {
+      control.close();
+    }
+    if (platform != null) {
+      platform.close();
+    }
+    return Future.all(deployments.stream().map(vertx::undeploy).toList())
+        .transform(done -> closeTransport());
+  }
+
+  private Future<Void> closeTransport() {
+    return transport == null
+        ? Future.succeededFuture()
+        : Future.fromCompletionStage(transport.close());
+  }
+
+  /** Passes what arrives from other daemons to the control thread and to the relays. */
+  private final class Listener implements PeerListener {
+
+    @Override
+    public void messageReceived(HostId from, PeerMessage message) {
+      if (control != null) {
+        control.offer(new ControlEvent.PeerMessageReceived(from, message));
+      }
+    }
+
+    @Override
+    public void relayReceived(PeerLink link, RelayFrame frame) {
+      if (link.isOutgoing()) {
+        relays.received(frame);
+      } else {
+        relayServer.received(link, frame);
+      }
+    }
+
+    @Override
+    public void linkClosed(PeerLink link) {
+      if (link.isOutgoing()) {
+        relays.linkClosed(link);
+      } else {
+        relayServer.linkClosed(link);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -0,0 +1,216 @@
+package org.catkinlift.daemon.control;
+
+import com.google.common.collect.ImmutableList;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import org.catkinlift.control.CallNumbers;
+import org.catkinlift.control.ControlAction;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.MembershipView;
+import org.catkinlift.control.OwnershipView;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.daemon.RoutingStateHolder;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorRequest;
+import org.catkinlift.timer.TimerService;
+
+/**
+ * Owns the control state of the daemon: feeds events to the control parts on one thread and has
+ * their actions carried out.
+ */
+public final class ControlLoop {
+  /** Beyond this, events are dropped; senders repeat what matters. */
+  private static final int MAX_PENDING_EVENTS = 10_000;
+
+  private final ScheduledThreadPoolExecutor executor;
+  private final TimerService timers;
+  private final AtomicInteger pending = new AtomicInteger();
+  private final ImmutableList<ControlPart> parts;
+  private final VersionStore store;
+  private final MembershipView members;
+  private final OwnershipView ownership;
+  private final CallNumbers calls;
+  private final RoutingStateHolder states;
+  private final ControlPorts ports;
+  private final BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener;
+  private final Map<Long, Promise<OperatorReply>> operators = new HashMap<>();
+  private final Promise<Void> handedOver = Promise.promise();
+  private boolean routingChanged;
+
+  private ControlLoop(
+      ControlParts parts,
+      RoutingStateHolder states,
+      ControlPorts ports,
+      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
+    this.parts = parts.all();
+    this.store = parts.store();
+    this.members = parts.membership();
+    this.ownership = parts.ownership();
+    this.calls = parts.calls();
+    this.states = states;
+    this.ports = ports;
+    this.leaseListener = leaseListener;
+    this.executor =
+        new ScheduledThreadPoolExecutor(
+            1, task -> new Thread(task, "control-" + parts.membership().self().id()));
+    this.timers = new ExecutorTimerService(executor);
+  }
+
+  /**
+   * Starts the control thread.
+   *
+   * @param parts the decisions
+   * @param states takes the routing state
+   * @param ports carries out actions
+   * @param leaseListener takes the dispatch leases that this daemon holds, with the time from which
+   *     their remaining times count; called on the control thread with each tick
+   * @return the running loop
+   */
+  public static ControlLoop start(
+      ControlParts parts,
+      RoutingStateHolder states,
+      ControlPorts ports,
+      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
+    var loop = new ControlLoop(parts, states, ports, leaseListener);
+    var unused = loop.timers.every(ControlPart.TICK_INTERVAL, loop::tick);
+    return loop;
+  }
+
+  /**
+   * Hands an event to the control thread. May be called on any thread.
+   *
+   * @param event the event; dropped if too many wait
+   */
+  public void offer(ControlEvent event) {
+    if (pending.incrementAndGet() > MAX_PENDING_EVENTS) {
+      pending.decrementAndGet();
+      return;
+    }
+    run(
+        () -> {
+          pending.decrementAndGet();
+          handle(event);
+        });
+  }
+
+  /**
+   * Asks the control thread for an operator. May be called on any thread.
+   *
+   * @param request the request
+   * @return the reply
+   */
+  public Future<OperatorReply> ask(OperatorRequest request) {
+    Promise<OperatorReply> promise = Promise.promise();
+    run(
+        () -> {
+          long call = calls.next();
+          operators.put(call, promise);
+          handle(new ControlEvent.OperatorRequested(call, request));
+        });
+    return promise.future();
+  }
+
+  /**
+   * Has all duties handed over to other daemons. May be called on any thread.
+   *
+   * @return completes when it is done
+   */
+  public Future<Void> handOver() {
+    offer(new ControlEvent.StopRequested());
+    return handedOver.future();
+  }
+
+  /** Ends the control thread. */
+  public void close() {
+    executor.shutdownNow();
+  }
+
+  private void run(Runnable task) {
+    if (!executor.isShutdown()) {
+      executor.execute(task);
+    }
+  }
+
+  private void tick() {
+    handle(new ControlEvent.Tick());
+    long now = timers.nowNanos();
+    leaseListener.accept(ownership.heldLeases(now), now);
+  }
+
+  private void handle(ControlEvent event) {
+    for (ControlPart part : parts) {
+      part.handle(event, timers.nowNanos()).forEach(this::execute);
+    }
+    if (routingChanged) {
+      routingChanged = false;
+      states.publish(SnapshotBuilder.build(store, members));
+    }
+  }
+
+  private void execute(ControlAction action) {
+    switch (action) {
+      case ControlAction.SendToPeer send ->
+          members.find(send.to()).ifPresent(host -> ports.send(host, send.message()));
+      case ControlAction.CallPlatform call ->
+          ports
+              .call(call.request())
+              .onSuccess(reply -> offer(new ControlEvent.PlatformReplied(call.call(), reply)));
+      case ControlAction.CallUpstream call -> callUpstream(call);
+      case ControlAction.RoutingChanged changed -> routingChanged = true;
+      case ControlAction.ReplyToOperator reply ->
+          Optional.ofNullable(operators.remove(reply.call()))
+              .ifPresent(promise -> promise.complete(reply.reply()));
+      case ControlAction.Log log -> ports.log(log.event());
+      case ControlAction.DutiesHandedOver done -> handedOver.tryComplete();
+    }
+  }
+
+  private void callUpstream(ControlAction.CallUpstream call) {
+    Optional<NetworkAddress> address = addressOf(call.upstream());
+    if (address.isEmpty()) {
+      answer(call, new UpstreamRequest.Reply.NoAnswer());
+      return;
+    }
+    ports.call(address.get(), call.request()).onSuccess(reply -> answer(call, reply));
+  }
+
+  private void answer(ControlAction.CallUpstream call, UpstreamRequest.Reply reply) {
+    instanceOf(reply).ifPresent(instance -> ports.instanceSeen(call.upstream(), instance));
+    offer(new ControlEvent.UpstreamReplied(call.call(), call.upstream(), reply));
+  }
+
+  private static Optional<String> instanceOf(UpstreamRequest.Reply reply) {
+    return switch (reply) {
+      case UpstreamRequest.Reply.Probed r -> Optional.of(r.instance());
+      case UpstreamRequest.Reply.Granted r -> Optional.of(r.instance());
+      case UpstreamRequest.Reply.Released r -> Optional.of(r.instance());
+      case UpstreamRequest.Reply.Releasing r -> Optional.of(r.instance());
+      case UpstreamRequest.Reply.Outdated r -> Optional.of(r.instance());
+      case UpstreamRequest.Reply.NoAnswer r -> Optional.empty();
+    };
+  }
+
+  private Optional<NetworkAddress> addressOf(UpstreamId upstream) {
+    for (ServiceDefinition service : store.configuration().services().values()) {
+      for (UpstreamDefinition definition : service.upstreams()) {
+        if (definition.id().equals(upstream)) {
+          return Optional.of(definition.address());
+        }
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
@@ -0,0 +1,53 @@
+package org.catkinlift.daemon.control;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableMap;
+import org.catkinlift.control.MembershipView;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.daemon.RoutingState;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.routing.RoutingSnapshot;
+import org.catkinlift.routing.SlotTable;
+
+/** Builds the routing state that traffic threads read from what the control thread knows. */
+final class SnapshotBuilder {
+  private SnapshotBuilder() {}
+
+  static RoutingState build(VersionStore store, MembershipView members) {
+    Configuration configuration = store.configuration();
+    return new RoutingState(
+        new RoutingSnapshot(
+            members.self().id(), configuration, slotTables(store), dispatchers(store)),
+        members.known().stream().collect(toImmutableMap(HostDefinition::id, h -> h)));
+  }
+
+  private static ImmutableMap<ServiceName, SlotTable> slotTables(VersionStore store) {
+    var tables = ImmutableMap.<ServiceName, SlotTable>builder();
+    for (ServiceDefinition service : store.configuration().services().values()) {
+      switch (service.kind()) {
+        case ServiceKind.Keyed keyed ->
+            tables.put(
+                service.name(),
+                SlotTable.of(keyed.slotCount(), store.assignments(service.name())));
+        case ServiceKind.Shared shared -> {}
+      }
+    }
+    return tables.buildOrThrow();
+  }
+
+  private static ImmutableMap<UpstreamId, HostId> dispatchers(VersionStore store) {
+    var dispatchers = ImmutableMap.<UpstreamId, HostId>builder();
+    for (DispatcherMap map : store.dispatcherMaps()) {
+      dispatchers.putAll(map.dispatchers());
+    }
+    return dispatchers.buildKeepingLast();
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/CallerServer.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/CallerServer.java
@@ -15,11 +15,13 @@
 /**
  * Serves callers on one event loop; the servers of all event loops share the port.
  *
- * <p>{@code GET /health} answers the load balancer: 200 while the daemon takes requests, 503 from
- * the beginning of a stop.
+ * <p>{@code GET /health} answers the load balancer: 200 while the daemon takes requests, 503 before
+ * it has a configuration and from the beginning of a stop.
  */
 public final class CallerServer {
   private static final String HEALTH_PATH = "/health";
+  private static final String SERVING = "serving";
+  private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(1);
 
@@ -79,11 +81,20 @@
   }
 
   private void answerHealth(HttpServerRequest request) {
+    String state = state();
     var unused =
         request
             .response()
-            .setStatusCode(failingHealth ? UNAVAILABLE : 200)
-            .end(failingHealth ? "stopping\n" : "ok\n");
+            .setStatusCode(state.equals(SERVING) ? OK : UNAVAILABLE)
+            .end(state + "\n");
+  }
+
+  private String state() {
+    if (failingHealth) {
+      return "stopping";
+    }
+    long version = services.states().state().snapshot().configuration().version();
+    return version == 0 ? "waiting for configuration" : SERVING;
   }
 
   private void serve(HttpServerRequest request, RequestParser.Parsed.Request parsed) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -5,9 +5,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -38,6 +42,7 @@
   private final EventSink events;
   private final AtomicLong attempts;
   private final Map<UpstreamId, UpstreamWorker> workers = new TreeMap<>();
+  private final List<Promise<Void>> drained = new ArrayList<>();
   private final long timer;
 
   /**
@@ -58,8 +63,26 @@
     this.events = events;
     this.attempts = attempts;
     this.timer =
-        vertx.setPeriodic(
-            TICK_INTERVAL.toMillis(), t -> workers.values().forEach(UpstreamWorker::tick));
+        vertx.setPeriodic(TICK_INTERVAL.toMillis(), t -> tick());
+  }
+
+  private void tick() {
+    workers.values().forEach(UpstreamWorker::tick);
+    if (workers.values().stream().allMatch(UpstreamWorker::isIdle)) {
+      drained.forEach(Promise::tryComplete);
+      drained.clear();
+    }
+  }
+
+  /**
+   * Waits for the running attempts. May be called on any thread.
+   *
+   * @return completes when no attempt runs or waits
+   */
+  public Future<Void> drained() {
+    Promise<Void> promise = Promise.promise();
+    context.runOnContext(v -> drained.add(promise));
+    return promise.future();
   }
 
   /**
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
@@ -235,13 +235,17 @@
   private static DigestFrame encodeDigest(PeerMessage.Digest digest) {
     var builder = DigestFrame.newBuilder();
     digest.versions().forEach((name, epoch) -> builder.putVersions(name, ModelCodec.encode(epoch)));
+    digest.age().ifPresent(age -> builder.setAgeNanos(age.toNanos()));
     return builder.build();
   }
 
   private static PeerMessage.Digest decodeDigest(DigestFrame frame) {
     return new PeerMessage.Digest(
         frame.getVersionsMap().entrySet().stream()
-            .collect(toImmutableMap(Map.Entry::getKey, e -> ModelCodec.decode(e.getValue()))));
+            .collect(toImmutableMap(Map.Entry::getKey, e -> ModelCodec.decode(e.getValue()))),
+        frame.hasAgeNanos()
+            ? Optional.of(Duration.ofNanos(frame.getAgeNanos()))
+            : Optional.empty());
   }
 
   private static PullReplyFrame encodePullReply(PeerMessage.PullReply reply) {
