Add the upstream stand-in

Tests and the demo need a server that owns keys: it accepts fenced grants, drains, starts cold, sheds, honours deadlines and cancellation, freezes, restarts, and lets connections go silent.

GrantTable, WorkState and Warmth decide; UpstreamCore keeps them together with the upstream's own record of executions and ownership; WorkRunner and ControlHandler translate HTTP. A second port runs requests without grants within the same execution slots, as the baseline of measurements.

--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/ControlHandler.java
@@ -0,0 +1,122 @@
+package org.catkinlift.standin.upstream;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.net.URLDecoder;
+import java.util.function.Supplier;
+import org.catkinlift.control.UpstreamRequest.Reply;
+
+/** Answers the control requests of daemons. Confined to the event loop. */
+final class ControlHandler {
+
+  /** The path prefix of all control requests. */
+  static final String PREFIX = "/_upstream/";
+
+  private static final String REQUESTS = PREFIX + "requests/";
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+
+  private final Vertx vertx;
+  private final UpstreamSettings settings;
+  private final UpstreamCore core;
+  private final WorkRunner runner;
+  private final FreezeGate gate;
+  private final Supplier<UpstreamFaults> faults;
+
+  /**
+   * Creates a handler.
+   *
+   * @param vertx provides timers
+   * @param settings describes the upstream
+   * @param core decides
+   * @param runner carries out cancellations
+   * @param gate holds answers back while the process is paused
+   * @param faults the faults in force
+   */
+  ControlHandler(
+      Vertx vertx,
+      UpstreamSettings settings,
+      UpstreamCore core,
+      WorkRunner runner,
+      FreezeGate gate,
+      Supplier<UpstreamFaults> faults) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.core = core;
+    this.runner = runner;
+    this.gate = gate;
+    this.faults = faults;
+  }
+
+  /**
+   * Answers one request.
+   *
+   * @throws IllegalArgumentException if the body is malformed
+   */
+  void handle(HttpServerRequest request, Buffer body) {
+    long nowNanos = System.nanoTime();
+    switch (request.method() + " " + request.path()) {
+      case "POST /_upstream/grant" ->
+          end(request, core.grant(ControlJson.toGrant(ControlJson.parse(text(body))), nowNanos));
+      case "POST /_upstream/release" ->
+          end(
+              request,
+              core.release(ControlJson.toRelease(ControlJson.parse(text(body))), nowNanos));
+      case "GET /_upstream/health" -> probe(request);
+      case "GET /_upstream/load" ->
+          end(
+              request,
+              OK,
+              ControlJson.ofLoad(core.load(faults.get().loadReporting(), nowNanos), core));
+      default -> cancel(request);
+    }
+  }
+
+  private void probe(HttpServerRequest request) {
+    vertx.setTimer(
+        Math.max(1, settings.probeCost().toMillis()),
+        id -> gate.pass(() -> end(request, core.probe(System.nanoTime()))));
+  }
+
+  private void cancel(HttpServerRequest request) {
+    if (!request.method().name().equals("DELETE") || !request.path().startsWith(REQUESTS)) {
+      end(request, NOT_FOUND, "");
+      return;
+    }
+    runner.cancel(URLDecoder.decode(request.path().substring(REQUESTS.length()), UTF_8));
+    end(request, OK, "");
+  }
+
+  private static void end(HttpServerRequest request, Reply reply) {
+    int status =
+        switch (reply) {
+          case Reply.Probed r -> OK;
+          case Reply.Granted r -> OK;
+          case Reply.Released r -> OK;
+          case Reply.Releasing r -> ACCEPTED;
+          case Reply.Outdated r -> CONFLICT;
+          case Reply.NoAnswer r -> NOT_FOUND;
+        };
+    end(request, status, ControlJson.ofReply(reply));
+  }
+
+  private static void end(HttpServerRequest request, int status, String body) {
+    if (request.response().closed()) {
+      return;
+    }
+    request
+        .response()
+        .setStatusCode(status)
+        .putHeader("Content-Type", "application/json")
+        .end(body);
+  }
+
+  private static String text(Buffer body) {
+    return body.toString(UTF_8);
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/ControlJson.java
@@ -0,0 +1,140 @@
+package org.catkinlift.standin.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.ImmutableSortedSet;
+import java.time.Duration;
+import java.util.Map;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+
+/** Translates control requests and their answers to and from JSON. */
+final class ControlJson {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ControlJson() {}
+
+  /**
+   * Reads JSON text.
+   *
+   * @throws IllegalArgumentException if the text is malformed
+   */
+  static JsonNode parse(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("body is not JSON", e);
+    }
+  }
+
+  /** Reads a grant; slots come as runs {@code [first, count, term, counter]}. */
+  static UpstreamRequest.Grant toGrant(JsonNode node) {
+    var slots = ImmutableSortedMap.<Integer, Epoch>naturalOrder();
+    for (JsonNode run : node.path("slots")) {
+      for (int i = 0; i < run.path(1).asInt(); i++) {
+        slots.put(run.path(0).asInt() + i, epoch(run.path(2), run.path(3)));
+      }
+    }
+    var overrides = ImmutableSortedMap.<String, Epoch>naturalOrder();
+    for (Map.Entry<String, JsonNode> e : node.path("overrides").properties()) {
+      overrides.put(e.getKey(), epoch(e.getValue()));
+    }
+    return new UpstreamRequest.Grant(
+        ServiceName.of(node.path("service").asText()),
+        node.path("instance").asText(),
+        epoch(node.path("sequence")),
+        node.path("expiresAtMillis").asLong(),
+        HostId.of(node.path("dispatcher").asText()),
+        slots.buildOrThrow(),
+        overrides.buildOrThrow());
+  }
+
+  /** Reads a release; slots come as runs {@code [first, count]}. */
+  static UpstreamRequest.Release toRelease(JsonNode node) {
+    var slots = ImmutableSortedSet.<Integer>naturalOrder();
+    for (JsonNode run : node.path("slots")) {
+      for (int i = 0; i < run.path(1).asInt(); i++) {
+        slots.add(run.path(0).asInt() + i);
+      }
+    }
+    var overrides = ImmutableSortedSet.<String>naturalOrder();
+    node.path("overrides").forEach(k -> overrides.add(k.asText()));
+    return new UpstreamRequest.Release(
+        ServiceName.of(node.path("service").asText()),
+        epoch(node.path("sequence")),
+        slots.build(),
+        overrides.build());
+  }
+
+  static String ofReply(Reply reply) {
+    return switch (reply) {
+      case Reply.Probed r -> state("probed", r.instance(), r.clockMillis(), r.sequence());
+      case Reply.Granted r -> state("granted", r.instance(), r.clockMillis(), r.sequence());
+      case Reply.Released r -> state("released", r.instance(), r.clockMillis(), r.sequence());
+      case Reply.Releasing r -> state("releasing", r.instance(), r.clockMillis(), r.sequence());
+      case Reply.Outdated r -> state("outdated", r.instance(), r.clockMillis(), r.newest());
+      case Reply.NoAnswer r -> "{}";
+    };
+  }
+
+  static String ofLoad(LoadReport load, UpstreamCore core) {
+    return MAPPER
+        .createObjectNode()
+        .put("running", load.running())
+        .put("waiting", load.waiting())
+        .put("draining", core.draining())
+        .put("instance", core.instance())
+        .toString();
+  }
+
+  static String ofAnswer(Work work, UpstreamSettings settings, String instance) {
+    return MAPPER
+        .createObjectNode()
+        .put("key", work.task().key())
+        .put("requestId", work.requestId())
+        .put("upstream", settings.id().value())
+        .put("instance", instance)
+        .toString();
+  }
+
+  /** Reads faults; what the JSON leaves out stays as it is. */
+  static UpstreamFaults toFaults(JsonNode node, UpstreamFaults present) {
+    LoadReporting reporting = present.loadReporting();
+    if (node.has("loadLagMillis")) {
+      reporting = new LoadReporting.Lagging(Duration.ofMillis(node.get("loadLagMillis").asLong()));
+    }
+    if (node.has("reportedRunning")) {
+      reporting = new LoadReporting.Misleading(node.get("reportedRunning").asInt());
+    }
+    return new UpstreamFaults(
+        node.path("frozen").asBoolean(present.frozen()),
+        node.path("slowFactor").asDouble(present.slowFactor()),
+        reporting);
+  }
+
+  private static String state(String outcome, String instance, long clockMillis, Epoch sequence) {
+    ObjectNode node =
+        MAPPER
+            .createObjectNode()
+            .put("outcome", outcome)
+            .put("instance", instance)
+            .put("clockMillis", clockMillis);
+    node.putArray("sequence").add(sequence.term()).add(sequence.counter());
+    return node.toString();
+  }
+
+  private static Epoch epoch(JsonNode pair) {
+    return epoch(pair.path(0), pair.path(1));
+  }
+
+  private static Epoch epoch(JsonNode term, JsonNode counter) {
+    return Epoch.of(term.asLong(), counter.asLong());
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/FileContent.java
@@ -0,0 +1,50 @@
+package org.catkinlift.standin.upstream;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.hash.Hashing;
+
+/** Determines the bytes of a file from its name, so that a receiver can check each of them. */
+public final class FileContent {
+
+  private static final int POSITION_STEP = 31;
+
+  private FileContent() {}
+
+  /**
+   * Returns a number that stands for a name.
+   *
+   * @param name the name of the file
+   * @return the seed for {@link #byteAt}
+   */
+  public static int seedOf(String name) {
+    return Hashing.farmHashFingerprint64().hashString(name, UTF_8).hashCode();
+  }
+
+  /**
+   * Returns one byte of a file.
+   *
+   * @param seed the seed of the file
+   * @param offset the position, from 0
+   * @return the byte
+   */
+  public static byte byteAt(int seed, long offset) {
+    return (byte) (seed + offset * POSITION_STEP + (offset >>> 8));
+  }
+
+  /**
+   * Returns a part of a file.
+   *
+   * @param seed the seed of the file
+   * @param offset the position of the first byte
+   * @param length the number of bytes
+   * @return the bytes
+   */
+  public static byte[] part(int seed, long offset, int length) {
+    var bytes = new byte[length];
+    for (int i = 0; i < length; i++) {
+      bytes[i] = byteAt(seed, offset + i);
+    }
+    return bytes;
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/FreezeGate.java
@@ -0,0 +1,37 @@
+package org.catkinlift.standin.upstream;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/** Holds back everything that a paused process would do. Confined to the event loop. */
+final class FreezeGate {
+
+  private final Queue<Runnable> held = new ArrayDeque<>();
+  private boolean frozen;
+
+  /** Runs something now, or when the process resumes. */
+  void pass(Runnable job) {
+    if (frozen) {
+      held.add(job);
+      return;
+    }
+    job.run();
+  }
+
+  void freeze() {
+    frozen = true;
+  }
+
+  /** Runs what was held back, in order. */
+  void resume() {
+    frozen = false;
+    while (!frozen && !held.isEmpty()) {
+      held.remove().run();
+    }
+  }
+
+  /** Forgets what was held back, because the process ended. */
+  void clear() {
+    held.clear();
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/GrantTable.java
@@ -0,0 +1,95 @@
+package org.catkinlift.standin.upstream;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Maps;
+import java.util.Optional;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.ServiceName;
+
+/**
+ * Holds the grants of one run of an upstream and decides which requests they cover.
+ *
+ * @param newest the latest sequence seen since the start
+ * @param grants the present grant of each service
+ */
+public record GrantTable(Epoch newest, ImmutableMap<ServiceName, UpstreamRequest.Grant> grants) {
+
+  /** The table of an upstream that has just started. */
+  public static final GrantTable EMPTY = new GrantTable(Epoch.NONE, ImmutableMap.of());
+
+  /**
+   * Takes a grant.
+   *
+   * @param grant the grant
+   * @param instance the present run of the upstream
+   * @return the next table; empty if the grant is for an earlier run or has a lower sequence than
+   *     one seen before
+   */
+  public Optional<GrantTable> with(UpstreamRequest.Grant grant, String instance) {
+    if (!grant.instance().equals(instance) || newest.isAfter(grant.sequence())) {
+      return Optional.empty();
+    }
+    return Optional.of(replace(grant.sequence(), grant));
+  }
+
+  /**
+   * Gives up slots and keys.
+   *
+   * @param release the request
+   * @return the next table; empty if the request has a lower sequence than one seen before
+   */
+  public Optional<GrantTable> without(UpstreamRequest.Release release) {
+    if (newest.isAfter(release.sequence())) {
+      return Optional.empty();
+    }
+    UpstreamRequest.Grant held = grants.get(release.service());
+    if (held == null) {
+      return Optional.of(new GrantTable(release.sequence(), grants));
+    }
+    var left =
+        new UpstreamRequest.Grant(
+            held.service(),
+            held.instance(),
+            held.sequence(),
+            held.expiresAtMillis(),
+            held.dispatcher(),
+            ImmutableSortedMap.copyOfSorted(
+                Maps.filterKeys(held.slots(), s -> !release.slots().contains(s))),
+            ImmutableSortedMap.copyOfSorted(
+                Maps.filterKeys(held.overrides(), k -> !release.overrides().contains(k))));
+    return Optional.of(replace(release.sequence(), left));
+  }
+
+  /**
+   * Tells whether a request may run.
+   *
+   * @param work the request
+   * @param clockMillis the reading of the upstream's clock
+   * @return true if it needs no grant, or a current grant names its dispatcher and its epoch
+   */
+  public boolean covers(Work work, long clockMillis) {
+    if (!work.checked()) {
+      return true;
+    }
+    return grants.values().stream()
+        .filter(g -> g.expiresAtMillis() > clockMillis)
+        .filter(g -> g.dispatcher().value().equals(work.dispatcher()))
+        .anyMatch(g -> work.epoch().equals(epochOf(g, work)));
+  }
+
+  private static Epoch epochOf(UpstreamRequest.Grant grant, Work work) {
+    Epoch override = grant.overrides().get(work.task().key());
+    return override == null ? grant.slots().get(work.slot()) : override;
+  }
+
+  private GrantTable replace(Epoch sequence, UpstreamRequest.Grant grant) {
+    return new GrantTable(
+        sequence,
+        ImmutableMap.<ServiceName, UpstreamRequest.Grant>builder()
+            .putAll(grants)
+            .put(grant.service(), grant)
+            .buildKeepingLast());
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/UpstreamClock.java
@@ -0,0 +1,35 @@
+package org.catkinlift.standin.upstream;
+
+/**
+ * An upstream's own clock, which differs from those of other hosts in origin and rate.
+ *
+ * @param originMillis the reading at {@code nanos} 0
+ * @param rate the milliseconds that this clock advances per real millisecond; 1 for an exact clock
+ */
+public record UpstreamClock(long originMillis, double rate) {
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** An exact clock. */
+  public static final UpstreamClock EXACT = new UpstreamClock(0, 1);
+
+  /**
+   * Reads the clock.
+   *
+   * @param nowNanos the monotonic time of this process
+   * @return the reading
+   */
+  public long millisAt(long nowNanos) {
+    return originMillis + (long) Math.floor(nowNanos / NANOS_PER_MILLI * rate);
+  }
+
+  /**
+   * Returns when the clock shows a reading.
+   *
+   * @param millis the reading
+   * @return the monotonic time of this process
+   */
+  public long nanosAt(long millis) {
+    return (long) ((millis - originMillis) / rate * NANOS_PER_MILLI);
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/WorkState.java
@@ -0,0 +1,187 @@
+package org.catkinlift.standin.upstream;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.function.Predicate;
+
+/**
+ * Holds the requests in the care of an upstream and decides which of them run.
+ *
+ * @param running the requests in execution by number
+ * @param waiting the requests that wait for an execution slot, oldest first
+ * @param warmth how far the upstream has warmed up
+ * @param queueLimit the requests that may wait when the upstream is warm
+ * @param draining whether the upstream takes no more work
+ */
+public record WorkState(
+    ImmutableMap<Long, Work> running,
+    ImmutableList<Work> waiting,
+    Warmth warmth,
+    int queueLimit,
+    boolean draining) {
+
+  /**
+   * What an event came to.
+   *
+   * @param next the state afterwards
+   * @param actions what to do, in order
+   */
+  public record Step(WorkState next, ImmutableList<WorkAction> actions) {}
+
+  /**
+   * Returns the state of an upstream without work.
+   *
+   * @param warmth how far it has warmed up
+   * @param queueLimit the requests that may wait when it is warm
+   * @return the state
+   */
+  public static WorkState idle(Warmth warmth, int queueLimit) {
+    return new WorkState(ImmutableMap.of(), ImmutableList.of(), warmth, queueLimit, false);
+  }
+
+  /**
+   * Decides what happens to a new request.
+   *
+   * @param work the request
+   * @param granted whether a grant covers it
+   * @param nowNanos the time
+   * @return the step
+   */
+  public Step arrive(Work work, boolean granted, long nowNanos) {
+    if (draining) {
+      return refuse(work, NotRun.DRAINING);
+    }
+    if (!granted) {
+      return refuse(work, NotRun.NOT_GRANTED);
+    }
+    if (nowNanos >= work.startBeforeNanos()) {
+      return refuse(work, NotRun.TOO_LATE);
+    }
+    if (running.size() < warmth.slots()) {
+      return new Step(
+          withRunning(added(work)),
+          ImmutableList.of(new WorkAction.Start(work, warmth.slowdown())));
+    }
+    if (waiting.size() < presentQueueLimit()) {
+      return new Step(
+          withWaiting(ImmutableList.<Work>builder().addAll(waiting).add(work).build()),
+          ImmutableList.of());
+    }
+    return withWarmth(warmth.afterOverload()).refuse(work, NotRun.SHED);
+  }
+
+  /**
+   * Frees the execution slot of a request that ran, and starts what waits.
+   *
+   * @param number the number of the request
+   * @param granted tells whether a grant covers a request
+   * @param nowNanos the time
+   * @return the step
+   */
+  public Step finish(long number, Predicate<Work> granted, long nowNanos) {
+    WorkState next = withWarmth(warmth.afterCompletion()).withRunning(without(number));
+    return next.startWaiting(granted, nowNanos);
+  }
+
+  /**
+   * Cancels all requests with an id; an order that runs already cannot be cancelled.
+   *
+   * @param requestId the id
+   * @param granted tells whether a grant covers a request
+   * @param nowNanos the time
+   * @return the step
+   */
+  public Step cancel(String requestId, Predicate<Work> granted, long nowNanos) {
+    var actions = ImmutableList.<WorkAction>builder();
+    waiting.stream()
+        .filter(w -> w.requestId().equals(requestId))
+        .forEach(w -> actions.add(new WorkAction.Refuse(w, NotRun.CANCELLED)));
+    ImmutableList<Work> stopped =
+        running.values().stream()
+            .filter(w -> w.requestId().equals(requestId) && !(w.task() instanceof Task.Order))
+            .collect(toImmutableList());
+    stopped.forEach(w -> actions.add(new WorkAction.Stop(w)));
+    Step step =
+        withWaiting(
+                waiting.stream()
+                    .filter(w -> !w.requestId().equals(requestId))
+                    .collect(toImmutableList()))
+            .withRunning(ImmutableMap.copyOf(Maps.filterValues(running, w -> !stopped.contains(w))))
+            .startWaiting(granted, nowNanos);
+    return new Step(step.next(), actions.addAll(step.actions()).build());
+  }
+
+  /**
+   * Forgets a waiting request whose connection is closed.
+   *
+   * @param number the number of the request
+   * @return the next state
+   */
+  public WorkState abandon(long number) {
+    return withWaiting(
+        waiting.stream().filter(w -> w.number() != number).collect(toImmutableList()));
+  }
+
+  /**
+   * Returns the state with draining started or ended.
+   *
+   * @param draining whether the upstream takes no more work
+   * @return the next state
+   */
+  public WorkState withDraining(boolean draining) {
+    return new WorkState(running, waiting, warmth, queueLimit, draining);
+  }
+
+  private Step startWaiting(Predicate<Work> granted, long nowNanos) {
+    WorkState state = this;
+    var actions = ImmutableList.<WorkAction>builder();
+    while (!state.waiting.isEmpty() && state.running.size() < state.warmth.slots()) {
+      Work work = state.waiting.get(0);
+      state = state.withWaiting(state.waiting.subList(1, state.waiting.size()));
+      if (!granted.test(work)) {
+        actions.add(new WorkAction.Refuse(work, NotRun.NOT_GRANTED));
+      } else if (nowNanos >= work.startBeforeNanos()) {
+        actions.add(new WorkAction.Refuse(work, NotRun.TOO_LATE));
+      } else {
+        state = state.withRunning(state.added(work));
+        actions.add(new WorkAction.Start(work, warmth.slowdown()));
+      }
+    }
+    return new Step(state, actions.build());
+  }
+
+  /** A cold upstream lets no more requests wait than it executes at once. */
+  private int presentQueueLimit() {
+    return warmth.isWarm() ? queueLimit : Math.min(queueLimit, warmth.slots());
+  }
+
+  private ImmutableMap<Long, Work> added(Work work) {
+    return ImmutableMap.<Long, Work>builder()
+        .putAll(running)
+        .put(work.number(), work)
+        .buildOrThrow();
+  }
+
+  private ImmutableMap<Long, Work> without(long number) {
+    return ImmutableMap.copyOf(Maps.filterKeys(running, n -> n != number));
+  }
+
+  private Step refuse(Work work, NotRun reason) {
+    return new Step(this, ImmutableList.of(new WorkAction.Refuse(work, reason)));
+  }
+
+  private WorkState withRunning(ImmutableMap<Long, Work> running) {
+    return new WorkState(running, waiting, warmth, queueLimit, draining);
+  }
+
+  private WorkState withWaiting(ImmutableList<Work> waiting) {
+    return new WorkState(running, waiting, warmth, queueLimit, draining);
+  }
+
+  private WorkState withWarmth(Warmth warmth) {
+    return new WorkState(running, waiting, warmth, queueLimit, draining);
+  }
+}
