--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/ControlCodec.java
@@ -0,0 +1,128 @@
+package org.catkinlift.daemon.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.Map;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.model.Epoch;
+
+/**
+ * Translates control requests to upstreams, and their answers, to and from JSON.
+ *
+ * <p>Neighbouring slots form one run, because a grant names all slots of an upstream four times a
+ * second.
+ */
+final class ControlCodec {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ControlCodec() {}
+
+  static String encode(UpstreamRequest.Grant grant) {
+    ObjectNode node =
+        MAPPER
+            .createObjectNode()
+            .put("service", grant.service().value())
+            .put("instance", grant.instance())
+            .put("expiresAtMillis", grant.expiresAtMillis())
+            .put("dispatcher", grant.dispatcher().value());
+    putEpoch(node.putArray("sequence"), grant.sequence());
+    putGrantedSlots(node.putArray("slots"), grant.slots());
+    ObjectNode overrides = node.putObject("overrides");
+    grant.overrides().forEach((key, epoch) -> putEpoch(overrides.putArray(key), epoch));
+    return node.toString();
+  }
+
+  static String encode(UpstreamRequest.Release release) {
+    ObjectNode node = MAPPER.createObjectNode().put("service", release.service().value());
+    putEpoch(node.putArray("sequence"), release.sequence());
+    putReleasedSlots(node.putArray("slots"), release.slots());
+    ArrayNode overrides = node.putArray("overrides");
+    release.overrides().forEach(overrides::add);
+    return node.toString();
+  }
+
+  /**
+   * Decodes an answer.
+   *
+   * @throws UpstreamException with code {@code MALFORMED_ANSWER} if it cannot be read
+   */
+  static Reply decode(String body) {
+    JsonNode node = parse(body);
+    String instance = required(node, "instance").asText();
+    long clockMillis = required(node, "clockMillis").asLong();
+    JsonNode pair = required(node, "sequence");
+    Epoch sequence = Epoch.of(pair.path(0).asLong(), pair.path(1).asLong());
+    String outcome = required(node, "outcome").asText();
+    return switch (outcome) {
+      case "probed" -> new Reply.Probed(instance, clockMillis, sequence);
+      case "granted" -> new Reply.Granted(instance, clockMillis, sequence);
+      case "released" -> new Reply.Released(instance, clockMillis, sequence);
+      case "releasing" -> new Reply.Releasing(instance, clockMillis, sequence);
+      case "outdated" -> new Reply.Outdated(instance, clockMillis, sequence);
+      default -> throw malformed("the answer has the unknown outcome '" + outcome + "'");
+    };
+  }
+
+  private static void putGrantedSlots(ArrayNode runs, ImmutableSortedMap<Integer, Epoch> slots) {
+    ImmutableList<Map.Entry<Integer, Epoch>> entries = slots.entrySet().asList();
+    int start = 0;
+    while (start < entries.size()) {
+      var first = entries.get(start);
+      int end = start + 1;
+      while (end < entries.size()
+          && entries.get(end).getKey() == first.getKey() + (end - start)
+          && entries.get(end).getValue().equals(first.getValue())) {
+        end++;
+      }
+      ArrayNode run = runs.addArray().add(first.getKey()).add(end - start);
+      putEpoch(run, first.getValue());
+      start = end;
+    }
+  }
+
+  private static void putReleasedSlots(ArrayNode runs, ImmutableSortedSet<Integer> slots) {
+    ImmutableList<Integer> list = slots.asList();
+    int start = 0;
+    while (start < list.size()) {
+      int end = start + 1;
+      while (end < list.size() && list.get(end) == list.get(start) + (end - start)) {
+        end++;
+      }
+      runs.addArray().add(list.get(start)).add(end - start);
+      start = end;
+    }
+  }
+
+  private static void putEpoch(ArrayNode array, Epoch epoch) {
+    array.add(epoch.term()).add(epoch.counter());
+  }
+
+  private static JsonNode parse(String body) {
+    try {
+      return MAPPER.readTree(body);
+    } catch (JsonProcessingException e) {
+      throw new UpstreamException(
+          UpstreamException.Code.MALFORMED_ANSWER, "the answer is not JSON", e);
+    }
+  }
+
+  private static JsonNode required(JsonNode node, String field) {
+    JsonNode value = node.get(field);
+    if (value == null) {
+      throw malformed("the answer lacks the field '" + field + "'");
+    }
+    return value;
+  }
+
+  private static UpstreamException malformed(String message) {
+    return new UpstreamException(UpstreamException.Code.MALFORMED_ANSWER, message);
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client for upstreams. */
+package org.catkinlift.daemon.upstream;
