--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/package-info.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/package-info.java
@@ -1,2 +1,2 @@
-/** The HTTP client for upstreams. */
+/** The dispatcher side of each request and the HTTP client towards upstreams. */
 package org.catkinlift.daemon.upstream;
