Serve the operator API and share its codec with the command line

Cause: operators state intents and confirm plans over HTTP, and a request that is malformed must be refused whole, with every error named. Change: OperatorServer checks the token in constant time and the form of each request, hands an OperatorRequest to a function of the control thread and encodes the OperatorReply. OperatorCalls maps requests to method, path and body, OperatorCodec the bodies; both directions of both are used by server and command line. Refusals without token or with a body above the limit close the connection, so that the rest of the body is not read. The server offers HTTP/1.1 only: the first test run failed because the JDK client upgraded to HTTP/2, where the connection header of a refusal is not allowed. Conclusion: the control thread can be wired to OperatorServer. The 10 s limit for a reply of the control thread has no test yet.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/JsonObjectReader.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/JsonObjectReader.java
@@ -86,6 +86,20 @@
     return of(node.get(key), pathOf(key), errors);
   }
 
+  /**
+   * Returns the keys of the object.
+   *
+   * @return the keys, in the order of the document
+   */
+  public ImmutableList<String> keys() {
+    return ImmutableList.copyOf(node.fieldNames());
+  }
+
+  /** Accepts all keys, because an error about one of them leaves open which others are allowed. */
+  public void ignoreRest() {
+    known.addAll(keys());
+  }
+
   /**
    * Returns the path of a key of this object.
    *
@@ -108,7 +122,7 @@
   /** Reports each key of the object that was not read. */
   public void finish() {
     String allowed = "one of the keys " + Joiner.on(", ").join(known);
-    ImmutableList.copyOf(node.fieldNames()).stream()
+    keys().stream()
         .filter(key -> !known.contains(key))
         .forEach(key -> errors.addHidden(pathOf(key), allowed));
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/JsonValues.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/JsonValues.java
@@ -56,6 +56,28 @@
         "integer from " + min + " to " + max, n -> longOf(n, min, max).map(Math::toIntExact));
   }
 
+  /**
+   * Reads an integer of 64 bits.
+   *
+   * @param min the smallest allowed
+   * @return the kind of value
+   */
+  public static JsonValue<Long> longInteger(long min) {
+    return scalar("integer from " + min, n -> longOf(n, min, Long.MAX_VALUE));
+  }
+
+  /**
+   * Reads a power of two.
+   *
+   * @param max the largest allowed
+   * @return the kind of value
+   */
+  public static JsonValue<Integer> powerOfTwo(int max) {
+    return scalar(
+        "power of two from 1 to " + max,
+        n -> longOf(n, 1, max).map(Math::toIntExact).filter(v -> Integer.bitCount(v) == 1));
+  }
+
   /**
    * Reads a number that may have a fraction.
    *
@@ -108,6 +130,18 @@
     return scalar(NAME_RULE, n -> textOf(n).flatMap(t -> tryMake(t, factory)));
   }
 
+  /**
+   * Reads a string that a function parses.
+   *
+   * @param allowed what is allowed
+   * @param parser returns empty for other strings
+   * @param <T> the type that it is parsed into
+   * @return the kind of value
+   */
+  public static <T> JsonValue<T> parsed(String allowed, Function<String, Optional<T>> parser) {
+    return scalar(allowed, n -> textOf(n).flatMap(parser));
+  }
+
   /**
    * Reads an IP number and port, written as {@code IP:PORT} or {@code [IP]:PORT}.
    *
@@ -147,6 +181,24 @@
     };
   }
 
+  /**
+   * Reads an object whose keys are data.
+   *
+   * @param value the kind of the values
+   * @param <T> the type of the values
+   * @return the kind of value
+   */
+  public static <T> JsonValue<ImmutableMap<String, T>> map(JsonValue<T> value) {
+    return object(
+        reader -> {
+          var entries = ImmutableMap.<String, T>builder();
+          for (String key : reader.keys()) {
+            reader.required(key, value).ifPresent(v -> entries.put(key, v));
+          }
+          return Optional.of(entries.buildOrThrow());
+        });
+  }
+
   /**
    * Reads an object.
    *
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/StrictJson.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/StrictJson.java
@@ -7,7 +7,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.Optional;
 
-/** Parses JSON text; refuses repeated keys and text after the document. */
+/** Parses and prints JSON text; refuses repeated keys and text after the document. */
 public final class StrictJson {
   private static final JsonMapper MAPPER =
       JsonMapper.builder()
@@ -45,4 +45,24 @@
       return Optional.empty();
     }
   }
+
+  /**
+   * Prints a document on one line.
+   *
+   * @param node the document
+   * @return the text
+   */
+  public static String print(JsonNode node) {
+    return node.toString();
+  }
+
+  /**
+   * Prints a document for people.
+   *
+   * @param node the document
+   * @return the text, with line breaks
+   */
+  public static String printIndented(JsonNode node) {
+    return node.toPrettyString();
+  }
 }
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/IntentCodec.java
@@ -0,0 +1,89 @@
+package org.catkinlift.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import java.util.function.Function;
+import org.catkinlift.daemon.json.JsonObjectReader;
+import org.catkinlift.daemon.json.JsonValue;
+import org.catkinlift.daemon.json.JsonValues;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.plans.Intent;
+
+/** Translates intents to and from JSON. */
+public final class IntentCodec {
+  /** Reads an intent. */
+  public static final JsonValue<Intent> VALUE = JsonValues.object(IntentCodec::read);
+
+  private static final ImmutableMap<String, Function<JsonObjectReader, Optional<Intent>>> READERS =
+      ImmutableMap.of(
+          "put-service",
+          o -> o.required("service", ServiceCodec.VALUE).map(Intent.PutService::new),
+          "remove-service",
+          o -> name(o, "service", ServiceName::of).map(Intent.RemoveService::new),
+          "drain-zone",
+          o -> name(o, "zone", ZoneName::of).map(Intent.DrainZone::new),
+          "return-zone",
+          o -> name(o, "zone", ZoneName::of).map(Intent.ReturnZone::new),
+          "declare-zone-lost",
+          IntentCodec::readZoneLost,
+          "retire-upstream",
+          o -> name(o, "upstream", UpstreamId::of).map(Intent.RetireUpstream::new),
+          "retire-host",
+          o -> name(o, "host", HostId::of).map(Intent.RetireHost::new));
+
+  private IntentCodec() {}
+
+  /**
+   * Encodes an intent.
+   *
+   * @param intent the intent
+   * @return the JSON object
+   */
+  public static ObjectNode encode(Intent intent) {
+    return switch (intent) {
+      case Intent.PutService i -> {
+        ObjectNode node = node("put-service");
+        node.set("service", ServiceCodec.encode(i.definition()));
+        yield node;
+      }
+      case Intent.RemoveService i -> node("remove-service").put("service", i.service().value());
+      case Intent.DrainZone i -> node("drain-zone").put("zone", i.zone().value());
+      case Intent.ReturnZone i -> node("return-zone").put("zone", i.zone().value());
+      case Intent.DeclareZoneLost i ->
+          node("declare-zone-lost")
+              .put("zone", i.zone().value())
+              .put("hostsAreOff", i.hostsAreOff());
+      case Intent.RetireUpstream i -> node("retire-upstream").put("upstream", i.upstream().value());
+      case Intent.RetireHost i -> node("retire-host").put("host", i.host().value());
+    };
+  }
+
+  private static Optional<Intent> read(JsonObjectReader object) {
+    Optional<Function<JsonObjectReader, Optional<Intent>>> reader =
+        object.required("intent", JsonValues.choice(READERS));
+    if (reader.isEmpty()) {
+      object.ignoreRest();
+    }
+    return reader.flatMap(r -> r.apply(object));
+  }
+
+  private static Optional<Intent> readZoneLost(JsonObjectReader object) {
+    Optional<ZoneName> zone = name(object, "zone", ZoneName::of);
+    boolean hostsAreOff = object.optional("hostsAreOff", JsonValues.bool()).orElse(false);
+    return zone.map(z -> new Intent.DeclareZoneLost(z, hostsAreOff));
+  }
+
+  private static <T> Optional<T> name(
+      JsonObjectReader object, String key, Function<String, T> factory) {
+    return object.required(key, JsonValues.name(factory));
+  }
+
+  private static ObjectNode node(String intent) {
+    return JsonNodeFactory.instance.objectNode().put("intent", intent);
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCalls.java
@@ -0,0 +1,168 @@
+package org.catkinlift.daemon.operator;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.StrictJson;
+import org.catkinlift.model.ModelException;
+import org.catkinlift.model.PlanId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.plans.OperatorRequest;
+
+/** Translates operators' requests to and from HTTP; the server and the command line share it. */
+public final class OperatorCalls {
+  private static final String GET = "GET";
+  private static final String POST = "POST";
+  private static final String PLANS = "/v1/plans";
+  private static final String STATUS = "/v1/status";
+  private static final String EXPLAIN = "/v1/explain";
+  private static final String METRICS = "/metrics";
+  private static final String CONFIRM = "confirm";
+  private static final String NAME_RULE = "1 to 64 lower-case letters, digits, dots or hyphens";
+  private static final ImmutableSet<String> EXPLAIN_KEYS = ImmutableSet.of("service", "key");
+
+  private OperatorCalls() {}
+
+  /**
+   * Encodes a request.
+   *
+   * @param request the request
+   * @return the HTTP request
+   */
+  public static OperatorCall encode(OperatorRequest request) {
+    return switch (request) {
+      case OperatorRequest.MakePlan r ->
+          new OperatorCall(POST, PLANS, StrictJson.print(IntentCodec.encode(r.intent())));
+      case OperatorRequest.ConfirmPlan r -> post(PLANS + '/' + r.plan() + '/' + CONFIRM);
+      case OperatorRequest.ShowPlan r -> get(PLANS + '/' + r.plan());
+      case OperatorRequest.ListPlans r -> get(PLANS);
+      case OperatorRequest.ShowStatus r -> get(STATUS);
+      case OperatorRequest.ExplainKey r -> {
+        var uri = new QueryStringEncoder(EXPLAIN);
+        uri.addParam("service", r.service().value());
+        uri.addParam("key", r.key());
+        yield get(uri.toString());
+      }
+    };
+  }
+
+  /**
+   * Decodes a request.
+   *
+   * @param call the HTTP request
+   * @return what it is
+   */
+  public static DecodedCall decode(OperatorCall call) {
+    QueryStringDecoder uri = new QueryStringDecoder(call.uri());
+    String path = uri.rawPath();
+    if (path.equals(PLANS)) {
+      return decodePlans(call);
+    }
+    if (path.startsWith(PLANS + '/')) {
+      return decodePlan(call, Splitter.on('/').splitToList(path.substring(PLANS.length() + 1)));
+    }
+    return switch (path) {
+      case STATUS -> onlyGet(call, new DecodedCall.Request(new OperatorRequest.ShowStatus()));
+      case METRICS -> onlyGet(call, new DecodedCall.Metrics());
+      case EXPLAIN -> onlyGet(call, decodeExplain(uri));
+      default -> new DecodedCall.UnknownPath();
+    };
+  }
+
+  private static DecodedCall decodePlans(OperatorCall call) {
+    if (call.method().equals(GET)) {
+      return new DecodedCall.Request(new OperatorRequest.ListPlans());
+    }
+    if (!call.method().equals(POST)) {
+      return new DecodedCall.WrongMethod(GET + ", " + POST);
+    }
+    var errors = new JsonErrors();
+    return OperatorCodec.decodeIntent(call.body(), errors)
+        .<DecodedCall>map(i -> new DecodedCall.Request(new OperatorRequest.MakePlan(i)))
+        .orElseGet(() -> new DecodedCall.Malformed(errors.list()));
+  }
+
+  private static DecodedCall decodePlan(OperatorCall call, List<String> segments) {
+    boolean isConfirm = segments.size() == 2 && segments.get(1).equals(CONFIRM);
+    if (segments.size() != 1 && !isConfirm) {
+      return new DecodedCall.UnknownPath();
+    }
+    String method = isConfirm ? POST : GET;
+    if (!call.method().equals(method)) {
+      return new DecodedCall.WrongMethod(method);
+    }
+    PlanId plan;
+    try {
+      plan = PlanId.of(segments.get(0));
+    } catch (ModelException e) {
+      return malformed("plan", segments.get(0));
+    }
+    return new DecodedCall.Request(
+        isConfirm ? new OperatorRequest.ConfirmPlan(plan) : new OperatorRequest.ShowPlan(plan));
+  }
+
+  private static DecodedCall decodeExplain(QueryStringDecoder uri) {
+    Map<String, List<String>> query;
+    try {
+      query = uri.parameters();
+    } catch (IllegalArgumentException e) {
+      // The decoder refuses incomplete percent escapes.
+      var errors = new JsonErrors();
+      errors.add("query", uri.rawQuery(), "query with complete percent escapes");
+      return new DecodedCall.Malformed(errors.list());
+    }
+    var errors = new JsonErrors();
+    for (String key : Sets.difference(query.keySet(), EXPLAIN_KEYS)) {
+      errors.addHidden(key, "one of the keys service, key");
+    }
+    Optional<String> service = single(query, "service", errors);
+    Optional<String> key = single(query, "key", errors);
+    if (!errors.isEmpty()) {
+      return new DecodedCall.Malformed(errors.list());
+    }
+    try {
+      var name = ServiceName.of(service.orElseThrow());
+      return new DecodedCall.Request(new OperatorRequest.ExplainKey(name, key.orElseThrow()));
+    } catch (ModelException e) {
+      return malformed("service", service.orElseThrow());
+    }
+  }
+
+  private static Optional<String> single(
+      Map<String, List<String>> query, String key, JsonErrors errors) {
+    List<String> values = query.getOrDefault(key, List.of());
+    if (values.isEmpty()) {
+      errors.addMissing(key, "one value");
+      return Optional.empty();
+    }
+    if (values.size() > 1) {
+      errors.add(key, values.get(1), "one value");
+      return Optional.empty();
+    }
+    return Optional.of(values.get(0));
+  }
+
+  private static DecodedCall onlyGet(OperatorCall call, DecodedCall decoded) {
+    return call.method().equals(GET) ? decoded : new DecodedCall.WrongMethod(GET);
+  }
+
+  private static DecodedCall malformed(String path, String value) {
+    var errors = new JsonErrors();
+    errors.add(path, value, NAME_RULE);
+    return new DecodedCall.Malformed(errors.list());
+  }
+
+  private static OperatorCall get(String uri) {
+    return new OperatorCall(GET, uri, "");
+  }
+
+  private static OperatorCall post(String uri) {
+    return new OperatorCall(POST, uri, "");
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCodec.java
@@ -0,0 +1,179 @@
+package org.catkinlift.daemon.operator;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.function.Function;
+import org.catkinlift.daemon.json.JsonError;
+import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonObjectReader;
+import org.catkinlift.daemon.json.JsonValue;
+import org.catkinlift.daemon.json.JsonValues;
+import org.catkinlift.daemon.json.StrictJson;
+import org.catkinlift.plans.Intent;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.PlanRecord;
+
+/**
+ * Translates the bodies of the operator API to and from JSON; the server and the command line share
+ * it. {@link OperatorCalls} translates whole requests.
+ */
+public final class OperatorCodec {
+  private static final JsonValue<OperatorReply> REPLY = JsonValues.object(OperatorCodec::readReply);
+  private static final JsonValue<ImmutableList<PlanRecord>> PLANS =
+      JsonValues.list(PlanCodec.VALUE, "array of plans");
+  private static final JsonValue<ImmutableMap<String, String>> FACTS = JsonValues.map(anyText());
+  private static final JsonValue<ImmutableList<String>> DECISIONS =
+      JsonValues.list(anyText(), "array of strings");
+  private static final ImmutableMap<String, OperatorReply.Reason> REASONS =
+      Arrays.stream(OperatorReply.Reason.values())
+          .collect(toImmutableMap(OperatorCodec::nameOf, r -> r));
+  private static final ImmutableMap<String, Function<JsonObjectReader, Optional<OperatorReply>>>
+      READERS =
+          ImmutableMap.of(
+              "plan",
+              o -> o.required("plan", PlanCodec.VALUE).map(OperatorReply.PlanShown::new),
+              "plans",
+              o -> o.required("plans", PLANS).map(OperatorReply.PlansListed::new),
+              "facts",
+              OperatorCodec::readFacts,
+              "failed",
+              OperatorCodec::readFailed);
+
+  private OperatorCodec() {}
+
+  /**
+   * Decodes an intent.
+   *
+   * @param text the JSON text
+   * @param errors gets every error in it
+   * @return the intent; empty if an error was added
+   */
+  public static Optional<Intent> decodeIntent(String text, JsonErrors errors) {
+    return decode(text, IntentCodec.VALUE, errors);
+  }
+
+  /**
+   * Decodes a document and accepts it only if nothing in it is wrong.
+   *
+   * @param text the JSON text
+   * @param value the kind of the document
+   * @param errors gets every error in it
+   * @param <T> the type that it is decoded into
+   * @return the value; empty if an error was added
+   */
+  public static <T> Optional<T> decode(String text, JsonValue<T> value, JsonErrors errors) {
+    return StrictJson.parse(text, errors)
+        .flatMap(node -> value.read(node, JsonError.ROOT, errors))
+        .filter(v -> errors.isEmpty());
+  }
+
+  /**
+   * Decodes a reply.
+   *
+   * @param text the JSON text
+   * @param errors gets every error in it
+   * @return the reply; empty if an error was added
+   */
+  public static Optional<OperatorReply> decodeReply(String text, JsonErrors errors) {
+    return decode(text, REPLY, errors);
+  }
+
+  /**
+   * Encodes a reply.
+   *
+   * @param reply the reply
+   * @return the JSON object
+   */
+  public static ObjectNode encode(OperatorReply reply) {
+    return switch (reply) {
+      case OperatorReply.PlanShown r -> {
+        ObjectNode node = type("plan");
+        node.set("plan", PlanCodec.encode(r.plan()));
+        yield node;
+      }
+      case OperatorReply.PlansListed r -> {
+        ObjectNode node = type("plans");
+        ArrayNode plans = node.putArray("plans");
+        r.plans().forEach(p -> plans.add(PlanCodec.encode(p)));
+        yield node;
+      }
+      case OperatorReply.Facts r -> {
+        ObjectNode node = type("facts");
+        ObjectNode facts = node.putObject("facts");
+        r.facts().forEach(facts::put);
+        ArrayNode decisions = node.putArray("decisions");
+        r.decisions().forEach(decisions::add);
+        yield node;
+      }
+      case OperatorReply.Failed r ->
+          type("failed").put("reason", nameOf(r.reason())).put("detail", r.detail());
+    };
+  }
+
+  /**
+   * Encodes the errors of a refused request.
+   *
+   * @param errors the errors
+   * @return the JSON object
+   */
+  public static JsonNode encodeErrors(ImmutableList<JsonError> errors) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    ArrayNode array = node.putArray("errors");
+    for (JsonError error : errors) {
+      array
+          .addObject()
+          .put("path", error.path())
+          .put("value", error.value())
+          .put("allowed", error.allowed());
+    }
+    return node;
+  }
+
+  private static Optional<OperatorReply> readReply(JsonObjectReader object) {
+    Optional<Function<JsonObjectReader, Optional<OperatorReply>>> reader =
+        object.required("type", JsonValues.choice(READERS));
+    if (reader.isEmpty()) {
+      object.ignoreRest();
+    }
+    return reader.flatMap(r -> r.apply(object));
+  }
+
+  private static Optional<OperatorReply> readFacts(JsonObjectReader object) {
+    Optional<ImmutableMap<String, String>> facts = object.required("facts", FACTS);
+    Optional<ImmutableList<String>> decisions = object.required("decisions", DECISIONS);
+    if (facts.isEmpty() || decisions.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new OperatorReply.Facts(facts.get(), decisions.get()));
+  }
+
+  private static Optional<OperatorReply> readFailed(JsonObjectReader object) {
+    Optional<OperatorReply.Reason> reason = object.required("reason", JsonValues.choice(REASONS));
+    Optional<String> detail = object.required("detail", anyText());
+    if (reason.isEmpty() || detail.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new OperatorReply.Failed(reason.get(), detail.get()));
+  }
+
+  private static JsonValue<String> anyText() {
+    return JsonValues.parsed("string", Optional::of);
+  }
+
+  private static String nameOf(OperatorReply.Reason reason) {
+    return Ascii.toLowerCase(reason.name()).replace('_', '-');
+  }
+
+  private static ObjectNode type(String type) {
+    return JsonNodeFactory.instance.objectNode().put("type", type);
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorServer.java
@@ -0,0 +1,182 @@
+package org.catkinlift.daemon.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.catkinlift.daemon.metrics.MetricsText;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorRequest;
+
+/**
+ * Serves the operator API. It checks the token and the form of requests, hands them to the control
+ * thread and encodes the replies.
+ */
+public final class OperatorServer {
+  /**
+   * Longer than the bound for a change to be in force (7 s), so that a slow platform can answer.
+   */
+  private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(10);
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final String HEALTH = "/health";
+  private static final String BEARER = "Bearer ";
+
+  private final Vertx vertx;
+  private final DaemonSettings settings;
+  private final MetricRegistry metrics;
+  private final Function<OperatorRequest, Future<OperatorReply>> control;
+  private final BooleanSupplier isServing;
+  private final HttpServer server;
+
+  /**
+   * Creates the server; it does not listen yet.
+   *
+   * @param vertx runs the server
+   * @param settings state the address, the token and the limits
+   * @param metrics what {@code /metrics} prints
+   * @param control hands a request to the control thread
+   * @param isServing whether {@code /health} answers that the daemon serves callers; false from the
+   *     beginning of a stop
+   */
+  public OperatorServer(
+      Vertx vertx,
+      DaemonSettings settings,
+      MetricRegistry metrics,
+      Function<OperatorRequest, Future<OperatorReply>> control,
+      BooleanSupplier isServing) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.metrics = metrics;
+    this.control = control;
+    this.isServing = isServing;
+    this.server = vertx.createHttpServer(optionsOf(settings)).requestHandler(this::handle);
+  }
+
+  /**
+   * Starts to listen on the operator address.
+   *
+   * @return completes when it listens; fails with {@link OperatorException}
+   */
+  public Future<Void> start() {
+    NetworkAddress address = settings.operatorAddress();
+    return server
+        .listen(address.port(), address.ip())
+        .<Void>mapEmpty()
+        .recover(e -> Future.failedFuture(listenFailed(address, e)));
+  }
+
+  /**
+   * Stops to listen and closes the connections.
+   *
+   * @return completes when they are closed
+   */
+  public Future<Void> stop() {
+    return server.close();
+  }
+
+  /** HTTP/1.1 only: a refusal closes its connection, which HTTP/2 streams share. */
+  private static HttpServerOptions optionsOf(DaemonSettings settings) {
+    return new HttpServerOptions()
+        .setHttp2ClearTextEnabled(false)
+        .setIdleTimeout(Math.toIntExact(settings.limits().callerIdle().toMillis()))
+        .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
+  }
+
+  private static OperatorException listenFailed(NetworkAddress address, Throwable cause) {
+    return new OperatorException(
+        OperatorException.Code.LISTEN_FAILED, "cannot listen on " + address, cause);
+  }
+
+  private void handle(HttpServerRequest request) {
+    if (request.path() != null && request.path().equals(HEALTH)) {
+      send(request, isServing.getAsBoolean() ? HttpReply.empty(200) : HttpReply.empty(503));
+      return;
+    }
+    if (!isAuthorized(request)) {
+      refuse(request, HttpReply.withHeader(401, "WWW-Authenticate", "Bearer"));
+      return;
+    }
+    BoundedBody.read(request, settings.limits().maxControlBodyBytes())
+        .onSuccess(body -> answer(request, callOf(request, body.toString())))
+        .onFailure(e -> refuse(request, HttpReply.empty(413)));
+  }
+
+  private boolean isAuthorized(HttpServerRequest request) {
+    String header = request.getHeader(HttpHeaders.AUTHORIZATION);
+    if (header == null || !header.startsWith(BEARER)) {
+      return false;
+    }
+    return settings.operatorToken().matches(header.substring(BEARER.length()));
+  }
+
+  private static OperatorCall callOf(HttpServerRequest request, String body) {
+    return new OperatorCall(request.method().name(), request.uri(), body);
+  }
+
+  private void answer(HttpServerRequest request, OperatorCall call) {
+    switch (OperatorCalls.decode(call)) {
+      case DecodedCall.Request c -> askControl(request, c.request());
+      case DecodedCall.Metrics c ->
+          send(request, HttpReply.text(200, MetricsText.CONTENT_TYPE, MetricsText.format(metrics)));
+      case DecodedCall.Malformed c ->
+          send(request, HttpReply.json(400, OperatorCodec.encodeErrors(c.errors())));
+      case DecodedCall.UnknownPath c -> send(request, HttpReply.empty(404));
+      case DecodedCall.WrongMethod c ->
+          send(request, HttpReply.withHeader(405, "Allow", c.allowed()));
+    }
+  }
+
+  /** The reply may come on the control thread; the response is sent on the event loop. */
+  private void askControl(HttpServerRequest request, OperatorRequest operatorRequest) {
+    Context context = vertx.getOrCreateContext();
+    Future.<OperatorReply>future(promise -> control.apply(operatorRequest).onComplete(promise))
+        .timeout(REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .map(HttpReply::of)
+        .otherwise(OperatorServer::failure)
+        .onSuccess(reply -> context.runOnContext(v -> send(request, reply)));
+  }
+
+  private static HttpReply failure(Throwable cause) {
+    if (cause instanceof TimeoutException) {
+      return HttpReply.of(
+          new OperatorReply.Failed(
+              OperatorReply.Reason.PLATFORM_UNREACHABLE,
+              "no reply within " + REPLY_TIMEOUT.toSeconds() + " s; the outcome is unknown"));
+    }
+    LOGGER.atSevere().withCause(cause).log("operator request failed");
+    return HttpReply.empty(500);
+  }
+
+  /** Sends a response and closes the connection, so that the rest of the body is not read. */
+  private static void refuse(HttpServerRequest request, HttpReply reply) {
+    if (request.response().ended() || request.response().closed()) {
+      return;
+    }
+    request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+    send(request, reply);
+  }
+
+  private static void send(HttpServerRequest request, HttpReply reply) {
+    HttpServerResponse response = request.response();
+    if (response.closed()) {
+      return;
+    }
+    response.setStatusCode(reply.status());
+    reply.headers().forEach(response::putHeader);
+    response.end(reply.body());
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator API over HTTP: JSON codecs, the calls and the server. It decides nothing. */
+package org.catkinlift.daemon.operator;
--- /dev/null
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -0,0 +1,189 @@
+package org.catkinlift.daemon.operator;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublisher;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.catkinlift.daemon.metrics.DaemonMetrics;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.daemon.settings.SettingsReader;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorRequest;
+import org.catkinlift.plans.PlanRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class OperatorServerTest {
+  private static final String TOKEN = "0123456789abcdef";
+  private static final int MAX_BODY = 1_024;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client = HttpClient.newHttpClient();
+  private final AtomicReference<OperatorRequest> asked = new AtomicReference<>();
+  private final AtomicReference<Future<OperatorReply>> reply = new AtomicReference<>();
+  private final AtomicBoolean isServing = new AtomicBoolean(true);
+  private OperatorServer server;
+  private int port;
+
+  @BeforeEach
+  void start() throws Exception {
+    var registry = new MetricRegistry();
+    new DaemonMetrics(registry, System::nanoTime).configurationSeen(7);
+    port = freePort();
+    server = new OperatorServer(vertx, settings(), registry, this::ask, isServing::get);
+    server.start().toCompletionStage().toCompletableFuture().get();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    server.stop().toCompletionStage().toCompletableFuture().get();
+    vertx.close().toCompletionStage().toCompletableFuture().get();
+  }
+
+  private Future<OperatorReply> ask(OperatorRequest request) {
+    asked.set(request);
+    return reply.get();
+  }
+
+  private static int freePort() throws IOException {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private DaemonSettings settings() {
+    return SettingsReader.parse(
+        """
+        {"host": "h", "zone": "z", "callerAddress": "127.0.0.1:1", "peerAddress": "127.0.0.1:2",
+         "operatorAddress": "127.0.0.1:%d", "operatorToken": "%s", "platformAddress": "127.0.0.1:3",
+         "limits": {"maxControlBodyBytes": %d}}"""
+            .formatted(port, TOKEN, MAX_BODY));
+  }
+
+  private HttpResponse<String> send(String method, String path, String auth, BodyPublisher body)
+      throws Exception {
+    var request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).method(method, body);
+    if (!auth.isEmpty()) {
+      request.header("Authorization", auth);
+    }
+    return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpResponse<String> send(String method, String path, String body) throws Exception {
+    return send(method, path, "Bearer " + TOKEN, BodyPublishers.ofString(body));
+  }
+
+  /** Guards against access without the whole token, also to paths that do not exist. */
+  @ParameterizedTest
+  @CsvSource({
+    "GET, /v1/status, ''",
+    "GET, /v1/status, Bearer 0123456789abcde",
+    "GET, /v1/status, Bearer 0123456789abcdef0",
+    "GET, /v1/status, 0123456789abcdef",
+    "GET, /metrics, Bearer x",
+    "GET, /nothing, ''",
+    "POST, /v1/plans, ''"
+  })
+  void refusesRequestsWithoutToken(String method, String path, String auth) throws Exception {
+    var response = send(method, path, auth, BodyPublishers.ofString("{}"));
+    assertThat(response.statusCode()).isEqualTo(401);
+    assertThat(response.body()).isEmpty();
+    assertThat(asked.get()).isNull();
+  }
+
+  /** Guards against a health check that needs the token or ignores a beginning stop. */
+  @Test
+  void healthFollowsTheDaemon() throws Exception {
+    assertThat(send("GET", "/health", "", BodyPublishers.noBody()).statusCode()).isEqualTo(200);
+    isServing.set(false);
+    assertThat(send("GET", "/health", "", BodyPublishers.noBody()).statusCode()).isEqualTo(503);
+  }
+
+  /** Guards against bodies that fill the memory, with and without a stated length. */
+  @Test
+  void refusesLargeBodies() throws Exception {
+    byte[] large = " ".repeat(MAX_BODY + 1).getBytes(UTF_8);
+    var chunked = BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(large));
+    assertThat(send("POST", "/v1/plans", new String(large, UTF_8)).statusCode()).isEqualTo(413);
+    assertThat(send("POST", "/v1/plans", "Bearer " + TOKEN, chunked).statusCode()).isEqualTo(413);
+    assertThat(asked.get()).isNull();
+  }
+
+  /** Guards against malformed requests that reach the control thread or whose errors are hidden. */
+  @ParameterizedTest
+  @CsvSource(
+      quoteCharacter = '`',
+      value = {
+        "POST, /v1/plans, {\"intent\":\"drain-zone\"}, 400, \"path\":\"zone\"",
+        "GET, /v1/plans/P_1, , 400, \"path\":\"plan\"",
+        "GET, /v1/explain?service=s, , 400, \"path\":\"key\"",
+        "GET, /v1/explain?service=s&key=a&key=b, , 400, \"path\":\"key\"",
+        "GET, /v1/explain?service=s&key=k&x=1, , 400, \"path\":\"x\"",
+        "GET, /v1/explain?service=S&key=k, , 400, \"path\":\"service\"",
+        "PUT, /v1/plans, , 405, ``",
+        "GET, /v1/plans/p-1/confirm, , 405, ``",
+        "GET, /v1/plans/p-1/other, , 404, ``"
+      })
+  void refusesMalformedRequests(
+      String method, String path, String body, int status, String expected) throws Exception {
+    var response = send(method, path, body == null ? "" : body);
+    assertThat(response.statusCode()).isEqualTo(status);
+    assertThat(response.body()).contains(expected);
+    assertThat(asked.get()).isNull();
+  }
+
+  /** Guards against failures that look like another failure to a client. */
+  @ParameterizedTest
+  @CsvSource({"NOT_FOUND, 404", "CONFLICT, 409", "REFUSED, 422", "PLATFORM_UNREACHABLE, 503"})
+  void mapsFailuresToStatus(OperatorReply.Reason reason, int status) throws Exception {
+    reply.set(Future.succeededFuture(new OperatorReply.Failed(reason, "why")));
+    var response = send("POST", "/v1/plans/p-1/confirm", "");
+    assertThat(response.statusCode()).isEqualTo(status);
+    assertThat(response.body()).contains("\"detail\":\"why\"");
+  }
+
+  /** Guards against an intent or a plan that changes on its way. */
+  @Test
+  void carriesIntentAndPlan() throws Exception {
+    var request = new OperatorRequest.MakePlan(SamplePlans.INTENTS.get(2));
+    var shown =
+        new OperatorReply.PlanShown(SamplePlans.plan(request.intent(), PlanRecord.State.CONFIRMED));
+    reply.set(Future.succeededFuture(shown));
+    OperatorCall call = OperatorCalls.encode(request);
+    var response = send(call.method(), call.uri(), call.body());
+    assertThat(asked.get()).isEqualTo(request);
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.body()).isEqualTo(OperatorCodec.encode(shown).toString());
+  }
+
+  /** Guards against a request that is never answered because the control thread failed. */
+  @Test
+  void answersWhenTheControlThreadFails() throws Exception {
+    reply.set(Future.failedFuture(new IllegalStateException("x")));
+    assertThat(send("GET", "/v1/status", "").statusCode()).isEqualTo(500);
+  }
+
+  /** Guards against metrics that are not the registry's. */
+  @Test
+  void printsMetrics() throws Exception {
+    assertThat(send("GET", "/metrics", "").body()).contains("catkinlift_configuration_version 7");
+  }
+}
