--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Announcer.java
@@ -0,0 +1,62 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.util.Comparator;
+import org.catkinlift.control.PeerMessage.Digest;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+
+/** Tells this daemon's routing and other daemons at once when a value has changed. */
+final class Announcer {
+  private static final int FOREIGN_RECEIVERS = 3;
+
+  private final CellContext context;
+  private long round;
+
+  Announcer(CellContext context) {
+    this.context = context;
+  }
+
+  /** Announces the versions if something was changed by the decisions of this event. */
+  void announce(long nowNanos, Outbox out) {
+    if (!out.isChanged()) {
+      return;
+    }
+    out.routingChanged();
+    Digest digest = context.store().digest();
+    round++;
+    context.members().live(context.cell(), nowNanos).stream()
+        .filter(h -> !h.equals(context.host()))
+        .forEach(h -> out.send(h, digest));
+    foreignReceivers(nowNanos).forEach(h -> out.send(h, digest));
+  }
+
+  /** One daemon of each of three other cells, chosen anew each time. */
+  private ImmutableList<HostId> foreignReceivers(long nowNanos) {
+    return context.members().known().stream()
+        .map(HostDefinition::cell)
+        .filter(c -> !c.equals(context.cell()))
+        .distinct()
+        .sorted(Comparator.comparingLong(c -> score(c.value())))
+        .flatMap(c -> receiver(c, nowNanos).stream())
+        .limit(FOREIGN_RECEIVERS)
+        .collect(toImmutableList());
+  }
+
+  private ImmutableList<HostId> receiver(CellId cell, long nowNanos) {
+    return context.members().live(cell, nowNanos).stream()
+        .sorted(Comparator.comparingLong(h -> score(h.value())))
+        .limit(1)
+        .collect(toImmutableList());
+  }
+
+  private long score(String name) {
+    return Hashing.farmHashFingerprint64()
+        .hashUnencodedChars(context.host() + "|" + round + "|" + name)
+        .asLong();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/AssignmentWriter.java
@@ -0,0 +1,72 @@
+package org.catkinlift.ownership;
+
+import java.util.Optional;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.PlatformRequest.Row;
+import org.catkinlift.control.RowValue.AssignmentRow;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.Epoch;
+
+/**
+ * Writes the assignment of one service and cell to the platform, the latest one only.
+ *
+ * <p>Writes are conditional on the row's version. During an outage the latest assignment waits; a
+ * row of a later term is never overwritten.
+ */
+final class AssignmentWriter {
+  private final RowWriter writer;
+  private Optional<Row> row = Optional.empty();
+  private boolean recovered;
+
+  AssignmentWriter(String rowName, RequestIds ids) {
+    this.writer = new RowWriter(rowName, ids);
+  }
+
+  /** Tells whether the row has been read at least once. */
+  boolean isRecovered() {
+    return recovered;
+  }
+
+  /** Reads the row anew before anything else is written. */
+  void recover() {
+    recovered = false;
+  }
+
+  void read(Outbox out) {
+    writer.read(out);
+  }
+
+  Optional<Assignment> written() {
+    return row.map(r -> ((AssignmentRow) r.value()).assignment());
+  }
+
+  /** Tells whether the platform has confirmed a version or a later one. */
+  boolean hasWritten(Epoch version) {
+    return !version.isAfter(written().map(Assignment::version).orElse(Epoch.NONE));
+  }
+
+  void tick(long nowNanos, Outbox out) {
+    writer.tick(nowNanos, out);
+  }
+
+  /** Writes an assignment unless it is written already, a call is under way or it is older. */
+  void write(Assignment assignment, long nowNanos, Outbox out) {
+    if (!recovered || writer.isBusy() || hasWritten(assignment.version())) {
+      return;
+    }
+    long version = row.map(Row::version).orElse(0L);
+    writer.write(version, new AssignmentRow(assignment), nowNanos, out);
+  }
+
+  void replied(long call, Reply reply, long nowNanos, Outbox out) {
+    if (!writer.owns(call)) {
+      return;
+    }
+    Optional<RowWriter.Result> result = writer.replied(reply, nowNanos, out);
+    result.ifPresent(
+        r -> {
+          row = r.row();
+          recovered = true;
+        });
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellContext.java
@@ -0,0 +1,25 @@
+package org.catkinlift.ownership;
+
+import org.catkinlift.control.MembershipView;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+
+/** Holds what all parts of one daemon's cell control share. */
+record CellContext(
+    HostDefinition self,
+    VersionStore store,
+    MembershipView members,
+    OwnershipTimings timings,
+    RequestIds ids,
+    PlatformContact platform) {
+
+  HostId host() {
+    return self.id();
+  }
+
+  CellId cell() {
+    return self.cell();
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellControl.java
@@ -11,6 +11,7 @@
 import org.catkinlift.control.ControlPart;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
+import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.VersionStore;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.HostDefinition;
@@ -23,12 +24,21 @@
  * <p>Control thread only.
  */
 public final class CellControl implements ControlPart, OwnershipView {
+  private final CellContext context;
+  private final CallNumbers calls;
+  private Optional<CellDuties> duties = Optional.empty();
 
   private CellControl(Builder builder) {
-    requireNonNull(builder.self, "self");
-    requireNonNull(builder.store, "store");
-    requireNonNull(builder.members, "members");
-    requireNonNull(builder.calls, "calls");
+    HostDefinition self = requireNonNull(builder.self, "self");
+    this.calls = requireNonNull(builder.calls, "calls");
+    this.context =
+        new CellContext(
+            self,
+            requireNonNull(builder.store, "store"),
+            requireNonNull(builder.members, "members"),
+            builder.timings,
+            new RequestIds(self.id(), builder.run),
+            new PlatformContact());
   }
 
   /**
@@ -42,32 +52,64 @@
 
   @Override
   public ImmutableList<ControlAction> handle(ControlEvent event, long nowNanos) {
-    return ImmutableList.of();
+    CellDuties current = duties.orElseGet(() -> new CellDuties(context, nowNanos));
+    duties = Optional.of(current);
+    var out = new Outbox(calls);
+    dispatch(current, event, nowNanos, out);
+    current.update(nowNanos, out);
+    return out.actions();
+  }
+
+  private static void dispatch(CellDuties duties, ControlEvent event, long now, Outbox out) {
+    switch (event) {
+      case ControlEvent.Tick t -> duties.tick(now, out);
+      case ControlEvent.PeerMessageReceived m -> received(duties, m.from(), m.message(), now, out);
+      case ControlEvent.PlatformReplied r -> duties.platformReplied(r.call(), r.reply(), now, out);
+      case ControlEvent.UpstreamReplied r -> duties.upstreamReplied(r, now, out);
+      case ControlEvent.LoadReported l -> duties.loadReported(l.loads(), now);
+      case ControlEvent.OperatorRequested o -> {}
+      case ControlEvent.StopRequested s -> duties.stop();
+    }
+  }
+
+  private static void received(
+      CellDuties duties, HostId from, PeerMessage message, long now, Outbox out) {
+    switch (message) {
+      case PeerMessage.Heartbeat h -> duties.heartbeat(from, h, now, out);
+      case PeerMessage.HeartbeatAck a -> duties.acknowledged(from, a, now);
+      case PeerMessage.PromiseRequest r -> duties.promiseRequested(from, r, now, out);
+      case PeerMessage.Promise p -> duties.promised(from, p, now);
+      case PeerMessage.Leaving l -> duties.leaving(l.host());
+      case PeerMessage.Hello h -> duties.introduced(from);
+      case PeerMessage.Digest d -> {}
+      case PeerMessage.Pull p -> {}
+      case PeerMessage.PullReply p -> {}
+    }
   }
 
   @Override
   public Optional<HostId> coordinator() {
-    return Optional.empty();
+    return duties.flatMap(CellDuties::coordinatorHost);
   }
 
   @Override
   public boolean hasAuthority(long nowNanos) {
-    return false;
+    return duties.filter(d -> d.hasAuthority(nowNanos)).isPresent();
   }
 
   @Override
   public ImmutableList<DispatchLease> heldLeases(long nowNanos) {
-    return ImmutableList.of();
+    return duties.map(d -> d.heldLeases(nowNanos)).orElse(ImmutableList.of());
   }
 
   /** Builds a {@link CellControl}. */
   public static final class Builder {
-    HostDefinition self;
-    VersionStore store;
-    MembershipView members;
-    CallNumbers calls;
-    OwnershipTimings timings = OwnershipTimings.defaults();
-    String run = "";
+    private HostDefinition self;
+    private VersionStore store;
+    private MembershipView members;
+    private CallNumbers calls;
+    private OwnershipTimings timings = OwnershipTimings.defaults();
+    private String run = "";
 
     private Builder() {}
 
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -0,0 +1,378 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.PeerMessage.Heartbeat;
+import org.catkinlift.control.PeerMessage.HeartbeatAck;
+import org.catkinlift.control.PeerMessage.Leaving;
+import org.catkinlift.control.PeerMessage.Promise;
+import org.catkinlift.control.PeerMessage.PromiseRequest;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.RowValue.CellRow;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.CutOffRule;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+
+/** Does the duties of one run of a daemon: as a voter, as a dispatcher and as the coordinator. */
+final class CellDuties {
+  private static final Duration LONG_GAP = Duration.ofMillis(500);
+  private static final Duration VOTER_LOST_AFTER = Duration.ofSeconds(2);
+  private static final Duration ALONE_LIMIT = Duration.ofSeconds(10);
+
+  private final CellContext context;
+  private final PromiseBook book;
+  private final RoleKeeper role;
+  private final TakeoverRule rule;
+  private final OwnTakeoverRole takeover;
+  private final ForeignTakeovers foreign;
+  private final LeaseBounds bounds;
+  private final HeldLeases held = new HeldLeases();
+  private final Announcer announcer;
+  private final RowReadPlan reads = new RowReadPlan();
+  private final Set<HostId> leaving = new HashSet<>();
+  private ImmutableList<UpstreamLoad> ownLoads = ImmutableList.of();
+  private Optional<Coordinator> coordinator = Optional.empty();
+  private Optional<HostId> heardCoordinator = Optional.empty();
+  private long roundAt = Long.MIN_VALUE / 4;
+  private long tickAt;
+  private long resumedAt;
+  private long takenAt;
+  private boolean holderKnowsThisRun;
+  private boolean stopping;
+  private boolean stopped;
+  private long stoppingSince = Long.MAX_VALUE;
+
+  CellDuties(CellContext context, long nowNanos) {
+    this.context = context;
+    this.book = new PromiseBook(context.timings(), nowNanos);
+    var authority =
+        new CellAuthority(
+            "cell/" + context.cell(), context.host(), context.timings(), context.ids(), book);
+    this.role = new RoleKeeper(context.host(), context.timings(), authority, context.ids());
+    this.rule = new TakeoverRule(context.host(), context.timings(), book);
+    this.takeover = new OwnTakeoverRole(context, book);
+    this.foreign = new ForeignTakeovers(context, book);
+    this.bounds = new LeaseBounds(context, authority, takeover.authority());
+    this.announcer = new Announcer(context);
+    this.tickAt = nowNanos;
+    this.resumedAt = nowNanos;
+  }
+
+  Optional<HostId> coordinatorHost() {
+    return authority().isHolder() ? Optional.of(context.host()) : heardCoordinator;
+  }
+
+  boolean hasAuthority(long nowNanos) {
+    return authority().has(nowNanos);
+  }
+
+  ImmutableList<DispatchLease> heldLeases(long nowNanos) {
+    return held.current(nowNanos);
+  }
+
+  private CellAuthority authority() {
+    return role.authority();
+  }
+
+  void tick(long nowNanos, Outbox out) {
+    if (nowNanos - tickAt > LONG_GAP.toNanos()) {
+      resumedAt = nowNanos;
+    }
+    tickAt = nowNanos;
+    role.tick(nowNanos, out);
+    readRow(nowNanos, out);
+    take(nowNanos, out);
+    if (nowNanos - roundAt >= context.timings().heartbeat().toNanos()) {
+      roundAt = nowNanos;
+      coordinator.ifPresent(c -> round(c, nowNanos, out));
+    }
+  }
+
+  private void readRow(long nowNanos, Outbox out) {
+    boolean wanted = !authority().isHolder() && book.isFree(authority().rowName(), nowNanos);
+    boolean urgent = authority().row().isEmpty() || authority().isOutdated() || wanted;
+    boolean failing = !context.platform().isReachable();
+    if (!role.isBusy() && reads.isDue(urgent || failing, authority().isHolder(), nowNanos)) {
+      role.read(out);
+    }
+  }
+
+  private void take(long nowNanos, Outbox out) {
+    boolean excluded = stopping || isRetiring(context.host()) || role.isBusy();
+    if (excluded
+        || !authority().isKnown()
+        || !rule.mayTake(authority(), longestPromise(), nowNanos)) {
+      return;
+    }
+    ImmutableSet<HostId> voters =
+        authority()
+            .row()
+            .map(CellRow::voters)
+            .<ImmutableSet<HostId>>map(v -> v)
+            .orElse(ImmutableSet.of());
+    role.take(voters, nowNanos, out);
+  }
+
+  /** Zero unless a service may have caused long promises that this run does not know of. */
+  private Duration longestPromise() {
+    return context.store().configuration().services().values().stream()
+        .flatMap(s -> ServiceRules.hold(s).stream())
+        .map(CutOffRule.Hold::longPromise)
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+
+  private boolean isRetiring(HostId host) {
+    return context.store().configuration().retiringHosts().contains(host);
+  }
+
+  private void round(Coordinator current, long nowNanos, Outbox out) {
+    ImmutableSet<HostId> hosts = hostsOfCell();
+    ImmutableSet<HostId> live = context.members().live(context.cell(), nowNanos);
+    role.requestPromises(candidates(live), promiseToAsk(current, nowNanos), nowNanos, out);
+    if (context.platform().isReachable()) {
+      role.keep(wantedVoters(live, nowNanos), nowNanos, out);
+    }
+    if (authority().has(nowNanos) && hasLapseService()) {
+      takeover.round(nowNanos, out);
+      foreign.round(nowNanos, out);
+    }
+    ImmutableSet<HostId> dispatchers = dispatchers(current, live, nowNanos);
+    ImmutableList<DispatchLease> own = current.round(hosts, dispatchers, nowNanos, out);
+    held.acceptOwn(current.term(), own, nowNanos);
+  }
+
+  /** Long while an outage lasts or grants of an outage are still in force somewhere. */
+  private Duration promiseToAsk(Coordinator current, long nowNanos) {
+    Duration promise = context.timings().promise();
+    if (context.platform().isOutage(nowNanos)) {
+      Duration wanted = longestPromise();
+      return wanted.compareTo(promise) > 0 ? wanted : promise;
+    }
+    Duration left = Duration.ofNanos(Math.max(0, current.latestGrantEnd() - nowNanos));
+    boolean longGrants = left.compareTo(promise.plus(context.timings().heartbeat())) > 0;
+    return longGrants ? left : promise;
+  }
+
+  private boolean hasLapseService() {
+    return context.store().configuration().services().values().stream()
+        .anyMatch(ServiceRules::isLapse);
+  }
+
+  private ImmutableSet<HostId> hostsOfCell() {
+    return context.members().known().stream()
+        .filter(h -> h.cell().equals(context.cell()))
+        .map(HostDefinition::id)
+        .collect(toImmutableSet());
+  }
+
+  private ImmutableSet<HostId> candidates(ImmutableSet<HostId> live) {
+    return live.stream().filter(h -> !isGoing(h)).collect(toImmutableSet());
+  }
+
+  private ImmutableSet<HostId> wantedVoters(ImmutableSet<HostId> live, long nowNanos) {
+    ImmutableSet<HostId> answering =
+        authority().otherVoters().stream()
+            .filter(v -> !isGoing(v))
+            .filter(
+                v -> isNewTerm(nowNanos) || authority().hasAnswered(v, VOTER_LOST_AFTER, nowNanos))
+            .collect(toImmutableSet());
+    return Sets.union(answering, candidates(live)).immutableCopy();
+  }
+
+  /** A new holder gives the voters time for their first answers. */
+  private boolean isNewTerm(long nowNanos) {
+    return nowNanos - Math.max(takenAt, resumedAt) < VOTER_LOST_AFTER.toNanos();
+  }
+
+  private boolean isGoing(HostId host) {
+    return leaving.contains(host) || isRetiring(host) || (stopping && host.equals(context.host()));
+  }
+
+  /** After a pause of this daemon, silence of others says nothing for a while. */
+  private ImmutableSet<HostId> dispatchers(
+      Coordinator current, ImmutableSet<HostId> live, long nowNanos) {
+    boolean justResumed = nowNanos - resumedAt < Duration.ofSeconds(1).toNanos();
+    ImmutableSet<HostId> alive =
+        live.stream()
+            .filter(h -> !isGoing(h))
+            .filter(h -> justResumed || current.hasAnsweredLately(h, nowNanos))
+            .collect(toImmutableSet());
+    boolean keepsOwn = alive.isEmpty() && !isRetiring(context.host());
+    return keepsOwn ? ImmutableSet.of(context.host()) : alive;
+  }
+
+  void heartbeat(HostId from, Heartbeat heartbeat, long nowNanos, Outbox out) {
+    boolean foreignCell = !heartbeat.cell().equals(context.cell());
+    boolean outdated = heartbeat.term() < authority().term();
+    if (foreignCell || outdated) {
+      return;
+    }
+    authority().noteTerm(heartbeat.term());
+    boolean answersThisRun = held.knowsAnswer(heartbeat.answered());
+    if (!held.accept(heartbeat, nowNanos)) {
+      return;
+    }
+    heardCoordinator = Optional.of(from);
+    holderKnowsThisRun = answersThisRun && heartbeat.term() >= held.term();
+    out.send(
+        from,
+        new HeartbeatAck(
+            context.cell(),
+            heartbeat.term(),
+            heartbeat.sequence(),
+            context.store().digest(),
+            ownLoads));
+  }
+
+  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos) {
+    coordinator.ifPresent(c -> c.acknowledged(from, ack, nowNanos));
+  }
+
+  void promiseRequested(HostId from, PromiseRequest request, long nowNanos, Outbox out) {
+    if (request.row().equals(authority().rowName())) {
+      authority().noteTerm(request.term());
+      boolean wantsShort = request.duration().compareTo(context.timings().promise()) <= 0;
+      if (wantsShort && holderKnowsThisRun) {
+        book.excludeLongPromise();
+      }
+      if (!wantsShort) {
+        reads.readSoon();
+      }
+      answerForCell(from, request, nowNanos, out);
+      return;
+    }
+    foreign.promise(request, nowNanos, out).ifPresent(p -> out.send(from, p));
+  }
+
+  /** The holder itself promises nothing to a holder of an earlier term. */
+  private void answerForCell(HostId from, PromiseRequest request, long nowNanos, Outbox out) {
+    if (authority().isHolder() && request.term() <= authority().term()) {
+      out.send(
+          from,
+          new Promise(
+              request.row(),
+              request.term(),
+              request.sequence(),
+              Duration.ZERO,
+              authority().term()));
+      return;
+    }
+    boolean reachable = context.platform().isReachable();
+    out.send(from, book.promise(request, reachable, nowNanos));
+  }
+
+  void promised(HostId from, Promise promise, long nowNanos) {
+    if (promise.row().equals(authority().rowName())) {
+      authority().promised(from, promise, nowNanos);
+    }
+    if (promise.row().equals(takeover.authority().rowName())) {
+      takeover.promised(from, promise, nowNanos);
+    }
+  }
+
+  /** A daemon that introduces itself is not about to leave any more. */
+  void introduced(HostId host) {
+    leaving.remove(host);
+  }
+
+  void leaving(HostId host) {
+    leaving.add(host);
+  }
+
+  void platformReplied(long call, Reply reply, long nowNanos, Outbox out) {
+    context.platform().replied(reply, nowNanos);
+    role.replied(call, reply, nowNanos, out);
+    takeover.replied(call, reply, nowNanos, out);
+    foreign.replied(call, reply, nowNanos, out);
+    coordinator.ifPresent(c -> c.platformReplied(call, reply, nowNanos, out));
+  }
+
+  void upstreamReplied(ControlEvent.UpstreamReplied event, long nowNanos, Outbox out) {
+    coordinator.ifPresent(
+        c -> c.upstreamReplied(event.call(), event.upstream(), event.reply(), nowNanos, out));
+  }
+
+  void loadReported(ImmutableList<UpstreamLoad> loads, long nowNanos) {
+    ownLoads = loads;
+    coordinator.ifPresent(c -> c.reported(loads, nowNanos));
+  }
+
+  void stop() {
+    stopping = true;
+  }
+
+  /** Follows a change of the role, decides as the coordinator, and announces what changed. */
+  void update(long nowNanos, Outbox out) {
+    followRole(nowNanos, out);
+    boolean mayMove = !stopping && !isRetiring(context.host());
+    coordinator
+        .filter(c -> authority().has(nowNanos))
+        .ifPresent(c -> c.update(mayMove, nowNanos, out));
+    if (stopping || isRetiring(context.host())) {
+      handOver(nowNanos, out);
+    }
+    announcer.announce(nowNanos, out);
+  }
+
+  private void followRole(long nowNanos, Outbox out) {
+    if (!authority().isHolder()) {
+      coordinator.ifPresent(c -> loseRole(c, out));
+      return;
+    }
+    if (coordinator.filter(c -> c.term() == authority().term()).isPresent()) {
+      return;
+    }
+    coordinator = Optional.of(new Coordinator(context, authority().term(), bounds));
+    takenAt = nowNanos;
+    roundAt = Long.MIN_VALUE / 4;
+    out.log(EventCode.ROLE_TAKEN, "cell", context.cell(), "term", authority().term());
+  }
+
+  private void loseRole(Coordinator former, Outbox out) {
+    coordinator = Optional.empty();
+    held.clear();
+    out.log(EventCode.ROLE_LOST, "cell", context.cell(), "term", former.term());
+  }
+
+  /** Waits until a successor knows all that is in force, then gives the role up. */
+  private void handOver(long nowNanos, Outbox out) {
+    if (stoppingSince == Long.MAX_VALUE) {
+      stoppingSince = nowNanos;
+      context.members().live(context.cell(), nowNanos).stream()
+          .filter(h -> !h.equals(context.host()))
+          .forEach(h -> out.send(h, new Leaving(context.host())));
+    }
+    coordinator.ifPresent(c -> resignWhenSettled(c, nowNanos, out));
+    boolean done = coordinator.isEmpty() && held.current(nowNanos).isEmpty();
+    boolean alone = nowNanos - stoppingSince > ALONE_LIMIT.toNanos();
+    if (stopping && !stopped && (done || alone)) {
+      stopped = true;
+      out.dutiesHandedOver();
+    }
+  }
+
+  private void resignWhenSettled(Coordinator current, long nowNanos, Outbox out) {
+    boolean successor =
+        authority().otherVoters().stream().anyMatch(v -> authority().hasPromised(v, nowNanos));
+    boolean leasesGone = !current.mayHoldLease(context.host(), nowNanos);
+    if (!successor || !leasesGone || !current.isSettled() || !context.platform().isReachable()) {
+      return;
+    }
+    takeover.resign(nowNanos, out);
+    authority().resign(nowNanos, out);
+    loseRole(current, out);
+    coordinator = Optional.empty();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -0,0 +1,220 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.catkinlift.control.PeerMessage.Heartbeat;
+import org.catkinlift.control.PeerMessage.HeartbeatAck;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.control.PlatformRequest;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatcherMap;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Decides for the cell during one term: dispatch leases, grants and the slots of each service.
+ *
+ * <p>It lives from the taking of the role to its loss.
+ */
+final class Coordinator {
+  private final CellContext context;
+  private final EpochIssuer epochs;
+  private final LeaseBounds bounds;
+  private final UpstreamLinks links;
+  private final DispatchLeases leases;
+  private final TreeMap<ServiceName, SlotControl> slots = new TreeMap<>();
+  private ImmutableMap<UpstreamId, ServiceDefinition> services = ImmutableMap.of();
+  private long takeoverTerm;
+
+  Coordinator(CellContext context, long term, LeaseBounds bounds) {
+    this.context = context;
+    this.epochs = new EpochIssuer(term);
+    this.bounds = bounds;
+    this.links = new UpstreamLinks(context.timings(), epochs);
+    this.leases = new DispatchLeases(context.host(), context.timings(), epochs);
+  }
+
+  long term() {
+    return epochs.term();
+  }
+
+  /** Returns when all grants of this term have surely ended. */
+  long latestGrantEnd() {
+    return links.latestEnd();
+  }
+
+  /** Tells whether nothing is under way that a successor would not know of. */
+  boolean isSettled() {
+    return slots.values().stream().allMatch(SlotControl::isSettled);
+  }
+
+  boolean mayHoldLease(HostId host, long nowNanos) {
+    return leases.mayHoldAny(host, nowNanos);
+  }
+
+  boolean hasAnsweredLately(HostId host, long nowNanos) {
+    return nowNanos - leases.answeredAt(host) <= Duration.ofSeconds(1).toNanos();
+  }
+
+  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos) {
+    if (ack.term() == term()) {
+      leases.acknowledged(from, ack, nowNanos);
+      reported(ack.loads(), nowNanos);
+    }
+  }
+
+  void reported(ImmutableList<UpstreamLoad> loads, long nowNanos) {
+    for (UpstreamLoad load : loads) {
+      Optional.ofNullable(services.get(load.upstream()))
+          .map(s -> slots.get(s.name()))
+          .ifPresent(s -> s.reported(load, nowNanos));
+    }
+  }
+
+  void platformReplied(long call, PlatformRequest.Reply reply, long nowNanos, Outbox out) {
+    slots.values().forEach(s -> s.platformReplied(call, reply, nowNanos, out));
+  }
+
+  void upstreamReplied(
+      long call, UpstreamId upstream, UpstreamRequest.Reply reply, long nowNanos, Outbox out) {
+    boolean first = links.ledger(upstream, nowNanos).reading().isEmpty();
+    links
+        .replied(call, upstream, reply, nowNanos, out)
+        .ifPresent(
+            a ->
+                Optional.ofNullable(slots.get(a.call().service()))
+                    .ifPresent(s -> s.releaseAnswered(a)));
+    links
+        .confirmedDispatcher(upstream, nowNanos)
+        .filter(h -> isChecked(upstream))
+        .ifPresent(h -> leases.confirmed(upstream, h));
+    if (first && links.ledger(upstream, nowNanos).reading().isPresent()) {
+      grant(upstream, nowNanos, out);
+    }
+  }
+
+  private boolean isChecked(UpstreamId upstream) {
+    ServiceDefinition service = services.get(upstream);
+    return service != null && ServiceRules.startBound(service).isEmpty();
+  }
+
+  /** Follows the configuration, the home maps and the losses; called after each event. */
+  void update(boolean mayMove, long nowNanos, Outbox out) {
+    followConfiguration();
+    followTakeoverTerm();
+    for (SlotControl control : slots.values()) {
+      if (bounds.authorityUntil(control.service(), nowNanos) <= nowNanos) {
+        continue;
+      }
+      control.update(mayMove, nowNanos, out).forEach(u -> grant(u, nowNanos, out));
+    }
+  }
+
+  private void followConfiguration() {
+    ImmutableMap<ServiceName, ServiceDefinition> wanted =
+        context.store().configuration().services();
+    slots.values().removeIf(s -> !s.service().equals(wanted.get(s.service().name())));
+    wanted.values().stream()
+        .filter(s -> ServiceRules.keyed(s).isPresent())
+        .filter(s -> !slots.containsKey(s.name()))
+        .filter(s -> !s.upstreamsOf(context.cell()).isEmpty())
+        .forEach(s -> slots.put(s.name(), new SlotControl(context, s, epochs, links, leases)));
+    services =
+        wanted.values().stream()
+            .flatMap(s -> s.upstreamsOf(context.cell()).stream().map(u -> new Placed(u, s)))
+            .collect(toImmutableMap(p -> p.upstream.id(), p -> p.service, (a, b) -> a));
+  }
+
+  private record Placed(UpstreamDefinition upstream, ServiceDefinition service) {}
+
+  /** After the takeover role was held by others, the home maps have to be read again. */
+  private void followTakeoverTerm() {
+    long newest = bounds.takeoverTerm();
+    if (newest == 0 || newest == takeoverTerm) {
+      return;
+    }
+    slots.values().stream()
+        .filter(s -> ServiceRules.isLapse(s.service()))
+        .forEach(SlotControl::recover);
+    takeoverTerm = newest;
+  }
+
+  /** Sends heartbeats and grants; called in each heartbeat interval. */
+  ImmutableList<DispatchLease> round(
+      ImmutableSet<HostId> hosts, ImmutableSet<HostId> dispatchers, long nowNanos, Outbox out) {
+    slots.values().forEach(s -> s.round(nowNanos, out));
+    slots.values().forEach(s -> s.askForReleases(nowNanos, out));
+    chooseDispatchers(dispatchers, out);
+    ImmutableList<DispatchLease> own = sendLeases(hosts, nowNanos, out);
+    services.keySet().forEach(u -> grant(u, nowNanos, out));
+    return own;
+  }
+
+  private void chooseDispatchers(ImmutableSet<HostId> hosts, Outbox out) {
+    ImmutableList<UpstreamId> changed = leases.choose(services.keySet(), hosts);
+    if (changed.isEmpty()) {
+      return;
+    }
+    leases.dropOwn();
+    context.store().offer(new DispatcherMap(context.cell(), epochs.next(), leases.dispatchers()));
+    out.markChanged();
+    for (UpstreamId upstream : changed) {
+      HostId host = leases.dispatcher(upstream).orElseThrow();
+      out.log(
+          EventCode.DISPATCHER_ASSIGNED,
+          ImmutableMap.of(
+              "upstream", upstream.value(),
+              "dispatcher", host.value(),
+              "reason", "rendezvous hash over " + hosts.size() + " daemons"));
+    }
+  }
+
+  private ImmutableList<DispatchLease> sendLeases(
+      ImmutableSet<HostId> hosts, long nowNanos, Outbox out) {
+    long sequence = leases.nextSequence();
+    var digest = context.store().digest();
+    for (HostId host : hosts) {
+      if (!host.equals(context.host())) {
+        ImmutableList<DispatchLease> given = give(host, nowNanos);
+        long answered = leases.answered(host);
+        out.send(host, new Heartbeat(context.cell(), term(), sequence, answered, digest, given));
+      }
+    }
+    return give(context.host(), nowNanos);
+  }
+
+  private ImmutableList<DispatchLease> give(HostId host, long nowNanos) {
+    return leases.give(
+        host,
+        u -> bounds.dispatchUntil(services.get(u), nowNanos),
+        u -> bounds.wantedDispatch(services.get(u), nowNanos),
+        nowNanos);
+  }
+
+  private void grant(UpstreamId upstream, long nowNanos, Outbox out) {
+    ServiceDefinition service = services.get(upstream);
+    Optional<HostId> dispatcher = leases.dispatcher(upstream);
+    if (service == null || dispatcher.isEmpty()) {
+      return;
+    }
+    SlotControl control = slots.get(service.name());
+    boolean mayGrant = control == null || control.isLoaded();
+    GrantContent content =
+        control == null
+            ? GrantContent.withoutSlots(service.name(), upstream, dispatcher.get())
+            : control.grantFor(upstream, dispatcher.get());
+    long until = mayGrant ? bounds.grantUntil(service, nowNanos) : CellAuthority.NONE;
+    links.grant(content, bounds.wantedGrant(service, nowNanos), until, nowNanos, out);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
@@ -0,0 +1,207 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import org.catkinlift.control.PeerMessage.HeartbeatAck;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Chooses one dispatcher for each upstream of a cell and times its lease on the coordinator.
+ *
+ * <p>A new dispatcher gets no lease before every earlier one has given its lease up by answering a
+ * heartbeat without it, the lease has surely ended, or the upstream has confirmed that it refuses
+ * the earlier dispatcher.
+ */
+final class DispatchLeases {
+  private final HostId self;
+  private final OwnershipTimings timings;
+  private final EpochIssuer epochs;
+  private final Map<UpstreamId, Choice> choices = new TreeMap<>();
+  private final Map<HostId, Member> members = new HashMap<>();
+  private long sequence;
+
+  private record Choice(HostId holder, Epoch epoch) {}
+
+  /** What the coordinator knows about one daemon's answers and leases. */
+  private static final class Member {
+    private final Map<UpstreamId, Outstanding> outstanding = new HashMap<>();
+    private long answered;
+    private long answeredAt = Long.MIN_VALUE / 4;
+    private ImmutableMap<String, Epoch> versions = ImmutableMap.of();
+  }
+
+  private record Outstanding(long untilNanos, long sequence) {}
+
+  DispatchLeases(HostId self, OwnershipTimings timings, EpochIssuer epochs) {
+    this.self = self;
+    this.timings = timings;
+    this.epochs = epochs;
+  }
+
+  /**
+   * Chooses the dispatchers by rendezvous hashing, so that the loss of a daemon moves only its
+   * upstreams.
+   *
+   * @return the upstreams whose dispatcher changed
+   */
+  ImmutableList<UpstreamId> choose(ImmutableSet<UpstreamId> upstreams, ImmutableSet<HostId> hosts) {
+    choices.keySet().retainAll(upstreams);
+    if (hosts.isEmpty()) {
+      return ImmutableList.of();
+    }
+    var changed = ImmutableList.<UpstreamId>builder();
+    for (UpstreamId upstream : upstreams) {
+      HostId best = best(upstream, hosts);
+      Choice present = choices.get(upstream);
+      if (present == null || !present.holder.equals(best)) {
+        choices.put(upstream, new Choice(best, epochs.next()));
+        changed.add(upstream);
+      }
+    }
+    return changed.build();
+  }
+
+  private static HostId best(UpstreamId upstream, ImmutableSet<HostId> hosts) {
+    return hosts.stream()
+        .max(
+            Comparator.<HostId>comparingLong(h -> score(upstream, h))
+                .thenComparing(Comparator.naturalOrder()))
+        .orElseThrow();
+  }
+
+  private static long score(UpstreamId upstream, HostId host) {
+    return Hashing.farmHashFingerprint64()
+        .hashUnencodedChars(upstream.value() + "|" + host.value())
+        .asLong();
+  }
+
+  Optional<HostId> dispatcher(UpstreamId upstream) {
+    return Optional.ofNullable(choices.get(upstream)).map(Choice::holder);
+  }
+
+  ImmutableMap<UpstreamId, HostId> dispatchers() {
+    return choices.entrySet().stream()
+        .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().holder));
+  }
+
+  /** Numbers the next round of heartbeats. */
+  long nextSequence() {
+    return ++sequence;
+  }
+
+  long answered(HostId host) {
+    return member(host).answered;
+  }
+
+  /** Tells when a daemon last answered. */
+  long answeredAt(HostId host) {
+    return host.equals(self) ? Long.MAX_VALUE : member(host).answeredAt;
+  }
+
+  void acknowledged(HostId host, HeartbeatAck ack, long nowNanos) {
+    Member member = member(host);
+    if (ack.sequence() <= member.answered) {
+      return;
+    }
+    member.answered = ack.sequence();
+    member.answeredAt = nowNanos;
+    member.versions = ack.digest().versions();
+    member.outstanding.values().removeIf(o -> o.sequence < ack.sequence());
+  }
+
+  /**
+   * Returns the leases to name in a heartbeat and counts them as given.
+   *
+   * @param host the receiver; this daemon itself included
+   * @param bounds the time beyond which the lease of an upstream may not reach
+   * @param wanted the lease that is wanted for an upstream
+   */
+  ImmutableList<DispatchLease> give(
+      HostId host,
+      ToLongFunction<UpstreamId> bounds,
+      java.util.function.Function<UpstreamId, Duration> wanted,
+      long nowNanos) {
+    long base = host.equals(self) ? nowNanos : member(host).answeredAt;
+    return choices.entrySet().stream()
+        .filter(e -> e.getValue().holder.equals(host))
+        .filter(e -> !isHeldByOther(e.getKey(), host, nowNanos))
+        .map(e -> lease(e, base, bounds.applyAsLong(e.getKey()), wanted.apply(e.getKey())))
+        .filter(l -> base + l.remaining().toNanos() > nowNanos)
+        .peek(l -> count(host, l, base))
+        .collect(toImmutableList());
+  }
+
+  private DispatchLease lease(
+      Map.Entry<UpstreamId, Choice> entry, long base, long bound, Duration wanted) {
+    Duration left = timings.withoutMargin(bound - base);
+    Duration remaining = wanted.compareTo(left) < 0 ? wanted : left;
+    Choice choice = entry.getValue();
+    return new DispatchLease(entry.getKey(), choice.holder, choice.epoch, remaining);
+  }
+
+  private void count(HostId host, DispatchLease lease, long base) {
+    long until = base + timings.withMargin(lease.remaining());
+    member(host)
+        .outstanding
+        .merge(
+            lease.upstream(),
+            new Outstanding(until, sequence),
+            (a, b) -> new Outstanding(Math.max(a.untilNanos, b.untilNanos), b.sequence));
+  }
+
+  /** Notes that an upstream refuses all dispatchers but one. */
+  void confirmed(UpstreamId upstream, HostId dispatcher) {
+    members.forEach(
+        (host, member) -> {
+          if (!host.equals(dispatcher)) {
+            member.outstanding.remove(upstream);
+          }
+        });
+  }
+
+  /** Gives up this daemon's own leases for upstreams that it no longer dispatches to. */
+  void dropOwn() {
+    member(self).outstanding.keySet().removeIf(u -> !dispatcher(u).equals(Optional.of(self)));
+  }
+
+  private boolean isHeldByOther(UpstreamId upstream, HostId host, long nowNanos) {
+    return members.entrySet().stream()
+        .anyMatch(e -> !e.getKey().equals(host) && holds(e.getValue(), upstream, nowNanos));
+  }
+
+  private static boolean holds(Member member, UpstreamId upstream, long nowNanos) {
+    Outstanding lease = member.outstanding.get(upstream);
+    return lease != null && lease.untilNanos >= nowNanos;
+  }
+
+  /** Tells whether every daemon that may dispatch to an upstream has a version of a value. */
+  boolean allDispatchersHave(UpstreamId upstream, String name, Epoch version, long nowNanos) {
+    return members.entrySet().stream()
+        .filter(e -> !e.getKey().equals(self) && holds(e.getValue(), upstream, nowNanos))
+        .allMatch(e -> !version.isAfter(e.getValue().versions.getOrDefault(name, Epoch.NONE)));
+  }
+
+  /** Tells whether a daemon may hold any lease. */
+  boolean mayHoldAny(HostId host, long nowNanos) {
+    return member(host).outstanding.values().stream().anyMatch(o -> o.untilNanos >= nowNanos);
+  }
+
+  private Member member(HostId host) {
+    return members.computeIfAbsent(host, h -> new Member());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/EffectiveCapacity.java
@@ -0,0 +1,50 @@
+package org.catkinlift.ownership;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Computes the capacity of each upstream of a cell from its limit and its ramp.
+ *
+ * <p>An upstream that was warm counts as slow only after 20 s, so that a short slowness moves no
+ * slots. One that has just returned counts with its ramp at once.
+ */
+final class EffectiveCapacity {
+  private static final Duration SLOW_AFTER = Duration.ofSeconds(20);
+
+  private final Map<UpstreamId, State> states = new HashMap<>();
+
+  private record State(int limit, boolean wasWarm, long belowSince) {}
+
+  void reported(UpstreamDefinition upstream, int currentLimit, long nowNanos) {
+    State before = states.get(upstream.id());
+    if (currentLimit >= upstream.concurrencyLimit()) {
+      states.put(upstream.id(), new State(upstream.concurrencyLimit(), true, nowNanos));
+      return;
+    }
+    boolean wasWarm = before != null && before.wasWarm;
+    long since = before != null && !isFull(before, upstream) ? before.belowSince : nowNanos;
+    states.put(upstream.id(), new State(currentLimit, wasWarm, since));
+  }
+
+  /** Forgets an upstream that is lost; it starts cold when it returns. */
+  void lost(UpstreamId upstream) {
+    states.put(upstream, new State(1, false, Long.MIN_VALUE / 4));
+  }
+
+  double of(UpstreamDefinition upstream, long nowNanos) {
+    State state = states.get(upstream.id());
+    if (state == null || isFull(state, upstream)) {
+      return upstream.concurrencyLimit();
+    }
+    boolean shortly = state.wasWarm && nowNanos - state.belowSince < SLOW_AFTER.toNanos();
+    return shortly ? upstream.concurrencyLimit() : Math.max(1, state.limit);
+  }
+
+  private static boolean isFull(State state, UpstreamDefinition upstream) {
+    return state.limit >= upstream.concurrencyLimit();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantContent.java
@@ -0,0 +1,38 @@
+package org.catkinlift.ownership;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * What one upstream is granted.
+ *
+ * @param service the service
+ * @param upstream the upstream
+ * @param dispatcher the only daemon whose requests it may accept
+ * @param units the slots and overrides by number, as in {@link UnitTable}
+ * @param slots the slots with their epochs
+ * @param overrides the overrides with their epochs
+ */
+record GrantContent(
+    ServiceName service,
+    UpstreamId upstream,
+    HostId dispatcher,
+    ImmutableSet<Integer> units,
+    ImmutableSortedMap<Integer, Epoch> slots,
+    ImmutableSortedMap<String, Epoch> overrides) {
+
+  /** Returns a grant without slots, which only names the dispatcher. */
+  static GrantContent withoutSlots(ServiceName service, UpstreamId upstream, HostId dispatcher) {
+    return new GrantContent(
+        service,
+        upstream,
+        dispatcher,
+        ImmutableSet.of(),
+        ImmutableSortedMap.of(),
+        ImmutableSortedMap.of());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -0,0 +1,198 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.PlatformRequest.Row;
+import org.catkinlift.control.RowValue.HomeRow;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.placement.HomeMapPlanner;
+import org.catkinlift.placement.PlacementPlanner;
+
+/**
+ * Makes the first home map of a service and moves slots of this cell to other cells.
+ *
+ * <p>A slot leaves only after its owner has released it; the new home is then written
+ * conditionally, and the other cell takes the slot over.
+ */
+final class HomeMoves {
+  /** The time between two bounded changes, the same as for moves inside a cell. */
+  private static final Duration INTERVAL = Duration.ofSeconds(30);
+
+  private final CellContext context;
+  private final ServiceDefinition service;
+  private final RowWriter writer;
+  private final Map<Integer, CellId> leaving = new TreeMap<>();
+  private final Map<CellId, Long> lostSince = new HashMap<>();
+  private Optional<Row> row = Optional.empty();
+  private boolean recovered;
+  private long changedAt = Long.MIN_VALUE / 4;
+
+  HomeMoves(CellContext context, ServiceDefinition service) {
+    this.context = context;
+    this.service = service;
+    this.writer = new RowWriter("home/" + service.name(), context.ids());
+  }
+
+  boolean isRecovered() {
+    return recovered;
+  }
+
+  void recover() {
+    recovered = false;
+  }
+
+  void read(Outbox out) {
+    writer.read(out);
+  }
+
+  void tick(long nowNanos, Outbox out) {
+    writer.tick(nowNanos, out);
+  }
+
+  /** The slots that are about to leave this cell and need to be released. */
+  ImmutableSet<Integer> leaving() {
+    return ImmutableSet.copyOf(leaving.keySet());
+  }
+
+  boolean isIdle() {
+    return leaving.isEmpty() && !writer.isBusy();
+  }
+
+  void replied(long call, Reply reply, long nowNanos, Outbox out) {
+    if (!writer.owns(call)) {
+      return;
+    }
+    Optional<RowWriter.Result> result = writer.replied(reply, nowNanos, out);
+    if (result.isEmpty()) {
+      return;
+    }
+    recovered = true;
+    row = result.get().row();
+    written().ifPresent(homes -> accept(homes, out));
+  }
+
+  private void accept(HomeMap homes, Outbox out) {
+    leaving.keySet().removeIf(slot -> !homes.homes().get(slot).equals(context.cell()));
+    if (context.store().offer(homes)) {
+      out.markChanged();
+    }
+  }
+
+  private Optional<HomeMap> written() {
+    return row.map(r -> ((HomeRow) r.value()).homes());
+  }
+
+  /**
+   * Creates the home map or chooses the slots that leave.
+   *
+   * @param slotCount the number of slots of the service
+   */
+  void plan(int slotCount, long nowNanos, Outbox out) {
+    if (!recovered || writer.isBusy() || !context.platform().isReachable()) {
+      return;
+    }
+    ImmutableMap<CellId, Double> weights = weights(nowNanos);
+    if (weights.isEmpty()) {
+      return;
+    }
+    if (row.isEmpty()) {
+      HomeMap first = HomeMapPlanner.create(service.name(), slotCount, weights);
+      writer.write(0, new HomeRow(first), nowNanos, out);
+      return;
+    }
+    if (leaving.isEmpty()) {
+      chooseLeaving(weights, nowNanos);
+    }
+  }
+
+  private void chooseLeaving(ImmutableMap<CellId, Double> weights, long nowNanos) {
+    HomeMap present = written().orElseThrow();
+    boolean due = nowNanos - changedAt >= INTERVAL.toNanos();
+    int budget = due ? PlacementPlanner.budget(present.homes().size()) : 0;
+    HomeMap next = HomeMapPlanner.change(present, weights, budget);
+    IntStream.range(0, present.homes().size())
+        .filter(slot -> present.homes().get(slot).equals(context.cell()))
+        .filter(slot -> !next.homes().get(slot).equals(context.cell()))
+        .forEach(slot -> leaving.put(slot, next.homes().get(slot)));
+    if (!leaving.isEmpty()) {
+      changedAt = nowNanos;
+    }
+  }
+
+  /** Writes the new home of the slots that are released, and of slots of lost cells. */
+  void write(Set<Integer> released, long nowNanos, Outbox out) {
+    if (!recovered || writer.isBusy() || row.isEmpty()) {
+      return;
+    }
+    HomeMap present = written().orElseThrow();
+    List<CellId> homes = new ArrayList<>(present.homes());
+    released.stream()
+        .filter(leaving::containsKey)
+        .forEach(slot -> homes.set(slot, leaving.get(slot)));
+    ImmutableSet<CellId> lost = lostCells(present, nowNanos);
+    if (!lost.isEmpty()) {
+      replaceLost(homes, lost, present, nowNanos);
+    }
+    if (homes.equals(present.homes())) {
+      return;
+    }
+    var next = new HomeMap(service.name(), present.version() + 1, ImmutableList.copyOf(homes));
+    writer.write(row.get().version(), new HomeRow(next), nowNanos, out);
+  }
+
+  private void replaceLost(
+      List<CellId> homes, ImmutableSet<CellId> lost, HomeMap present, long nowNanos) {
+    ImmutableMap<CellId, Double> weights = weights(nowNanos);
+    HomeMap next = HomeMapPlanner.change(present, weights, 0);
+    IntStream.range(0, homes.size())
+        .filter(slot -> lost.contains(present.homes().get(slot)))
+        .forEach(slot -> homes.set(slot, next.homes().get(slot)));
+  }
+
+  /** The cells of availability zones declared lost, once their isolation limit has passed. */
+  private ImmutableSet<CellId> lostCells(HomeMap present, long nowNanos) {
+    ImmutableSet<CellId> lost =
+        service.upstreams().stream()
+            .filter(u -> context.store().configuration().lostZones().contains(u.zone()))
+            .map(u -> u.cell())
+            .filter(c -> !c.equals(context.cell()))
+            .filter(present.homes()::contains)
+            .collect(toImmutableSet());
+    lostSince.keySet().retainAll(lost);
+    lost.forEach(c -> lostSince.putIfAbsent(c, nowNanos));
+    long wait = ServiceRules.isolationNanos(service, context.timings());
+    return lost.stream().filter(c -> nowNanos - lostSince.get(c) >= wait).collect(toImmutableSet());
+  }
+
+  /** The capacity of each cell that admits work and, unless it is this one, has a live daemon. */
+  private ImmutableMap<CellId, Double> weights(long nowNanos) {
+    Map<CellId, Double> weights = new TreeMap<>();
+    service.upstreams().stream()
+        .filter(context.store().configuration()::admits)
+        .forEach(u -> weights.merge(u.cell(), (double) u.concurrencyLimit(), Double::sum));
+    weights.keySet().removeIf(c -> !isAlive(c, nowNanos));
+    return ImmutableMap.copyOf(weights);
+  }
+
+  /** Before the first home map every configured cell counts, because daemons may still start. */
+  private boolean isAlive(CellId cell, long nowNanos) {
+    return row.isEmpty()
+        || cell.equals(context.cell())
+        || !context.members().live(cell, nowNanos).isEmpty();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/PlatformContact.java
@@ -0,0 +1,39 @@
+package org.catkinlift.ownership;
+
+import java.time.Duration;
+import org.catkinlift.control.PlatformRequest.Reply;
+
+/** Knows whether the platform answers this daemon. */
+final class PlatformContact {
+  /** An outage counts only after this time, so that one lost answer causes no long promise. */
+  private static final Duration UNREACHABLE_AFTER = Duration.ofSeconds(2);
+
+  private static final long NEVER = Long.MIN_VALUE / 4;
+
+  private long failingSince = NEVER;
+  private long answeredAt = NEVER;
+
+  void replied(Reply reply, long nowNanos) {
+    if (reply instanceof Reply.NoAnswer) {
+      failingSince = failingSince == NEVER ? nowNanos : failingSince;
+      return;
+    }
+    failingSince = NEVER;
+    answeredAt = nowNanos;
+  }
+
+  /** Tells whether the latest call had an answer, or none was made yet. */
+  boolean isReachable() {
+    return failingSince == NEVER;
+  }
+
+  /** Tells whether an outage has lasted long enough to ask for long promises. */
+  boolean isOutage(long nowNanos) {
+    return !isReachable() && nowNanos - failingSince >= UNREACHABLE_AFTER.toNanos();
+  }
+
+  /** Returns when the platform last answered. */
+  long answeredAt() {
+    return answeredAt;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/RequestIds.java
@@ -0,0 +1,22 @@
+package org.catkinlift.ownership;
+
+import org.catkinlift.model.HostId;
+
+/** Names the platform transactions of one run of a daemon's process. */
+final class RequestIds {
+  private final String prefix;
+  private long next = 1;
+
+  RequestIds(HostId self, String run) {
+    this.prefix = self + "/" + run + "/";
+  }
+
+  String next() {
+    return prefix + next++;
+  }
+
+  /** Tells whether this run made the transaction. */
+  boolean isOwn(String requestId) {
+    return requestId.startsWith(prefix);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/RoleKeeper.java
@@ -0,0 +1,140 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+import static com.google.common.collect.ImmutableSortedSet.toImmutableSortedSet;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.common.collect.Sets;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.Set;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.control.RowValue.CellRow;
+import org.catkinlift.model.HostId;
+
+/** Takes a role, renews its row when promises are missing, and keeps its voters up to date. */
+final class RoleKeeper {
+  /** The holder and four others; each further voter would have to answer every request. */
+  private static final int MAX_VOTERS = 5;
+
+  private final HostId self;
+  private final OwnershipTimings timings;
+  private final CellAuthority authority;
+  private final RowWriter writer;
+
+  RoleKeeper(HostId self, OwnershipTimings timings, CellAuthority authority, RequestIds ids) {
+    this.self = self;
+    this.timings = timings;
+    this.authority = authority;
+    this.writer = new RowWriter(authority.rowName(), ids);
+  }
+
+  CellAuthority authority() {
+    return authority;
+  }
+
+  void read(Outbox out) {
+    writer.read(out);
+  }
+
+  boolean isBusy() {
+    return writer.isBusy();
+  }
+
+  void tick(long nowNanos, Outbox out) {
+    writer.tick(nowNanos, out);
+  }
+
+  /** Writes this daemon into the row as the holder of the next term. */
+  void take(ImmutableSet<HostId> voters, long nowNanos, Outbox out) {
+    take(voters, ImmutableMap.of(), ImmutableMap.of(), nowNanos, out);
+  }
+
+  /** Takes the role in one transaction with other rows. */
+  void take(
+      ImmutableSet<HostId> voters,
+      ImmutableMap<String, Long> conditions,
+      ImmutableMap<String, RowValue> writes,
+      long nowNanos,
+      Outbox out) {
+    if (writer.isBusy()) {
+      return;
+    }
+    var all = ImmutableSortedSet.<HostId>naturalOrder().add(self).addAll(voters).build();
+    var row = new CellRow(self, authority.term() + 1, all, 0);
+    writer.write(
+        ImmutableMap.<String, Long>builder()
+            .putAll(conditions)
+            .put(authority.rowName(), authority.version())
+            .buildOrThrow(),
+        ImmutableMap.<String, RowValue>builder()
+            .putAll(writes)
+            .put(authority.rowName(), row)
+            .buildOrThrow(),
+        nowNanos,
+        out);
+  }
+
+  /**
+   * Changes the voters if needed, else renews the row if promises are missing.
+   *
+   * @param voters the wanted voters; one that is not yet a voter is added once it has promised
+   */
+  void keep(Set<HostId> voters, long nowNanos, Outbox out) {
+    if (writer.isBusy() || authority.row().isEmpty()) {
+      return;
+    }
+    CellRow row = authority.row().get();
+    ImmutableSortedSet<HostId> next = nextVoters(row, voters, nowNanos);
+    boolean due = nowNanos - writer.writtenAt() >= timings.platformRenewal().toNanos();
+    if (next.equals(row.voters()) && (authority.hasAllPromises(nowNanos) || !due)) {
+      return;
+    }
+    authority.expectVoters(Sets.difference(next, row.voters()).immutableCopy());
+    var changed = new CellRow(self, row.term(), next, row.renewal() + 1);
+    writer.write(authority.version(), changed, nowNanos, out);
+  }
+
+  private ImmutableSortedSet<HostId> nextVoters(CellRow row, Set<HostId> wanted, long nowNanos) {
+    ImmutableSet<HostId> joining =
+        wanted.stream()
+            .filter(v -> !row.voters().contains(v) && authority.hasPromised(v, nowNanos))
+            .collect(toImmutableSet());
+    ImmutableSet<HostId> staying =
+        row.voters().stream()
+            .filter(v -> wanted.contains(v) || v.equals(self))
+            .collect(toImmutableSet());
+    return Sets.union(staying, joining).stream()
+        .limit(MAX_VOTERS)
+        .collect(toImmutableSortedSet(Comparator.naturalOrder()));
+  }
+
+  void requestPromises(Set<HostId> candidates, Duration duration, long nowNanos, Outbox out) {
+    Set<HostId> all = Sets.union(authority.otherVoters(), candidates);
+    Set<HostId> others = Sets.difference(all, ImmutableSet.of(self));
+    authority.requestPromises(others, duration, nowNanos, out);
+  }
+
+  /** Handles the answer to a call of this keeper; answers to other calls are ignored. */
+  void replied(long call, Reply reply, long nowNanos, Outbox out) {
+    if (!writer.owns(call)) {
+      return;
+    }
+    Optional<RowWriter.Result> result = writer.replied(reply, nowNanos, out);
+    if (result.isEmpty()) {
+      return;
+    }
+    long before = authority.version();
+    authority.observe(result.get().row(), nowNanos);
+    if (authority.version() > before) {
+      authority.expectVoters(ImmutableSet.of()); // an unchanged row may still get a late write
+    }
+    if (result.get().ownWrite()) {
+      authority.renewed(writer.writtenAt());
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/RowWriter.java
@@ -0,0 +1,119 @@
+package org.catkinlift.ownership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import org.catkinlift.control.PlatformRequest;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.control.PlatformRequest.Row;
+import org.catkinlift.control.RowValue;
+
+/**
+ * Reads and writes one row, one call at a time, and finds out what became of each write.
+ *
+ * <p>After each write the row is read again: an applied write does not state the row's new version,
+ * and a write without an answer may have taken effect. The request id in the row decides.
+ */
+final class RowWriter {
+  private static final long RETRY_NANOS = 250_000_000;
+
+  private final String rowName;
+  private final RequestIds ids;
+  private long call = -1;
+  private long calledAt;
+  private long writtenAt;
+  private String requestId = "";
+  private boolean writing;
+  private boolean known;
+  private boolean retryRead;
+
+  /** The state of the row after a read or a write; the row is empty if it does not exist. */
+  record Result(Optional<Row> row, boolean ownWrite) {}
+
+  RowWriter(String rowName, RequestIds ids) {
+    this.rowName = rowName;
+    this.ids = ids;
+  }
+
+  boolean isBusy() {
+    return call >= 0 || retryRead;
+  }
+
+  boolean owns(long call) {
+    return this.call == call;
+  }
+
+  /** Returns when the latest write was sent. */
+  long writtenAt() {
+    return writtenAt;
+  }
+
+  void read(Outbox out) {
+    if (isBusy()) {
+      return;
+    }
+    call = out.platform(new PlatformRequest.ReadRows(rowName));
+  }
+
+  void write(long version, RowValue value, long nowNanos, Outbox out) {
+    write(ImmutableMap.of(rowName, version), ImmutableMap.of(rowName, value), nowNanos, out);
+  }
+
+  void write(
+      ImmutableMap<String, Long> conditions,
+      ImmutableMap<String, RowValue> writes,
+      long nowNanos,
+      Outbox out) {
+    requestId = ids.next();
+    writing = true;
+    known = false;
+    writtenAt = nowNanos;
+    call = out.platform(new PlatformRequest.Transact(requestId, conditions, writes));
+  }
+
+  /** Repeats a read that had no answer. */
+  void tick(long nowNanos, Outbox out) {
+    if (retryRead && nowNanos - calledAt >= RETRY_NANOS) {
+      retryRead = false;
+      calledAt = nowNanos;
+      call = out.platform(new PlatformRequest.ReadRows(rowName));
+    }
+  }
+
+  /**
+   * Handles the answer to the call in flight.
+   *
+   * @return the row once it is known; empty while a further read is under way
+   */
+  Optional<Result> replied(Reply reply, long nowNanos, Outbox out) {
+    call = -1;
+    boolean wasWrite = writing && !known;
+    return switch (reply) {
+      case Reply.Applied a -> readAfterWrite(out);
+      case Reply.Conflict c -> result(c.rows());
+      case Reply.Rows r -> result(r.rows());
+      case Reply.NoAnswer n -> wasWrite ? readAfterWrite(out) : readLater(nowNanos);
+      case Reply.Hosts h -> Optional.empty();
+    };
+  }
+
+  private Optional<Result> readAfterWrite(Outbox out) {
+    known = true;
+    call = out.platform(new PlatformRequest.ReadRows(rowName));
+    return Optional.empty();
+  }
+
+  /** A plain read is dropped without an answer; a read that decides about a write is repeated. */
+  private Optional<Result> readLater(long nowNanos) {
+    retryRead = writing;
+    calledAt = writing ? nowNanos : calledAt;
+    return Optional.empty();
+  }
+
+  private Optional<Result> result(ImmutableList<Row> rows) {
+    Optional<Row> row = rows.stream().filter(r -> r.name().equals(rowName)).findFirst();
+    boolean own = writing && row.filter(r -> r.requestId().equals(requestId)).isPresent();
+    writing = false;
+    return Optional.of(new Result(row, own));
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -0,0 +1,370 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+import static com.google.common.collect.ImmutableSortedSet.toImmutableSortedSet;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HomeMap;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.placement.PlacementPlanner;
+
+/**
+ * Decides who owns the slots of one keyed service whose home is this cell.
+ *
+ * <p>Lives as long as the coordinator's term. Its first step is to read what the predecessor wrote.
+ */
+final class SlotControl {
+  /** How long an owner that finishes requests is waited for; the default deadline of a request. */
+  private static final long RUNNING_LIMIT_NANOS = 10_000_000_000L;
+
+  private final CellContext context;
+  private final ServiceDefinition service;
+  private final int slotCount;
+  private final EpochIssuer epochs;
+  private final UpstreamLinks links;
+  private final DispatchLeases leases;
+  private final UnitTable table;
+  private final AssignmentWriter writer;
+  private final HomeMoves homes;
+  private final UnitLoads loads;
+  private final Set<UpstreamId> touched = new HashSet<>();
+  private boolean loaded;
+  private boolean changed;
+  private long quietUntil;
+  private long homeVersion;
+  private Epoch published = Epoch.NONE;
+
+  SlotControl(
+      CellContext context,
+      ServiceDefinition service,
+      EpochIssuer epochs,
+      UpstreamLinks links,
+      DispatchLeases leases) {
+    this.context = context;
+    this.service = service;
+    this.slotCount = ServiceRules.keyed(service).map(ServiceKind.Keyed::slotCount).orElseThrow();
+    this.epochs = epochs;
+    this.links = links;
+    this.leases = leases;
+    this.table = new UnitTable(slotCount);
+    this.writer = new AssignmentWriter(rowName(), context.ids());
+    this.homes = new HomeMoves(context, service);
+    this.loads = new UnitLoads(table);
+  }
+
+  private String rowName() {
+    return "assignment/" + service.name() + "/" + context.cell();
+  }
+
+  ServiceDefinition service() {
+    return service;
+  }
+
+  /** Tells whether slots may be granted: the predecessor's assignment has been read. */
+  boolean isLoaded() {
+    return loaded;
+  }
+
+  /** Tells whether nothing is under way and the platform has confirmed the last assignment. */
+  boolean isSettled() {
+    return loaded && homes.isIdle() && table.releases().isEmpty() && writer.hasWritten(published);
+  }
+
+  /** Reads home map and assignment anew before anything is granted again. */
+  void recover() {
+    loaded = false;
+    writer.recover();
+    homes.recover();
+  }
+
+  /** Reads what is still missing; called once in each round. */
+  void round(long nowNanos, Outbox out) {
+    writer.tick(nowNanos, out);
+    homes.tick(nowNanos, out);
+    if (!writer.isRecovered()) {
+      writer.read(out);
+    }
+    if (!homes.isRecovered()) {
+      homes.read(out);
+    }
+  }
+
+  void platformReplied(long call, Reply reply, long nowNanos, Outbox out) {
+    writer.replied(call, reply, nowNanos, out);
+    homes.replied(call, reply, nowNanos, out);
+  }
+
+  void reported(UpstreamLoad load, long nowNanos) {
+    loads.reported(load, nowNanos);
+  }
+
+  void releaseAnswered(UpstreamLinks.ReleaseAnswer answer) {
+    answer.call().units().forEach(u -> releaseAnswered(u, answer));
+  }
+
+  private void releaseAnswered(int unit, UpstreamLinks.ReleaseAnswer answer) {
+    UnitTable.Release release = table.releases().get(unit);
+    if (release == null || !release.from().equals(answer.call().upstream())) {
+      return;
+    }
+    table.update(unit, answer.released() ? release.finished() : release.stillRunning());
+  }
+
+  /**
+   * Decides about all slots.
+   *
+   * @param mayMove whether new moves may start; false while the role is being handed over
+   * @return the upstreams whose slots changed
+   */
+  ImmutableSet<UpstreamId> update(boolean mayMove, long nowNanos, Outbox out) {
+    touched.clear();
+    if (!writer.isRecovered() || !homes.isRecovered()) {
+      return ImmutableSet.of();
+    }
+    if (!loaded) {
+      load(nowNanos);
+    }
+    homes.plan(slotCount, nowNanos, out);
+    followHomeMap();
+    if (nowNanos >= quietUntil) {
+      startReleases(nowNanos, out);
+      endReleases(nowNanos, out);
+      homes.write(table.free(), nowNanos, out);
+      assignFree(nowNanos, out);
+      if (mayMove) {
+        overrideHotKeys(nowNanos, out);
+        balance(nowNanos, out);
+      }
+    }
+    publish(nowNanos, out);
+    return ImmutableSet.copyOf(touched);
+  }
+
+  /**
+   * Takes over the latest assignment that the platform or this daemon has.
+   *
+   * <p>If there was an earlier coordinator, no slot moves for as long as a grant of it may last: a
+   * coordinator that hands over by plan leaves its grants in force.
+   */
+  private void load(long nowNanos) {
+    Optional<Assignment> known = context.store().assignment(service.name(), context.cell());
+    Optional<Assignment> written = writer.written();
+    Optional<Assignment> latest =
+        written
+            .filter(w -> known.filter(k -> k.order().isAfter(w.order())).isEmpty())
+            .or(() -> known);
+    latest.ifPresent(table::load);
+    latest.ifPresent(a -> published = a.version());
+    boolean successor = latest.filter(a -> a.version().term() < epochs.term()).isPresent();
+    long startBound =
+        ServiceRules.startBound(service).map(context.timings()::withMargin).orElse(0L);
+    long wait = context.timings().withMargin(context.timings().grantLease()) + startBound;
+    quietUntil = successor ? nowNanos + wait : nowNanos;
+    homeVersion = 0;
+    changed = true;
+    loaded = true;
+  }
+
+  private void followHomeMap() {
+    Optional<HomeMap> map = context.store().homeMap(service.name());
+    if (map.isEmpty() || map.get().version() == homeVersion) {
+      return;
+    }
+    homeVersion = map.get().version();
+    ImmutableSet<Integer> own =
+        IntStream.range(0, slotCount)
+            .filter(s -> map.get().homes().get(s).equals(context.cell()))
+            .boxed()
+            .collect(toImmutableSet());
+    changed |= table.retainHome(own);
+  }
+
+  private void startReleases(long nowNanos, Outbox out) {
+    ImmutableSet<UpstreamId> usable = capacities(nowNanos).keySet();
+    ImmutableSet<Integer> leaving = homes.leaving();
+    for (int unit : table.owned(u -> true)) {
+      UpstreamId owner = table.owner(unit).orElseThrow();
+      if (usable.contains(owner) && !leaving.contains(table.slotOf(unit))) {
+        continue;
+      }
+      startRelease(unit, nowNanos);
+    }
+    askForReleases(nowNanos, out, touched);
+  }
+
+  private void startRelease(int unit, long nowNanos) {
+    touched.add(table.owner(unit).orElseThrow());
+    table.startRelease(unit, epochs.next(), nowNanos);
+    changed = true;
+  }
+
+  /** Asks owners to release; repeated in each round until they have. */
+  void askForReleases(long nowNanos, Outbox out) {
+    Set<UpstreamId> owners =
+        table.releases().values().stream().map(UnitTable.Release::from).collect(toImmutableSet());
+    askForReleases(nowNanos, out, owners);
+  }
+
+  private void askForReleases(long nowNanos, Outbox out, Set<UpstreamId> owners) {
+    for (UpstreamId owner : ImmutableSet.copyOf(owners)) {
+      ImmutableSet<Integer> units =
+          table.releases().entrySet().stream()
+              .filter(e -> e.getValue().from().equals(owner))
+              .map(Map.Entry::getKey)
+              .collect(toImmutableSet());
+      if (units.isEmpty() || links.isLost(owner, nowNanos)) {
+        continue;
+      }
+      links.release(
+          new UpstreamLinks.ReleaseCall(service.name(), owner, units),
+          units.stream()
+              .filter(u -> table.keyOf(u).isEmpty())
+              .collect(toImmutableSortedSet(Comparator.naturalOrder())),
+          units.stream()
+              .flatMap(u -> table.keyOf(u).stream())
+              .collect(toImmutableSortedSet(Comparator.naturalOrder())),
+          out);
+    }
+  }
+
+  private void endReleases(long nowNanos, Outbox out) {
+    table
+        .releases()
+        .forEach(
+            (unit, release) -> {
+              UnitTable.Release now = noteStopped(unit, release, nowNanos);
+              if (isOver(unit, now, nowNanos)) {
+                table.endRelease(unit);
+                out.log(EventCode.SLOT_RELEASED, "unit", unitName(unit), "from", release.from());
+              }
+            });
+  }
+
+  private UnitTable.Release noteStopped(int unit, UnitTable.Release release, long nowNanos) {
+    boolean stopped =
+        release.stoppedAt() == Long.MAX_VALUE
+            && !changed
+            && leases.allDispatchersHave(release.from(), rowName(), published, nowNanos);
+    if (!stopped) {
+      return release;
+    }
+    table.update(unit, release.stoppedAt(nowNanos));
+    return table.releases().get(unit);
+  }
+
+  private boolean isOver(int unit, UnitTable.Release release, long nowNanos) {
+    Optional<Long> startBound = ServiceRules.startBound(service).map(context.timings()::withMargin);
+    if (startBound.isPresent()) {
+      return release.stoppedAt() != Long.MAX_VALUE
+          && nowNanos - release.stoppedAt() > startBound.get();
+    }
+    if (release.isFinished()) {
+      return true;
+    }
+    boolean mayRun = release.isRunning() && nowNanos - release.startedAt() < RUNNING_LIMIT_NANOS;
+    return !mayRun && !links.ledger(release.from(), nowNanos).mayHold(unit, nowNanos);
+  }
+
+  private void assignFree(long nowNanos, Outbox out) {
+    ImmutableSet<Integer> leaving = homes.leaving();
+    ImmutableSet<Integer> free =
+        table.free().stream()
+            .filter(u -> !leaving.contains(table.slotOf(u)))
+            .collect(toImmutableSet());
+    if (free.isEmpty()) {
+      return;
+    }
+    Set<Integer> settled = Sets.union(free, table.owned(u -> true));
+    PlacementPlanner.rescue(loads.input(settled, capacities(nowNanos), nowNanos))
+        .forEach(
+            move -> {
+              table.assign(move.slot(), move.to(), epochs.next());
+              touched.add(move.to());
+              changed = true;
+              logAssigned(move.slot(), move.to(), "least load per capacity", out);
+            });
+  }
+
+  private void overrideHotKeys(long nowNanos, Outbox out) {
+    for (String key : loads.newHotKeys(capacities(nowNanos).size())) {
+      table.addOverride(key, epochs.next(), epochs.next());
+      table.unitOf(key).flatMap(table::owner).ifPresent(touched::add);
+      changed = true;
+      out.log(EventCode.KEY_OVERRIDDEN, "service", service.name(), "key", key);
+    }
+  }
+
+  private void balance(long nowNanos, Outbox out) {
+    Set<Integer> owned = table.owned(u -> true);
+    for (var move : loads.balance(owned, capacities(nowNanos), nowNanos)) {
+      startRelease(move.slot(), nowNanos);
+      logAssigned(move.slot(), move.to(), "imbalance above " + PlacementPlanner.MOVE_ABOVE, out);
+    }
+    askForReleases(nowNanos, out, touched);
+  }
+
+  private void logAssigned(int unit, UpstreamId to, String reason, Outbox out) {
+    out.log(
+        EventCode.SLOT_ASSIGNED,
+        ImmutableMap.of(
+            "service", service.name().value(),
+            "unit", unitName(unit),
+            "to", to.value(),
+            "reason", reason));
+  }
+
+  private String unitName(int unit) {
+    return table.keyOf(unit).map(k -> "key " + k).orElseGet(() -> "slot " + unit);
+  }
+
+  private void publish(long nowNanos, Outbox out) {
+    if (changed) {
+      changed = false;
+      published = epochs.next();
+      context.store().offer(table.toAssignment(service.name(), context.cell(), published));
+      out.markChanged();
+    }
+    if (context.platform().isReachable()) {
+      context
+          .store()
+          .assignment(service.name(), context.cell())
+          .ifPresent(a -> writer.write(a, nowNanos, out));
+    }
+  }
+
+  /** The upstreams of this cell that may own slots, with their present capacity. */
+  private ImmutableMap<UpstreamId, Double> capacities(long nowNanos) {
+    return service.upstreamsOf(context.cell()).stream()
+        .filter(context.store().configuration()::admits)
+        .filter(u -> !links.isLost(u.id(), nowNanos))
+        .collect(toImmutableMap(UpstreamDefinition::id, u -> loads.capacity(u, nowNanos)));
+  }
+
+  GrantContent grantFor(UpstreamId upstream, HostId dispatcher) {
+    return new GrantContent(
+        service.name(),
+        upstream,
+        dispatcher,
+        table.owned(upstream::equals),
+        table.slotsOf(upstream),
+        table.overridesOf(upstream));
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -0,0 +1,120 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+import static com.google.common.collect.ImmutableSortedMap.toImmutableSortedMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.placement.HotKeys;
+import org.catkinlift.placement.LoadAverage;
+import org.catkinlift.placement.PlacementInput;
+import org.catkinlift.placement.PlacementPlanner;
+import org.catkinlift.placement.SlotMove;
+
+/** Keeps the load of one service's units and decides when an imbalance is worth moves. */
+final class UnitLoads {
+  private static final Duration INTERVAL = Duration.ofSeconds(30);
+  private static final Duration PINNED_AFTER_MOVE = Duration.ofMinutes(2);
+  private static final long NEVER = Long.MIN_VALUE / 4;
+
+  private final UnitTable table;
+  private final LoadAverage averages = new LoadAverage();
+  private final EffectiveCapacity capacity = new EffectiveCapacity();
+  private final Map<String, Double> keyLoads = new HashMap<>();
+  private final Map<UpstreamId, UpstreamLoad> latest = new HashMap<>();
+  private final Map<Integer, Long> movedAt = new HashMap<>();
+  private long firstReportAt = Long.MAX_VALUE;
+  private long balancedAt = NEVER;
+
+  UnitLoads(UnitTable table) {
+    this.table = table;
+  }
+
+  void reported(UpstreamLoad load, long nowNanos) {
+    firstReportAt = Math.min(firstReportAt, nowNanos);
+    latest.put(load.upstream(), load);
+    for (int unit : table.owned(load.upstream()::equals)) {
+      averages.add(unit, loadOf(unit, load), nowNanos);
+    }
+    load.keyLoads().forEach(keyLoads::put);
+  }
+
+  /** The load of a slot excludes that of its keys that are placed apart. */
+  private double loadOf(int unit, UpstreamLoad load) {
+    return table
+        .keyOf(unit)
+        .map(key -> load.keyLoads().getOrDefault(key, 0.0))
+        .orElseGet(() -> load.slotLoads().getOrDefault(unit, 0.0));
+  }
+
+  double capacity(UpstreamDefinition upstream, long nowNanos) {
+    UpstreamLoad load = latest.remove(upstream.id());
+    if (load != null) {
+      capacity.reported(upstream, load.currentLimit(), nowNanos);
+    }
+    return capacity.of(upstream, nowNanos);
+  }
+
+  PlacementInput input(
+      Set<Integer> units, ImmutableMap<UpstreamId, Double> capacities, long nowNanos) {
+    ImmutableSet<Integer> pinned =
+        movedAt.entrySet().stream()
+            .filter(e -> nowNanos - e.getValue() < PINNED_AFTER_MOVE.toNanos())
+            .map(Map.Entry::getKey)
+            .collect(toImmutableSet());
+    return new PlacementInput(
+        units.stream()
+            .collect(toImmutableSortedMap(Comparator.naturalOrder(), u -> u, table::owner)),
+        averages.values(),
+        capacities,
+        pinned);
+  }
+
+  /** Returns the moves that are due; none before the averages cover a half-life. */
+  ImmutableList<SlotMove> balance(
+      Set<Integer> units, ImmutableMap<UpstreamId, Double> capacities, long nowNanos) {
+    boolean known =
+        firstReportAt != Long.MAX_VALUE
+            && nowNanos - firstReportAt >= LoadAverage.HALF_LIFE.toNanos();
+    boolean due = nowNanos - balancedAt >= INTERVAL.toNanos();
+    if (!known || !due) {
+      return ImmutableList.of();
+    }
+    balancedAt = nowNanos;
+    ImmutableList<SlotMove> moves =
+        PlacementPlanner.balance(
+            input(units, capacities, nowNanos), PlacementPlanner.budget(units.size()));
+    moves.forEach(m -> movedAt.put(m.slot(), nowNanos));
+    return moves;
+  }
+
+  /** Returns the keys that are to be placed apart and whose slot has an owner. */
+  ImmutableList<String> newHotKeys(int upstreams) {
+    if (keyLoads.isEmpty() || upstreams == 0) {
+      return ImmutableList.of();
+    }
+    double total = averages.values().values().stream().mapToDouble(Double::doubleValue).sum();
+    double fairShare = total / upstreams;
+    int room = HotKeys.MAX_OVERRIDES - table.overrideCount();
+    ImmutableList<String> hot =
+        keyLoads.entrySet().stream()
+            .filter(e -> fairShare > 0 && HotKeys.isHot(e.getValue(), fairShare))
+            .filter(e -> !table.hasOverride(e.getKey()) && table.hasSlotOwner(e.getKey()))
+            .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
+            .map(Map.Entry::getKey)
+            .limit(Math.max(0, room))
+            .collect(toImmutableList());
+    keyLoads.clear();
+    return hot;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
@@ -0,0 +1,209 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+import static com.google.common.collect.ImmutableSortedMap.toImmutableSortedMap;
+
+import com.google.common.collect.BiMap;
+import com.google.common.collect.HashBiMap;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.routing.KeyHasher;
+
+/**
+ * Keeps the owners of one service's slots and overrides in one cell, and the releases under way.
+ *
+ * <p>Slots and overrides are both units here: a slot has its index, an override a number from the
+ * slot count upwards.
+ */
+final class UnitTable {
+  private final int slotCount;
+  private final TreeMap<Integer, SlotOwner> owners = new TreeMap<>();
+  private final TreeMap<Integer, Release> releases = new TreeMap<>();
+  private final BiMap<String, Integer> overrides = HashBiMap.create();
+  private int nextOverride;
+
+  /**
+   * A unit that is taken from its owner.
+   *
+   * @param from the owner
+   * @param startedAt when dispatching to it stopped
+   * @param stoppedAt since when no dispatcher sends requests for it; {@code Long.MAX_VALUE} while
+   *     some may
+   * @param progress what the owner said
+   */
+  record Release(UpstreamId from, long startedAt, long stoppedAt, Progress progress) {
+    /** What the owner said about a release. */
+    enum Progress {
+      ASKED,
+      RUNNING,
+      FINISHED
+    }
+
+    Release stoppedAt(long nanos) {
+      return new Release(from, startedAt, nanos, progress);
+    }
+
+    Release stillRunning() {
+      return new Release(from, startedAt, stoppedAt, Progress.RUNNING);
+    }
+
+    Release finished() {
+      return new Release(from, startedAt, stoppedAt, Progress.FINISHED);
+    }
+
+    boolean isRunning() {
+      return progress == Progress.RUNNING;
+    }
+
+    boolean isFinished() {
+      return progress == Progress.FINISHED;
+    }
+  }
+
+  UnitTable(int slotCount) {
+    this.slotCount = slotCount;
+    this.nextOverride = slotCount;
+  }
+
+  void load(Assignment assignment) {
+    owners.clear();
+    overrides.clear();
+    owners.putAll(assignment.slots());
+    assignment.overrides().forEach((key, owner) -> owners.put(numberOf(key), owner));
+  }
+
+  /** Keeps exactly the units whose slot is at home here; new ones have no owner yet. */
+  boolean retainHome(Set<Integer> homeSlots) {
+    boolean changed = owners.keySet().removeIf(u -> !homeSlots.contains(slotOf(u)));
+    releases.keySet().retainAll(owners.keySet());
+    overrides.values().retainAll(owners.keySet());
+    for (int slot : homeSlots) {
+      changed |= owners.putIfAbsent(slot, SlotOwner.NONE) == null;
+    }
+    return changed;
+  }
+
+  int slotOf(int unit) {
+    return unit < slotCount ? unit : KeyHasher.slotOf(overrides.inverse().get(unit), slotCount);
+  }
+
+  ImmutableSet<Integer> units() {
+    return ImmutableSet.copyOf(owners.keySet());
+  }
+
+  Optional<UpstreamId> owner(int unit) {
+    return Optional.ofNullable(owners.get(unit)).flatMap(SlotOwner::owner);
+  }
+
+  ImmutableSet<Integer> owned(Predicate<UpstreamId> filter) {
+    return owners.entrySet().stream()
+        .filter(e -> e.getValue().owner().filter(filter).isPresent())
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
+  }
+
+  /** The units without an owner and without a release under way. */
+  ImmutableSet<Integer> free() {
+    return owners.entrySet().stream()
+        .filter(e -> e.getValue().owner().isEmpty() && !releases.containsKey(e.getKey()))
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
+  }
+
+  ImmutableMap<Integer, Release> releases() {
+    return ImmutableMap.copyOf(releases);
+  }
+
+  void startRelease(int unit, Epoch epoch, long nowNanos) {
+    UpstreamId from = owner(unit).orElseThrow();
+    owners.put(unit, new SlotOwner(Optional.empty(), epoch));
+    releases.put(unit, new Release(from, nowNanos, Long.MAX_VALUE, Release.Progress.ASKED));
+  }
+
+  void update(int unit, Release release) {
+    releases.computeIfPresent(unit, (u, r) -> release);
+  }
+
+  void endRelease(int unit) {
+    releases.remove(unit);
+  }
+
+  void assign(int unit, UpstreamId owner, Epoch epoch) {
+    owners.put(unit, SlotOwner.of(owner, epoch));
+  }
+
+  boolean hasOverride(String key) {
+    return overrides.containsKey(key);
+  }
+
+  boolean hasSlotOwner(String key) {
+    return owner(KeyHasher.slotOf(key, slotCount)).isPresent();
+  }
+
+  int overrideCount() {
+    return overrides.size();
+  }
+
+  /** Places a key apart from its slot; it stays with the slot's owner for now. */
+  void addOverride(String key, Epoch keyEpoch, Epoch slotEpoch) {
+    int slot = KeyHasher.slotOf(key, slotCount);
+    UpstreamId owner = owner(slot).orElseThrow();
+    owners.put(numberOf(key), SlotOwner.of(owner, keyEpoch));
+    owners.put(slot, SlotOwner.of(owner, slotEpoch));
+  }
+
+  Optional<Integer> unitOf(String key) {
+    return Optional.ofNullable(overrides.get(key));
+  }
+
+  private int numberOf(String key) {
+    return overrides.computeIfAbsent(key, k -> nextOverride++);
+  }
+
+  ImmutableSortedMap<Integer, Epoch> slotsOf(UpstreamId upstream) {
+    return owned(upstream::equals).stream()
+        .filter(u -> u < slotCount)
+        .collect(
+            toImmutableSortedMap(Comparator.naturalOrder(), u -> u, u -> owners.get(u).epoch()));
+  }
+
+  ImmutableSortedMap<String, Epoch> overridesOf(UpstreamId upstream) {
+    return owned(upstream::equals).stream()
+        .filter(u -> u >= slotCount)
+        .collect(
+            toImmutableSortedMap(
+                Comparator.naturalOrder(),
+                u -> overrides.inverse().get(u),
+                u -> owners.get(u).epoch()));
+  }
+
+  /** Returns the key of an override; empty for a slot. */
+  Optional<String> keyOf(int unit) {
+    return Optional.ofNullable(overrides.inverse().get(unit));
+  }
+
+  Assignment toAssignment(ServiceName service, CellId cell, Epoch version) {
+    return new Assignment(
+        service,
+        cell,
+        version,
+        ImmutableSortedMap.copyOf(owners.headMap(slotCount)),
+        owners.tailMap(slotCount).entrySet().stream()
+            .collect(
+                toImmutableMap(e -> overrides.inverse().get(e.getKey()), Map.Entry::getValue)));
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamLinks.java
@@ -0,0 +1,118 @@
+package org.catkinlift.ownership;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+
+/** Sends grants, releases and probes to the upstreams of a cell and keeps a ledger of each. */
+final class UpstreamLinks {
+  private final OwnershipTimings timings;
+  private final EpochIssuer epochs;
+  private final Map<UpstreamId, GrantLedger> ledgers = new HashMap<>();
+  private final Map<Long, ReleaseCall> releaseCalls = new HashMap<>();
+
+  /** A release that an upstream was asked for. */
+  record ReleaseCall(ServiceName service, UpstreamId upstream, ImmutableSet<Integer> units) {}
+
+  /** An answer to a release. */
+  record ReleaseAnswer(ReleaseCall call, boolean released) {}
+
+  UpstreamLinks(OwnershipTimings timings, EpochIssuer epochs) {
+    this.timings = timings;
+    this.epochs = epochs;
+  }
+
+  GrantLedger ledger(UpstreamId upstream, long nowNanos) {
+    return ledgers.computeIfAbsent(upstream, u -> new GrantLedger(timings, nowNanos));
+  }
+
+  boolean isLost(UpstreamId upstream, long nowNanos) {
+    return ledger(upstream, nowNanos).isLost(nowNanos);
+  }
+
+  /**
+   * Grants units, or probes the upstream if the newest reading of its clock is too old.
+   *
+   * @param wanted the wanted lease
+   * @param authorityUntil the time beyond which the grant may not reach
+   */
+  void grant(
+      GrantContent content, Duration wanted, long authorityUntil, long nowNanos, Outbox out) {
+    GrantLedger ledger = ledger(content.upstream(), nowNanos);
+    ledger.asked();
+    Duration lease = ledger.lease(wanted, authorityUntil, nowNanos);
+    if (lease.isZero()) {
+      out.upstream(content.upstream(), new UpstreamRequest.Probe());
+      return;
+    }
+    GrantLedger.Reading reading = ledger.reading().orElseThrow();
+    var sequence = epochs.next();
+    ledger.granted(content.units(), sequence, content.dispatcher(), lease);
+    out.upstream(
+        content.upstream(),
+        new UpstreamRequest.Grant(
+            content.service(),
+            reading.instance(),
+            sequence,
+            reading.clockMillis() + lease.toMillis(),
+            content.dispatcher(),
+            content.slots(),
+            content.overrides()));
+  }
+
+  void release(
+      ReleaseCall call,
+      ImmutableSortedSet<Integer> slots,
+      ImmutableSortedSet<String> overrides,
+      Outbox out) {
+    var request = new UpstreamRequest.Release(call.service(), epochs.next(), slots, overrides);
+    releaseCalls.put(out.upstream(call.upstream(), request), call);
+  }
+
+  /** Takes over an answer and returns what it says about a release. */
+  Optional<ReleaseAnswer> replied(
+      long call, UpstreamId upstream, Reply reply, long nowNanos, Outbox out) {
+    ledger(upstream, nowNanos).replied(call, reply, nowNanos);
+    ReleaseCall release = releaseCalls.remove(call);
+    if (reply instanceof Reply.Outdated outdated) {
+      out.log(
+          EventCode.GRANT_REFUSED,
+          ImmutableMap.of(
+              "upstream", upstream.value(), "reason", "upstream has seen " + outdated.newest()));
+    }
+    if (release == null) {
+      return Optional.empty();
+    }
+    return switch (reply) {
+      case Reply.Released r -> {
+        ledger(upstream, nowNanos).released(release.units());
+        yield Optional.of(new ReleaseAnswer(release, true));
+      }
+      case Reply.Releasing r -> Optional.of(new ReleaseAnswer(release, false));
+      case Reply.Probed p -> Optional.empty();
+      case Reply.Granted g -> Optional.empty();
+      case Reply.Outdated o -> Optional.empty();
+      case Reply.NoAnswer n -> Optional.empty();
+    };
+  }
+
+  /** Returns when the grants to all upstreams have surely ended. */
+  long latestEnd() {
+    return ledgers.values().stream().mapToLong(GrantLedger::latestEnd).max().orElse(Long.MIN_VALUE);
+  }
+
+  /** Returns the dispatcher that an upstream has confirmed to accept alone. */
+  Optional<HostId> confirmedDispatcher(UpstreamId upstream, long nowNanos) {
+    return ledger(upstream, nowNanos).confirmedDispatcher();
+  }
+}
