--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellControl.java
@@ -0,0 +1,198 @@
+package org.catkinlift.ownership;
+
+import static java.util.Objects.requireNonNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Optional;
+import org.catkinlift.control.CallNumbers;
+import org.catkinlift.control.ControlAction;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.MembershipView;
+import org.catkinlift.control.OwnershipView;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+
+/**
+ * Decides who coordinates this daemon's cell and, as the coordinator, who owns its slots and who
+ * dispatches to its upstreams.
+ *
+ * <p>Control thread only.
+ */
+public final class CellControl implements ControlPart, OwnershipView {
+  private final CellContext context;
+  private final CallNumbers calls;
+  private Optional<CellDuties> duties = Optional.empty();
+
+  private CellControl(Builder builder) {
+    HostDefinition self = requireNonNull(builder.self, "self");
+    this.calls = requireNonNull(builder.calls, "calls");
+    this.context =
+        new CellContext(
+            self,
+            requireNonNull(builder.store, "store"),
+            requireNonNull(builder.members, "members"),
+            builder.timings,
+            new RequestIds(self.id(), builder.run),
+            new PlatformContact());
+  }
+
+  /**
+   * Returns a builder with default timings.
+   *
+   * @return the builder
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  @Override
+  public ImmutableList<ControlAction> handle(ControlEvent event, long nowNanos) {
+    CellDuties current = duties.orElseGet(() -> new CellDuties(context, nowNanos));
+    duties = Optional.of(current);
+    var out = new Outbox(calls);
+    dispatch(current, event, nowNanos, out);
+    current.update(nowNanos, out);
+    return out.actions();
+  }
+
+  private static void dispatch(CellDuties duties, ControlEvent event, long now, Outbox out) {
+    switch (event) {
+      case ControlEvent.Tick t -> duties.tick(now, out);
+      case ControlEvent.PeerMessageReceived m -> received(duties, m.from(), m.message(), now, out);
+      case ControlEvent.PlatformReplied r -> duties.platformReplied(r.call(), r.reply(), now, out);
+      case ControlEvent.UpstreamReplied r -> duties.upstreamReplied(r, now, out);
+      case ControlEvent.LoadReported l -> duties.loadReported(l.loads(), now);
+      case ControlEvent.OperatorRequested o -> {}
+      case ControlEvent.StopRequested s -> duties.stop();
+    }
+  }
+
+  private static void received(
+      CellDuties duties, HostId from, PeerMessage message, long now, Outbox out) {
+    switch (message) {
+      case PeerMessage.Heartbeat h -> duties.heartbeat(from, h, now, out);
+      case PeerMessage.HeartbeatAck a -> duties.acknowledged(from, a, now);
+      case PeerMessage.PromiseRequest r -> duties.promiseRequested(from, r, now, out);
+      case PeerMessage.Promise p -> duties.promised(from, p, now);
+      case PeerMessage.Leaving l -> duties.leaving(l.host());
+      case PeerMessage.Hello h -> duties.introduced(from);
+      case PeerMessage.Digest d -> {}
+      case PeerMessage.Pull p -> {}
+      case PeerMessage.PullReply p -> {}
+    }
+  }
+
+  @Override
+  public Optional<HostId> coordinator() {
+    return duties.flatMap(CellDuties::coordinatorHost);
+  }
+
+  @Override
+  public boolean hasAuthority(long nowNanos) {
+    return duties.filter(d -> d.hasAuthority(nowNanos)).isPresent();
+  }
+
+  @Override
+  public ImmutableList<DispatchLease> heldLeases(long nowNanos) {
+    return duties.map(d -> d.heldLeases(nowNanos)).orElse(ImmutableList.of());
+  }
+
+  /** Builds a {@link CellControl}. */
+  public static final class Builder {
+    private HostDefinition self;
+    private VersionStore store;
+    private MembershipView members;
+    private CallNumbers calls;
+    private OwnershipTimings timings = OwnershipTimings.defaults();
+    private String run = "";
+
+    private Builder() {}
+
+    /**
+     * Sets this daemon's own definition.
+     *
+     * @param self the definition
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder self(HostDefinition self) {
+      this.self = self;
+      return this;
+    }
+
+    /**
+     * Sets the store that all parts of the control thread share.
+     *
+     * @param store the store
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder store(VersionStore store) {
+      this.store = store;
+      return this;
+    }
+
+    /**
+     * Sets the view of the known daemons.
+     *
+     * @param members the view
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder members(MembershipView members) {
+      this.members = members;
+      return this;
+    }
+
+    /**
+     * Sets the source of call numbers that all parts of the control thread share.
+     *
+     * @param calls the source
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder calls(CallNumbers calls) {
+      this.calls = calls;
+      return this;
+    }
+
+    /**
+     * Sets the times of leases and promises; {@link OwnershipTimings#defaults()} if not set.
+     *
+     * @param timings the times
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder timings(OwnershipTimings timings) {
+      this.timings = timings;
+      return this;
+    }
+
+    /**
+     * Names this run of the daemon's process, so that a write of an earlier run is not taken for
+     * one of this run. A random name is best.
+     *
+     * @param run the name
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder run(String run) {
+      this.run = run;
+      return this;
+    }
+
+    /**
+     * Builds the part.
+     *
+     * @return the part
+     */
+    public CellControl build() {
+      return new CellControl(this);
+    }
+  }
+}
