Tell every starting daemon all known hosts

Cause: ControlSlopes showed a member that knew only the 16 hosts of its cell of 192. All its cell mates had greeted it before its first tick, so it asked nobody for the known hosts, and the readers of the list named new hosts only to the mates that the list did not name.

Change: a daemon asks seeds and cell mates until one has named its hosts, and reads the host list once after its start. Later readings are named to all cell mates, the first one to nobody.

The test of the host list now also fails if members are forgotten for a moment.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/control/PeerChoiceComparison.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/control/PeerChoiceComparison.java
@@ -32,7 +32,10 @@
   private static final Duration ROUND = Duration.ofMillis(500);
   private static final Duration LATENCY = Duration.ofMillis(40);
   private static final Duration READ_INTERVAL = Duration.ofSeconds(2);
-  private static final Duration CHANGE_INTERVAL = Duration.ofSeconds(8);
+
+  /** No multiple of the read interval, so that changes wait from 0 to 2 s for the next read. */
+  private static final Duration CHANGE_INTERVAL = Duration.ofMillis(7_300);
+
   private static final Duration REPLACEMENT = Duration.ofSeconds(2);
   private static final Duration DURATION = Duration.ofMinutes(20);
   private static final int EVENTS_PER_DAY = 1_400 + 58;
--- a/catkinlift-decision/src/main/java/org/catkinlift/membership/HostListReader.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/membership/HostListReader.java
@@ -11,8 +11,9 @@
 /**
  * Decides when this daemon reads the platform's host list.
  *
- * <p>Only the first live daemons of a cell read it: two of 594 cells every 10 s are 119 reads/s,
- * while all 19,000 daemons would need 1,900 of the platform's 2,000 reads/s.
+ * <p>Every daemon reads it once after its start; after that only the first live daemons of a cell
+ * do. Two of 594 cells every 10 s are 119 reads/s, while all 19,000 daemons would need 1,900 of the
+ * platform's 2,000 reads/s.
  */
 final class HostListReader {
   static final Duration INTERVAL = Duration.ofSeconds(10);
@@ -22,6 +23,7 @@
   private final CallNumbers calls;
   private long dueNanos = Long.MIN_VALUE;
   private long call = -1;
+  private boolean hasRead;
 
   HostListReader(HostId self, CallNumbers calls) {
     this.self = self;
@@ -29,8 +31,8 @@
   }
 
   Optional<ControlAction> tick(ImmutableSet<HostId> liveInCell, long nowNanos) {
-    if (nowNanos < dueNanos
-        || liveInCell.stream().limit(READERS_PER_CELL).noneMatch(self::equals)) {
+    boolean isReader = liveInCell.stream().limit(READERS_PER_CELL).anyMatch(self::equals);
+    if (nowNanos < dueNanos || (hasRead && !isReader)) {
       return Optional.empty();
     }
     dueNanos = nowNanos + INTERVAL.toNanos();
@@ -41,4 +43,11 @@
   boolean isOwn(long replyCall) {
     return replyCall == call;
   }
+
+  /** Notes that the list came. Returns true the first time. */
+  boolean firstRead() {
+    boolean isFirst = !hasRead;
+    hasRead = true;
+    return isFirst;
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/membership/Introductions.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/membership/Introductions.java
@@ -92,16 +92,19 @@
     return Math.floorMod(index - askedUpTo, count) < ASKED_AT_ONCE;
   }
 
-  /** The cell mates that are not live or have not greeted, and the seeds that have not greeted. */
+  /**
+   * The cell mates that are not live or have not greeted, and the seeds that have not greeted; all
+   * of them until one has named the hosts that it knows.
+   */
   private ImmutableList<HostDefinition> silent(long nowNanos) {
     ImmutableSet<HostId> live = table.live(self.cell(), nowNanos);
     var hosts = new LinkedHashSet<HostId>();
     seeds.stream()
         .map(HostDefinition::id)
-        .filter(h -> !h.equals(self.id()) && !table.hasGreeted(h))
+        .filter(h -> !h.equals(self.id()) && (!knowsHosts || !table.hasGreeted(h)))
         .forEach(hosts::add);
     table.cellMates().stream()
-        .filter(h -> !live.contains(h) || !table.hasGreeted(h))
+        .filter(h -> !knowsHosts || !live.contains(h) || !table.hasGreeted(h))
         .forEach(hosts::add);
     return hosts.stream().map(table::find).flatMap(Optional::stream).collect(toImmutableList());
   }
@@ -149,10 +152,7 @@
       return ImmutableList.of();
     }
     var hello = new PeerMessage.Hello(self, hosts, false);
-    return table.cellMates().stream()
-        .filter(h -> hosts.stream().noneMatch(d -> d.id().equals(h)))
-        .map(h -> new SendToPeer(h, hello))
-        .collect(toImmutableList());
+    return table.cellMates().stream().map(h -> new SendToPeer(h, hello)).collect(toImmutableList());
   }
 
   private ControlAction greeting(
--- a/catkinlift-decision/src/main/java/org/catkinlift/membership/MembershipControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/membership/MembershipControl.java
@@ -187,7 +187,10 @@
     hosts.leaving().forEach(h -> table.listed(h, nowNanos));
     var actions = ImmutableList.<ControlAction>builder();
     actions.addAll(introductions.learnt(learnt));
-    actions.addAll(introductions.spread(learnt));
+    if (!hostList.firstRead()) {
+      // The first list is new to this daemon only, and it may name 19,000 hosts.
+      actions.addAll(introductions.spread(learnt));
+    }
     actions.addAll(forget(nowNanos));
     return actions.build();
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/membership/MembershipControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/membership/MembershipControlTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.fake.FakeDaemon;
 import org.catkinlift.control.fake.FakeSite;
 import org.catkinlift.events.EventCode;
@@ -130,6 +131,9 @@
     site.run(Duration.ofMinutes(11));
 
     assertAllSee("suva-01", "suva-02", "suva-03");
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(daemon.logged(EventCode.MEMBER_SUSPECTED)).isEqualTo(0);
+    }
   }
 
   /** Guards against dead hosts in the list: they are greeted but never live. */
@@ -189,4 +193,44 @@
     assertThat(site.platform().hostReads() - before).isAtMost(20);
     assertThat(site.platform().hostReads() - before).isAtLeast(10);
   }
+
+  /**
+   * Guards against a daemon that nobody tells the hosts of other cells, as all mates greeted it.
+   */
+  @Test
+  void daemonThatIsGreetedBeforeItsFirstTickLearnsAllHosts() {
+    site.startAll(3, "suva", "nadi");
+    site.run(Duration.ofSeconds(15));
+    site.platform().down(true);
+    FakeDaemon late = site.start(FakeSite.host("suva", 4));
+    for (int number = 1; number <= 3; number++) {
+      HostDefinition mate = FakeSite.host("suva", number);
+      var greeting = new PeerMessage.Hello(mate, ImmutableSet.of(late.definition()), true);
+      late.deliver(new ControlEvent.PeerMessageReceived(mate.id(), greeting));
+    }
+
+    site.run(Duration.ofSeconds(5));
+
+    assertThat(late.members().known()).hasSize(7);
+  }
+
+  /** Guards against hosts that only the readers of the list know. */
+  @Test
+  void readersNameNewHostsOfOtherCellsToTheirCellMates() {
+    site.startAll(4, "suva");
+    site.run(Duration.ofSeconds(25));
+    HostDefinition other = FakeSite.host("nadi", 1);
+    site.platform()
+        .hosts(
+            ImmutableList.<HostDefinition>builder()
+                .addAll(site.daemon("suva-01").members().known())
+                .add(other)
+                .build());
+
+    site.run(Duration.ofSeconds(12));
+
+    for (FakeDaemon daemon : site.daemons()) {
+      assertThat(daemon.members().find(other.id())).hasValue(other);
+    }
+  }
 }
