Make plans from the assignments that the platform has

Cause: a plan made from an assignment that was not written yet got a conflict when it was confirmed, and the same intent then led to the same plan id, whose stored plan could not be confirmed any more.

Change: the plan names the versions that were read from the platform, which are those that a confirmation is compared with. The comparison of peer choices takes the number of cells and the duration as arguments.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/control/PeerChoiceComparison.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/control/PeerChoiceComparison.java
@@ -37,8 +37,12 @@
   private static final Duration CHANGE_INTERVAL = Duration.ofMillis(7_300);
 
   private static final Duration REPLACEMENT = Duration.ofSeconds(2);
-  private static final Duration DURATION = Duration.ofMinutes(20);
+  private static final Duration DEFAULT_DURATION = Duration.ofMinutes(20);
   private static final int EVENTS_PER_DAY = 1_400 + 58;
+
+  /** The churn of the design size, and twenty times as much. */
+  private static final ImmutableList<Integer> CHURN_FACTORS = ImmutableList.of(1, 20);
+
   private static final ImmutableList<Integer> CELLS = ImmutableList.of(12, 100, 300, 594);
   private static final ImmutableList<PeerChoice> CHOICES =
       ImmutableList.of(
@@ -111,22 +115,28 @@
   }
 
   /**
-   * Runs all rules at all sizes.
+   * Runs all rules at all sizes, or at one.
    *
-   * @param args the seed; 1 if absent
+   * @param args the seed, 1 if absent; the number of cells, all sizes if absent; the virtual
+   *     minutes of each run, 20 if absent
    */
   public static void main(String[] args) {
-    long seed = args.length == 0 ? 1 : Long.parseLong(args[0]);
-    for (int cells : CELLS) {
-      for (PeerChoice choice : CHOICES) {
-        for (int churnFactor : ImmutableList.of(1, 20)) {
-          System.out.println(new PeerChoiceComparison(choice, cells, churnFactor, seed).run());
+    long seed = args.length < 1 ? 1 : Long.parseLong(args[0]);
+    ImmutableList<Integer> sizes =
+        args.length < 2 ? CELLS : ImmutableList.of(Integer.parseInt(args[1]));
+    Duration duration =
+        args.length < 3 ? DEFAULT_DURATION : Duration.ofMinutes(Long.parseLong(args[2]));
+    for (int cells : sizes) {
+      for (int churnFactor : CHURN_FACTORS) {
+        for (PeerChoice choice : CHOICES) {
+          System.out.println(
+              new PeerChoiceComparison(choice, cells, churnFactor, seed).run(duration));
         }
       }
     }
   }
 
-  private String run() {
+  private String run(Duration duration) {
     for (int cell = 0; cell < nodes.length; cell++) {
       int c = cell;
       Duration phase = Duration.ofNanos(random.nextLong(ROUND.toNanos()));
@@ -136,8 +146,8 @@
     timers.every(CHANGE_INTERVAL, this::write);
     long churnNanos = Duration.ofDays(1).toNanos() / EVENTS_PER_DAY / churnFactor;
     timers.every(Duration.ofNanos(churnNanos), this::replaceOne);
-    timers.advance(DURATION);
-    return report();
+    timers.advance(duration);
+    return report(duration);
   }
 
   private void write() {
@@ -198,9 +208,9 @@
     completed = Math.max(completed, all);
   }
 
-  private String report() {
+  private String report(Duration duration) {
     Collections.sort(secondsToAll);
-    double hours = DURATION.toMinutes() / 60.0;
+    double hours = duration.toMinutes() / 60.0;
     return String.format(
         Locale.ROOT,
         "{\"cells\":%d,\"choice\":\"%s\",\"churn_per_day\":%d,\"changes\":%d,\"reached_all\":%d,"
@@ -214,7 +224,7 @@
         quantile(0.5),
         quantile(0.99),
         quantile(1),
-        messages / (double) DURATION.toSeconds() / nodes.length,
+        messages / (double) duration.toSeconds() / nodes.length,
         peerChanges / hours / nodes.length);
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
@@ -1,7 +1,5 @@
 package org.catkinlift.plans;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
-
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
@@ -21,6 +19,7 @@
 import org.catkinlift.control.VersionStore;
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
+import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.ServiceName;
 
@@ -35,8 +34,17 @@
     /** Reads the newest configuration. */
     record ReadHead(long operator, Intent intent) implements Step {}
 
-    /** Reads the assignments that the plan depends on, one service after the other. */
-    record ReadAssignments(long operator, Intent intent, ImmutableList<ServiceName> rest)
+    /**
+     * Reads the assignments that the plan depends on, one service after the other.
+     *
+     * <p>A plan is made from what the platform has, because a confirmation is compared with that.
+     * Later assignments in memory are not written yet.
+     */
+    record ReadAssignments(
+        long operator,
+        Intent intent,
+        ImmutableList<ServiceName> rest,
+        ImmutableList<Assignment> read)
         implements Step {}
 
     /** Stores the plan, which must not exist yet. */
@@ -95,23 +103,25 @@
   private ImmutableList<ControlAction> headRead(
       Step.ReadHead step, ImmutableList<Row> rows, long nowNanos) {
     boolean changed = store.offer(PlanRows.configuration(rows));
-    var next =
-        readNext(
-            step.operator(),
-            step.intent(),
-            PlanBuilder.affectedServices(step.intent(), basis(nowNanos)),
-            nowNanos);
-    return withRoutingChange(changed, next);
+    Intent intent = step.intent();
+    ImmutableList<ServiceName> services =
+        PlanBuilder.affectedServices(intent, basis(ImmutableList.of(), nowNanos));
+    var next = new Step.ReadAssignments(step.operator(), intent, services, ImmutableList.of());
+    return withRoutingChange(changed, readNext(next, nowNanos));
   }
 
   private ImmutableList<ControlAction> assignmentsRead(
       Step.ReadAssignments step, ImmutableList<Row> rows, long nowNanos) {
+    var read = ImmutableList.<Assignment>builder().addAll(step.read());
     boolean changed = false;
     for (Row row : rows) {
-      changed |= row.value() instanceof RowValue.AssignmentRow a && store.offer(a.assignment());
+      if (row.value() instanceof RowValue.AssignmentRow a) {
+        read.add(a.assignment());
+        changed |= store.offer(a.assignment());
+      }
     }
-    return withRoutingChange(
-        changed, readNext(step.operator(), step.intent(), step.rest(), nowNanos));
+    var next = new Step.ReadAssignments(step.operator(), step.intent(), step.rest(), read.build());
+    return withRoutingChange(changed, readNext(next, nowNanos));
   }
 
   private static ImmutableList<ControlAction> withRoutingChange(
@@ -121,14 +131,17 @@
         : next;
   }
 
-  private ImmutableList<ControlAction> readNext(
-      long operator, Intent intent, ImmutableList<ServiceName> rest, long nowNanos) {
+  private ImmutableList<ControlAction> readNext(Step.ReadAssignments step, long nowNanos) {
+    ImmutableList<ServiceName> rest = step.rest();
     if (rest.isEmpty()) {
-      return storePlan(operator, PlanBuilder.plan(intent, basis(nowNanos)));
+      Plan plan = PlanBuilder.plan(step.intent(), basis(step.read(), nowNanos));
+      return storePlan(step.operator(), plan);
     }
-    var step = new Step.ReadAssignments(operator, intent, rest.subList(1, rest.size()));
+    var next =
+        new Step.ReadAssignments(
+            step.operator(), step.intent(), rest.subList(1, rest.size()), step.read());
     String prefix = PlanRows.ASSIGNMENTS + rest.get(0) + "/";
-    return ImmutableList.of(call(step, new PlatformRequest.ReadRows(prefix)));
+    return ImmutableList.of(call(next, new PlatformRequest.ReadRows(prefix)));
   }
 
   private ImmutableList<ControlAction> storePlan(long operator, Plan plan) {
@@ -143,15 +156,10 @@
                 ImmutableMap.of(row, new RowValue.PlanRow(record)))));
   }
 
-  private PlanBasis basis(long nowNanos) {
+  private PlanBasis basis(ImmutableList<Assignment> assignments, long nowNanos) {
     Configuration configuration = store.configuration();
     return new PlanBasis(
-        configuration,
-        configuration.services().keySet().stream()
-            .flatMap(s -> store.assignments(s).stream())
-            .collect(toImmutableList()),
-        loads.of(configuration, nowNanos),
-        members.known());
+        configuration, assignments, loads.of(configuration, nowNanos), members.known());
   }
 
   private ImmutableList<ControlAction> exists(Step.Store step, ImmutableList<Row> rows) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/configuration/DisseminationControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/configuration/DisseminationControlTest.java
@@ -110,6 +110,7 @@
     var old = new PeerMessage.PullReply(ImmutableList.of(FakeSite.configuration(1)));
     site.daemon("suva-02")
         .deliver(new ControlEvent.PeerMessageReceived(HostId.of("lautoka-01"), old));
+    assertThat(site.daemon("suva-02").store().configuration().version()).isEqualTo(2);
     assertThat(site.daemon("suva-02").logged(EventCode.CONFIGURATION_STALE)).isEqualTo(1);
     site.cut("lautoka", false);
     site.run(IN_FORCE);
--- a/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
@@ -129,14 +129,28 @@
         .isEqualTo(PlanRecord.State.CONFIRMED);
   }
 
+  /** Guards against plans that nobody can confirm, as they name versions not written yet. */
+  @Test
+  void planIsMadeFromTheAssignmentsThatThePlatformHas() {
+    confirm("suva-01", make("suva-01", CREATE));
+    putAssignment(1);
+    site.daemon("suva-01").store().offer(assignment(2));
+    PlanId plan = make("suva-01", drain("nadi"));
+
+    assertThat(stateOf(confirm("suva-01", plan))).isEqualTo(PlanRecord.State.CONFIRMED);
+  }
+
+  private static Assignment assignment(long counter) {
+    return new Assignment(
+        ServiceName.of("desk"),
+        CellId.of("suva"),
+        Epoch.of(1, counter),
+        ImmutableSortedMap.of(),
+        ImmutableMap.of());
+  }
+
   private void putAssignment(long counter) {
-    var assignment =
-        new Assignment(
-            ServiceName.of("desk"),
-            CellId.of("suva"),
-            Epoch.of(1, counter),
-            ImmutableSortedMap.of(),
-            ImmutableMap.of());
+    Assignment assignment = assignment(counter);
     site.platform().put(assignment.name(), new RowValue.AssignmentRow(assignment));
   }
 
