--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -21,6 +21,7 @@
 import org.catkinlift.daemon.http.TrafficLoop;
 import org.catkinlift.daemon.logging.EventLogger;
 import org.catkinlift.daemon.metrics.DaemonMetrics;
+import org.catkinlift.daemon.operator.OperatorServer;
 import org.catkinlift.daemon.platform.HttpPlatform;
 import org.catkinlift.daemon.relay.RelayClient;
 import org.catkinlift.daemon.relay.RelayServer;
@@ -61,6 +62,8 @@
   private PeerTransport transport;
   private ControlLoop control;
   private HttpPlatform platform;
+  private OperatorServer operators;
+  private volatile boolean stopping;
 
   private Daemon(Vertx vertx, DaemonSettings settings) {
     this.vertx = vertx;
@@ -83,6 +86,7 @@
         .compose(v -> daemon.openTransport())
         .compose(v -> daemon.startControl())
         .compose(v -> daemon.serveCallers())
+        .compose(v -> daemon.serveOperators())
         .map(v -> daemon.started())
         .recover(failure -> daemon.close().transform(closed -> Future.failedFuture(failure)));
   }
@@ -134,8 +138,7 @@
             logger,
             metrics);
     ControlParts parts =
-        ControlParts.create(
-            settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
+        ControlParts.create(settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
     control = ControlLoop.start(parts, states, ports, workers::leasesHeld);
     return Future.succeededFuture();
   }
@@ -144,6 +147,11 @@
     return Future.all(loops.stream().map(loop -> loop.serve(workers)).toList()).mapEmpty();
   }
 
+  private Future<Void> serveOperators() {
+    operators = new OperatorServer(vertx, settings, registry, control::ask, () -> !stopping);
+    return operators.start();
+  }
+
   private Daemon started() {
     logger.log(
         DecisionEvent.of(
@@ -190,6 +198,7 @@
    * @return completes when all is closed
    */
   public Future<Void> stop() {
+    stopping = true;
     logger.log(DecisionEvent.of(EventCode.DAEMON_STOPPING, "host", settings.host()));
     return all(loops.stream().map(TrafficLoop::failHealth))
         .compose(v -> delay(HEALTH_NOTICE))
@@ -209,8 +218,7 @@
 
   private Future<Void> bounded(Future<Void> step) {
     Promise<Void> promise = Promise.promise();
-    long timer =
-        vertx.setTimer(settings.shutdownGrace().toMillis(), t -> promise.tryComplete());
+    long timer = vertx.setTimer(settings.shutdownGrace().toMillis(), t -> promise.tryComplete());
     step.onComplete(
         done -> {
           vertx.cancelTimer(timer);
@@ -230,7 +238,9 @@
     if (platform != null) {
       platform.close();
     }
-    return Future.all(deployments.stream().map(vertx::undeploy).toList())
+    Future<Void> operatorsClosed = operators == null ? Future.succeededFuture() : operators.stop();
+    return operatorsClosed
+        .transform(done -> Future.all(deployments.stream().map(vertx::undeploy).toList()))
         .transform(done -> closeTransport());
   }
 
