Add the harness of fakes for ownership decisions

Cause: ownership decisions need faults on virtual time to be tested against. Change: a platform table, upstreams, hosts and a network on the virtual timer service, with checks of owners, authority and versions at each event.

--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipChecks.java
@@ -0,0 +1,152 @@
+package org.catkinlift.bench.ownership;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.catkinlift.control.PlatformRequest.Row;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.model.Assignment;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamId;
+
+/** Checks the ownership invariants at every event, from the records of the fakes alone. */
+public final class OwnershipChecks {
+  private final OwnershipWorld world;
+  private final Map<Integer, FakeUpstream> lastGranted = new HashMap<>();
+  private final Map<String, Row> rows = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+  private final List<DecisionEvent> log = new ArrayList<>();
+
+  OwnershipChecks(OwnershipWorld world) {
+    this.world = world;
+  }
+
+  /**
+   * Returns what was violated so far.
+   *
+   * @return one line for each violation
+   */
+  public ImmutableList<String> violations() {
+    return ImmutableList.copyOf(violations);
+  }
+
+  /**
+   * Returns the log of all daemons.
+   *
+   * @return the events in order
+   */
+  public ImmutableList<DecisionEvent> log() {
+    return ImmutableList.copyOf(log);
+  }
+
+  void logged(HostId host, DecisionEvent event) {
+    log.add(event);
+  }
+
+  /** An upstream that takes a slot must not find another one that still owns it. */
+  void granted(FakeUpstream upstream, Set<Integer> slots) {
+    if (!world.checksGrants()) {
+      return;
+    }
+    for (int slot : slots) {
+      FakeUpstream last = lastGranted.put(slot, upstream);
+      if (last != null && last != upstream && last.owns(slot)) {
+        violate("slot " + slot + " owned by " + name(last) + " and " + name(upstream));
+      }
+    }
+  }
+
+  private static UpstreamId name(FakeUpstream upstream) {
+    return upstream.definition().id();
+  }
+
+  /** At most one daemon of a cell has authority, and one may dispatch to each upstream. */
+  void handled(FakeHost host) {
+    for (FakeHost other : world.hosts()) {
+      boolean same = other == host || !other.self().cell().equals(host.self().cell());
+      if (same) {
+        continue;
+      }
+      if (host.hasAuthority() && other.hasAuthority()) {
+        violate("authority of " + host.id() + " and " + other.id());
+      }
+      if (!world.checksGrants()) {
+        checkDispatchers(host, other);
+      }
+    }
+  }
+
+  private void checkDispatchers(FakeHost host, FakeHost other) {
+    for (var lease : host.leases()) {
+      for (var foreign : other.leases()) {
+        if (lease.upstream().equals(foreign.upstream())) {
+          violate(lease.upstream() + " dispatched by " + host.id() + " and " + other.id());
+        }
+        checkSlots(host, lease.upstream(), other, foreign.upstream());
+      }
+    }
+  }
+
+  private void checkSlots(FakeHost host, UpstreamId a, FakeHost other, UpstreamId b) {
+    if (a.equals(b)) {
+      return;
+    }
+    for (int slot = 0; slot < world.slotCount(); slot++) {
+      if (world.owner(host, slot).equals(Optional.of(a))
+          && world.owner(other, slot).equals(Optional.of(b))) {
+        violate("slot " + slot + " sent to " + a + " and " + b);
+      }
+    }
+  }
+
+  /** Versions, terms and the epochs of slots never go back in the platform's table. */
+  void written(Row row) {
+    Row before = rows.put(row.name(), row);
+    if (before == null) {
+      return;
+    }
+    if (row.version() <= before.version()) {
+      violate(row.name() + " went back to version " + row.version());
+    }
+    if (before.value() instanceof RowValue.AssignmentRow a
+        && row.value() instanceof RowValue.AssignmentRow b) {
+      checkAssignments(a.assignment(), b.assignment());
+    }
+    if (before.value() instanceof RowValue.CellRow a
+        && row.value() instanceof RowValue.CellRow b
+        && b.term() < a.term()) {
+      violate(row.name() + " went back to term " + b.term());
+    }
+    if (before.value() instanceof RowValue.HomeRow a
+        && row.value() instanceof RowValue.HomeRow b
+        && b.homes().version() <= a.homes().version()) {
+      violate(row.name() + " went back to home map " + b.homes().version());
+    }
+  }
+
+  private void checkAssignments(Assignment before, Assignment after) {
+    if (!after.version().isAfter(before.version())) {
+      violate(after.name() + " went back to " + after.version());
+    }
+    after
+        .slots()
+        .forEach(
+            (slot, owner) -> {
+              Epoch acknowledged = before.slots().getOrDefault(slot, SlotOwner.NONE).epoch();
+              if (acknowledged.isAfter(owner.epoch())) {
+                violate("acknowledged owner of slot " + slot + " vanished from " + after.name());
+              }
+            });
+  }
+
+  private void violate(String what) {
+    violations.add("at " + world.nowNanos() / 1_000_000 + " ms: " + what);
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipWorld.java
@@ -0,0 +1,326 @@
+package org.catkinlift.bench.ownership;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.catkinlift.control.ControlAction;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.PlatformRequest;
+import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.timer.VirtualTimerService;
+
+/** Runs daemons, upstreams and the platform of one keyed service on virtual time. */
+public final class OwnershipWorld {
+  private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration UPSTREAM_TIMEOUT = Duration.ofMillis(300);
+  private static final Duration GOSSIP_INTERVAL = Duration.ofMillis(500);
+
+  private final VirtualTimerService timers = new VirtualTimerService();
+  private final FakeNetwork network = new FakeNetwork(timers);
+  private final OwnershipChecks checks = new OwnershipChecks(this);
+  private final FakePlatform platform = new FakePlatform(checks);
+  private final Map<HostId, FakeHost> hosts = new TreeMap<>();
+  private final Map<UpstreamId, FakeUpstream> upstreams = new TreeMap<>();
+  private final ServiceDefinition service;
+  private Configuration configuration;
+
+  /**
+   * Starts all hosts and upstreams.
+   *
+   * @param service the keyed service
+   * @param hostDefinitions the hosts
+   */
+  public OwnershipWorld(ServiceDefinition service, ImmutableList<HostDefinition> hostDefinitions) {
+    this.service = service;
+    this.configuration =
+        Configuration.builder()
+            .version(1)
+            .services(ImmutableMap.of(service.name(), service))
+            .build();
+    service.upstreams().forEach(u -> upstreams.put(u.id(), new FakeUpstream(u, timers, checks)));
+    hostDefinitions.forEach(h -> hosts.put(h.id(), new FakeHost(this, h)));
+    hosts.values().forEach(h -> timers.every(ControlPart.TICK_INTERVAL, h::tick));
+    hosts.values().forEach(h -> timers.every(GOSSIP_INTERVAL, h::gossip));
+    timers.every(GOSSIP_INTERVAL, this::configure);
+    configure();
+  }
+
+  /** Brings the accepted configuration to the hosts that reach the platform. */
+  private void configure() {
+    hosts.values().stream()
+        .filter(h -> network.connects(h.id().value(), FakePlatform.NODE))
+        .forEach(h -> h.store().offer(configuration));
+  }
+
+  /**
+   * Accepts a configuration as a confirmed plan would.
+   *
+   * @param next the configuration; its version is set here
+   */
+  public void accept(Configuration next) {
+    configuration = next.toBuilder().version(configuration.version() + 1).build();
+    configure();
+  }
+
+  /**
+   * Moves time forward.
+   *
+   * @param duration how far
+   */
+  public void advance(Duration duration) {
+    timers.advance(duration);
+  }
+
+  void send(HostId from, HostId to, PeerMessage message) {
+    network.send(
+        from.value(),
+        to.value(),
+        () -> hosts.get(to).handle(new ControlEvent.PeerMessageReceived(from, message)));
+  }
+
+  void call(FakeHost host, ControlAction.CallPlatform call) {
+    var answer = new Answer();
+    timers.after(
+        PLATFORM_TIMEOUT,
+        () -> answer.give(() -> replied(host, call, new PlatformRequest.Reply.NoAnswer())));
+    network.send(
+        host.id().value(),
+        FakePlatform.NODE,
+        () ->
+            platform
+                .handle(call.request())
+                .ifPresent(
+                    reply ->
+                        network.send(
+                            FakePlatform.NODE,
+                            host.id().value(),
+                            () -> answer.give(() -> replied(host, call, reply)))));
+  }
+
+  private static void replied(
+      FakeHost host, ControlAction.CallPlatform call, PlatformRequest.Reply reply) {
+    host.handle(new ControlEvent.PlatformReplied(call.call(), reply));
+  }
+
+  void call(FakeHost host, ControlAction.CallUpstream call) {
+    var answer = new Answer();
+    timers.after(
+        UPSTREAM_TIMEOUT,
+        () -> answer.give(() -> replied(host, call, new UpstreamRequest.Reply.NoAnswer())));
+    deliver(host, call, answer);
+  }
+
+  /** A frozen upstream takes the request once it resumes. */
+  private void deliver(FakeHost host, ControlAction.CallUpstream call, Answer answer) {
+    FakeUpstream upstream = upstreams.get(call.upstream());
+    String node = call.upstream().value();
+    network.send(
+        host.id().value(),
+        node,
+        () -> {
+          if (!upstream.answers()) {
+            timers.after(GOSSIP_INTERVAL, () -> deliver(host, call, answer));
+            return;
+          }
+          UpstreamRequest.Reply reply = upstream.handle(call.request());
+          network.send(
+              node, host.id().value(), () -> answer.give(() -> replied(host, call, reply)));
+        });
+  }
+
+  private static void replied(
+      FakeHost host, ControlAction.CallUpstream call, UpstreamRequest.Reply reply) {
+    host.handle(new ControlEvent.UpstreamReplied(call.call(), call.upstream(), reply));
+  }
+
+  /** Gives only the first of an answer and its timeout. */
+  private static final class Answer {
+    private boolean given;
+
+    private void give(Runnable delivery) {
+      if (!given) {
+        given = true;
+        delivery.run();
+      }
+    }
+  }
+
+  /**
+   * Tells whether a request for a slot would be executed now.
+   *
+   * @param slot the slot index
+   * @return true if a daemon that may dispatch to the owner would be accepted by it
+   */
+  public boolean serves(int slot) {
+    return hosts.values().stream()
+        .filter(FakeHost::runs)
+        .anyMatch(h -> h.leases().stream().anyMatch(l -> serves(h, l.upstream(), slot)));
+  }
+
+  private boolean serves(FakeHost host, UpstreamId upstream, int slot) {
+    SlotOwner owner = slotOwner(host, slot);
+    FakeUpstream target = upstreams.get(upstream);
+    return owner.owner().filter(upstream::equals).isPresent()
+        && network.connects(host.id().value(), upstream.value())
+        && (checksGrants() ? target.accepts(slot, owner.epoch(), host.id()) : target.answers());
+  }
+
+  Optional<UpstreamId> owner(FakeHost host, int slot) {
+    return slotOwner(host, slot).owner();
+  }
+
+  private SlotOwner slotOwner(FakeHost host, int slot) {
+    return host.store()
+        .assignment(service.name(), host.self().cell())
+        .map(a -> a.slots().getOrDefault(slot, SlotOwner.NONE))
+        .orElse(SlotOwner.NONE);
+  }
+
+  /**
+   * Returns the owner of each slot as the upstreams see it.
+   *
+   * @return the owner by slot index, for slots that have one
+   */
+  public ImmutableMap<Integer, UpstreamId> owners() {
+    var owners = ImmutableMap.<Integer, UpstreamId>builder();
+    for (FakeUpstream upstream : upstreams.values()) {
+      upstream.slots().keySet().stream()
+          .filter(upstream::owns)
+          .forEach(s -> owners.put(s, upstream.definition().id()));
+    }
+    return owners.buildKeepingLast();
+  }
+
+  boolean checksGrants() {
+    return ((ServiceKind.Keyed) service.kind()).grantChecking()
+        instanceof org.catkinlift.model.GrantChecking.Checked;
+  }
+
+  /**
+   * Returns the number of slots of the service.
+   *
+   * @return the number
+   */
+  public int slotCount() {
+    return ((ServiceKind.Keyed) service.kind()).slotCount();
+  }
+
+  long nowNanos() {
+    return timers.nowNanos();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration
+   */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the checks.
+   *
+   * @return the checks
+   */
+  public OwnershipChecks checks() {
+    return checks;
+  }
+
+  /**
+   * Returns the platform.
+   *
+   * @return the platform
+   */
+  public FakePlatform platform() {
+    return platform;
+  }
+
+  /**
+   * Returns the network.
+   *
+   * @return the network
+   */
+  public FakeNetwork network() {
+    return network;
+  }
+
+  /**
+   * Returns all hosts.
+   *
+   * @return the hosts, ordered by id
+   */
+  public ImmutableList<FakeHost> hosts() {
+    return ImmutableList.copyOf(hosts.values());
+  }
+
+  /**
+   * Returns all upstreams.
+   *
+   * @return the upstreams, ordered by id
+   */
+  public ImmutableList<FakeUpstream> upstreams() {
+    return ImmutableList.copyOf(upstreams.values());
+  }
+
+  /**
+   * Returns the host that has authority over a zone's cell.
+   *
+   * @param zone the availability zone
+   * @return the host, if there is one now
+   */
+  public Optional<FakeHost> coordinator(String zone) {
+    return hosts.values().stream()
+        .filter(h -> h.self().zone().value().equals(zone) && h.hasAuthority())
+        .findFirst();
+  }
+
+  /**
+   * Names the hosts and upstreams of an availability zone as nodes of the network.
+   *
+   * @param zone the availability zone
+   * @return the names
+   */
+  public ImmutableSet<String> nodes(String zone) {
+    var names = ImmutableSet.<String>builder();
+    hosts.values().stream()
+        .filter(h -> h.self().zone().value().equals(zone))
+        .forEach(h -> names.add(h.id().value()));
+    upstreams.values().stream()
+        .filter(u -> u.definition().zone().value().equals(zone))
+        .forEach(u -> names.add(u.definition().id().value()));
+    return names.build();
+  }
+
+  ImmutableSet<HostDefinition> hostDefinitions() {
+    return hosts.values().stream().map(FakeHost::self).collect(toImmutableSet());
+  }
+
+  /**
+   * Returns the upstreams of an availability zone.
+   *
+   * @param zone the availability zone
+   * @return the upstreams
+   */
+  public ImmutableList<FakeUpstream> upstreams(String zone) {
+    return upstreams.values().stream()
+        .filter(u -> u.definition().zone().value().equals(zone))
+        .collect(toImmutableList());
+  }
+}
