Make the upstream stand-in tell the truth about cancellations

A daemon frees the execution slot of a cancelled request when the upstream confirms the cancellation, so a confirmation must not cover an order that still runs or a request that has not arrived.

The answer is now 200 if nothing runs under the id, 409 if an order runs, and 404 if no such request has arrived. Answers also name the instance.

--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/HeaderNames.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/HeaderNames.java
@@ -24,6 +24,9 @@
   /** The host that sends the request to the upstream. */
   public static final String DISPATCHER = "Catkinlift-Dispatcher";
 
+  /** The run of the upstream's process that answered. */
+  public static final String INSTANCE = "Catkinlift-Instance";
+
   /** Whether a request that failed did not run, or may have. */
   public static final String OUTCOME = "Catkinlift-Outcome";
 
--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/ControlHandler.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/ControlHandler.java
@@ -88,8 +88,9 @@
       end(request, NOT_FOUND, "");
       return;
     }
-    runner.cancel(URLDecoder.decode(request.path().substring(REQUESTS.length()), UTF_8));
-    end(request, OK, "");
+    String requestId = URLDecoder.decode(request.path().substring(REQUESTS.length()), UTF_8);
+    Cancellation cancellation = runner.cancel(requestId);
+    end(request, cancellation.status(), "");
   }
 
   private static void end(HttpServerRequest request, Reply reply) {
--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/UpstreamCore.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/UpstreamCore.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.Set;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.model.GrantChecking;
@@ -15,6 +17,7 @@
   private final String instancePrefix;
   private final RecordKeeper keeper;
   private final LoadHistory loads = new LoadHistory();
+  private final Set<String> arrivedIds = new HashSet<>();
   private int starts = 1;
   private long numbers;
   private GrantTable grants = GrantTable.EMPTY;
@@ -49,6 +52,7 @@
   }
 
   ImmutableList<WorkAction> arrive(Work request, long nowNanos) {
+    arrivedIds.add(request.requestId());
     return apply(work.arrive(request, covers(request, nowNanos), nowNanos), nowNanos);
   }
 
@@ -65,6 +69,14 @@
     return apply(work.cancel(requestId, w -> covers(w, nowNanos), nowNanos), nowNanos);
   }
 
+  /** Tells what is left of the requests with an id. */
+  Cancellation cancellation(String requestId) {
+    if (work.running().values().stream().anyMatch(w -> w.requestId().equals(requestId))) {
+      return Cancellation.RUNNING;
+    }
+    return arrivedIds.contains(requestId) ? Cancellation.ENDED : Cancellation.UNKNOWN;
+  }
+
   void abandon(long number) {
     work = work.abandon(number);
   }
--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/WorkRunner.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/WorkRunner.java
@@ -57,8 +57,9 @@
     run(core.arrive(work, System.nanoTime()));
   }
 
-  void cancel(String requestId) {
+  Cancellation cancel(String requestId) {
     run(core.cancel(requestId, System.nanoTime()));
+    return core.cancellation(requestId);
   }
 
   /** Forgets all requests, because the process ended. */
@@ -108,6 +109,7 @@
         request
             .response()
             .putHeader(HeaderNames.REQUEST_ID, work.requestId())
+            .putHeader(HeaderNames.INSTANCE, core.instance())
             .putHeader("Content-Type", "application/octet-stream")
             .putHeader("Content-Length", Long.toString(download.bytes()));
     new FileSender(response, gate, download, () -> finish(work)).start();
@@ -150,7 +152,9 @@
     }
     HttpServerResponse response = request.response();
     if (!response.headWritten()) {
-      response.putHeader(HeaderNames.REQUEST_ID, work.requestId());
+      response
+          .putHeader(HeaderNames.REQUEST_ID, work.requestId())
+          .putHeader(HeaderNames.INSTANCE, core.instance());
     }
     write.accept(response);
   }
