--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/load/AnswerCheck.java
@@ -0,0 +1,99 @@
+package org.catkinlift.standin.load;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Optional;
+import org.catkinlift.standin.HeaderNames;
+import org.catkinlift.standin.upstream.FileContent;
+import org.catkinlift.standin.upstream.Task;
+
+/** Checks one answer, part by part, against its request. */
+final class AnswerCheck {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+
+  private final PlannedRequest request;
+  private final int status;
+  private final Optional<String> id;
+  private final Optional<String> outcome;
+  private final StringBuilder text = new StringBuilder();
+  private long received;
+  private boolean bytesDiffer;
+
+  /**
+   * Starts the check of an answer.
+   *
+   * @param request the request
+   * @param status the status of the answer
+   * @param id the request id in the answer
+   * @param outcome the outcome in the answer
+   */
+  AnswerCheck(PlannedRequest request, int status, Optional<String> id, Optional<String> outcome) {
+    this.request = request;
+    this.status = status;
+    this.id = id;
+    this.outcome = outcome;
+  }
+
+  /** Takes the next part of the body. */
+  void part(byte[] bytes) {
+    if (status == OK && request.task() instanceof Task.Download d) {
+      compare(bytes, FileContent.seedOf(d.name()));
+    } else {
+      text.append(new String(bytes, UTF_8));
+    }
+    received += bytes.length;
+  }
+
+  /** Judges the answer once it has ended regularly. */
+  Verdict end() {
+    if (!id.equals(Optional.of(request.id()))) {
+      return new Verdict.Wrong("request id " + id.orElse("missing"));
+    }
+    if (status != OK) {
+      return refusal();
+    }
+    return switch (request.task()) {
+      case Task.Download t -> file(t);
+      case Task.Lookup t -> body(t.key());
+      case Task.Order t -> body(t.key());
+    };
+  }
+
+  private Verdict refusal() {
+    return switch (outcome.orElse("")) {
+      case HeaderNames.NOT_RUN -> new Verdict.RefusedNotRun();
+      case HeaderNames.UNKNOWN -> new Verdict.Unknown();
+      default -> new Verdict.Wrong("status " + status + " without an outcome");
+    };
+  }
+
+  private Verdict file(Task.Download download) {
+    if (bytesDiffer || received != download.bytes()) {
+      return new Verdict.Wrong(received + " bytes, " + (bytesDiffer ? "altered" : "unaltered"));
+    }
+    return new Verdict.Answered();
+  }
+
+  private Verdict body(String key) {
+    try {
+      JsonNode node = MAPPER.readTree(text.toString());
+      boolean matches =
+          node.path("key").asText().equals(key)
+              && node.path("requestId").asText().equals(request.id());
+      return matches ? new Verdict.Answered() : new Verdict.Wrong("body " + text);
+    } catch (JsonProcessingException e) {
+      return new Verdict.Wrong("body is not JSON: " + e.getOriginalMessage());
+    }
+  }
+
+  private void compare(byte[] bytes, int seed) {
+    for (int i = 0; i < bytes.length && !bytesDiffer; i++) {
+      bytesDiffer = bytes[i] != FileContent.byteAt(seed, received + i);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/load/Targets.java
@@ -0,0 +1,88 @@
+package org.catkinlift.standin.load;
+
+import com.google.common.collect.ImmutableList;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.routing.KeyHasher;
+import org.catkinlift.standin.upstream.Task;
+
+/** States where requests go. */
+public sealed interface Targets {
+
+  /** Spreads keys over upstreams when no router does it; the slot count of a keyed service. */
+  int DIRECT_SLOTS = 1_024;
+
+  /**
+   * Requests go to daemons in turn.
+   *
+   * @param daemons the caller addresses
+   * @param keyed the service of lookups and orders
+   * @param shared the service of downloads
+   */
+  record Router(ImmutableList<NetworkAddress> daemons, ServiceName keyed, ServiceName shared)
+      implements Targets {}
+
+  /**
+   * Requests go straight to upstreams: those with a key by its hash, downloads in turn.
+   *
+   * @param keyed the direct addresses of the upstreams for lookups and orders
+   * @param shared the direct addresses of the upstreams for downloads
+   */
+  record Direct(ImmutableList<NetworkAddress> keyed, ImmutableList<NetworkAddress> shared)
+      implements Targets {}
+
+  /**
+   * Where one request goes.
+   *
+   * @param address the server
+   * @param uri the path and query
+   */
+  record Destination(NetworkAddress address, String uri) {}
+
+  /**
+   * Returns where a request goes.
+   *
+   * @param request the request
+   * @return the destination
+   */
+  default Destination destinationOf(PlannedRequest request) {
+    return switch (this) {
+      case Router r ->
+          new Destination(
+              inTurn(r.daemons(), request),
+              "/v1/"
+                  + (request.task() instanceof Task.Download ? r.shared() : r.keyed())
+                  + "/"
+                  + encoded(request.task().key())
+                  + upstreamUri(request.task()));
+      case Direct d -> new Destination(directAddress(d, request), upstreamUri(request.task()));
+    };
+  }
+
+  private static NetworkAddress directAddress(Direct direct, PlannedRequest request) {
+    if (request.task() instanceof Task.Download) {
+      return inTurn(direct.shared(), request);
+    }
+    int slot = KeyHasher.slotOf(request.task().key(), DIRECT_SLOTS);
+    return direct.keyed().get(slot % direct.keyed().size());
+  }
+
+  private static NetworkAddress inTurn(
+      ImmutableList<NetworkAddress> addresses, PlannedRequest request) {
+    return addresses.get((int) (request.number() % addresses.size()));
+  }
+
+  private static String upstreamUri(Task task) {
+    return switch (task) {
+      case Task.Lookup t -> "/lookup/" + encoded(t.key());
+      case Task.Order t -> "/orders/" + encoded(t.key());
+      case Task.Download t -> "/files/" + encoded(t.name()) + "?bytes=" + t.bytes();
+    };
+  }
+
+  private static String encoded(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+}
