--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/SettingsCheck.java
@@ -0,0 +1,29 @@
+package org.catkinlift.daemon;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.daemon.settings.SettingsException;
+import org.catkinlift.daemon.settings.SettingsReader;
+
+/** Reads a settings file and prints what is wrong with it. */
+final class SettingsCheck {
+  private SettingsCheck() {}
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file the file
+   * @param err gets one line for each error
+   * @return the settings; empty if there was an error
+   */
+  static Optional<DaemonSettings> read(Path file, PrintStream err) {
+    try {
+      return Optional.of(SettingsReader.read(file));
+    } catch (SettingsException e) {
+      e.errors().forEach(err::println);
+      return Optional.empty();
+    }
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
@@ -111,8 +111,7 @@
       case RouteDecision.Relay relay ->
           openRelay(state, relay.host(), relay.upstream(), relay.slot(), relay.epoch());
       case RouteDecision.Wait wait -> withoutAttempt(() -> waitForOwner(wait.limit()));
-      case RouteDecision.Refuse refuse ->
-          withoutAttempt(() -> giveUp(combined(refuse.outcome())));
+      case RouteDecision.Refuse refuse -> withoutAttempt(() -> giveUp(combined(refuse.outcome())));
     }
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/logging/LoggingSetup.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/logging/LoggingSetup.java
@@ -3,7 +3,6 @@
 import java.io.OutputStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.StreamHandler;
@@ -31,7 +30,9 @@
    * @param stream where the lines go; standard error in the daemon
    */
   public static void install(LoggingSettings settings, OutputStream stream) {
-    LogManager.getLogManager().reset();
+    for (Handler handler : ROOT.getHandlers()) {
+      ROOT.removeHandler(handler);
+    }
     ROOT.setLevel(Level.WARNING);
     OWN.setLevel(EventLogger.levelOf(settings.level()));
     ROOT.addHandler(flushing(stream));
