--- a/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
@@ -70,7 +70,7 @@
 
   private double expectedNanos(double usualLatencyNanos, long nowNanos) {
     double known = latencyNanos == 0 ? usualLatencyNanos : latencyNanos;
-    double silence = nowNanos - lastProgressNanos;
+    double silence = (double) (nowNanos - lastProgressNanos);
     if (inFlight > 0) {
       return Math.max(known, silence);
     }
