Add the demo command

Users want to see the router serve before they install anything, and the project needs one figure that compares requests through the daemons with requests straight to the upstreams.

--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
@@ -0,0 +1,145 @@
+package org.catkinlift.cli.demo;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.catkinlift.daemon.Daemon;
+import org.catkinlift.daemon.logging.LoggingSetup;
+import org.catkinlift.daemon.settings.LoggingSettings;
+import org.catkinlift.events.EventCode.Severity;
+
+/** The command {@code catkinlift demo}: runs a whole site on this machine. */
+@Parameters(
+    commandNames = "demo",
+    commandDescription = "Run a whole site on this machine, with stand-ins")
+public final class DemoCommand {
+
+  private static final String EXAMPLE = "/v1/order-desk/diary-2027/lookup/diary-2027";
+  private static final int OK = 0;
+  private static final int FAILED = 1;
+  private static final int READINESS_ROUNDS = 40;
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(40);
+
+  /** Time for the site to start, for the load to end and for the site to stop. */
+  private static final Duration MARGIN = Duration.ofMinutes(2);
+
+  @Parameter(
+      names = "--seconds",
+      description = "Send a mix of requests for so many seconds, print the figures and end")
+  private int seconds;
+
+  @Parameter(names = "--format", description = "How figures are printed: json or text")
+  private DemoFormat format = DemoFormat.TEXT;
+
+  @Parameter(names = "--seed", description = "Determines the mix of requests")
+  private long seed = 1;
+
+  @Parameter(names = "--help", help = true, description = "Show this help")
+  private boolean help;
+
+  /** Creates the command with default values, for JCommander to fill. */
+  public DemoCommand() {}
+
+  /**
+   * Tells whether the user asked for help instead.
+   *
+   * @return true if so
+   */
+  public boolean wantsHelp() {
+    return help;
+  }
+
+  /**
+   * Runs the demo.
+   *
+   * @param out gets the figures or the addresses
+   * @param err gets errors and log lines
+   * @return the exit code: 1 if the site did not start, an answer was wrong or a promise was broken
+   */
+  public int run(PrintStream out, PrintStream err) {
+    LoggingSetup.install(new LoggingSettings(Severity.WARNING, 0), err);
+    Vertx vertx = Vertx.vertx();
+    try {
+      DemoSite site = await(startReady(vertx), MARGIN);
+      return seconds > 0 ? measure(vertx, site, out) : serve(site, out);
+    } catch (ExecutionException | TimeoutException e) {
+      err.println("error: " + e.getCause());
+      return FAILED;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return FAILED;
+    } finally {
+      var unused = vertx.close();
+    }
+  }
+
+  private static Future<DemoSite> startReady(Vertx vertx) {
+    return DemoSite.start(vertx)
+        .compose(
+            site ->
+                ReadinessProbe.await(vertx, site.throughDaemons(), READINESS_ROUNDS)
+                    .map(v -> site));
+  }
+
+  private int measure(Vertx vertx, DemoSite site, PrintStream out)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    var run = new DemoRun(vertx, site, seed, Duration.ofSeconds(seconds));
+    DemoResult result = await(run.measure(), MARGIN.plusSeconds(2L * seconds));
+    format.print(result, out);
+    await(site.stop(), STOP_LIMIT);
+    return result.isClean() ? OK : FAILED;
+  }
+
+  private static int serve(DemoSite site, PrintStream out) throws InterruptedException {
+    var stopped = new CountDownLatch(1);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(site, stopped), "demo-stop"));
+    printAddresses(site, out);
+    stopped.await();
+    return OK;
+  }
+
+  private static void stop(DemoSite site, CountDownLatch stopped) {
+    try {
+      await(site.stop(), STOP_LIMIT);
+    } catch (ExecutionException | TimeoutException e) {
+      System.err.println("error: the site did not stop in order: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      stopped.countDown();
+    }
+  }
+
+  private static void printAddresses(DemoSite site, PrintStream out) {
+    for (Daemon daemon : site.daemons()) {
+      out.println(
+          "daemon: callers http://"
+              + daemon.callerAddress()
+              + " operators http://"
+              + daemon.operatorAddress());
+    }
+    out.println("operator token: " + DemoLayout.OPERATOR_TOKEN);
+    out.println("platform stand-in: http://" + site.platform().address());
+    site.orderDesk()
+        .forEach(u -> out.println("upstream " + u.settings().id() + ": http://" + u.address()));
+    site.proofFiles()
+        .forEach(u -> out.println("upstream " + u.settings().id() + ": http://" + u.address()));
+    out.println("try: curl -i http://" + site.callerAddresses().get(0) + EXAMPLE);
+    out.println("stop with Ctrl-C");
+  }
+
+  private static <T> T await(Future<T> future, Duration limit)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    return future
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(limit.toSeconds(), TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoSite.java
@@ -0,0 +1,131 @@
+package org.catkinlift.cli.demo;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.function.Function;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.daemon.Daemon;
+import org.catkinlift.daemon.platform.RowCodec;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.standin.load.Targets;
+import org.catkinlift.standin.platform.HostList;
+import org.catkinlift.standin.platform.PlatformStandin;
+import org.catkinlift.standin.upstream.UpstreamRecord;
+import org.catkinlift.standin.upstream.UpstreamStandin;
+
+/**
+ * A running site.
+ *
+ * @param platform the platform stand-in
+ * @param orderDesk the upstreams of the keyed service
+ * @param proofFiles the upstreams of the service that is not divided by key
+ * @param daemons the daemons
+ */
+record DemoSite(
+    PlatformStandin platform,
+    ImmutableList<UpstreamStandin> orderDesk,
+    ImmutableList<UpstreamStandin> proofFiles,
+    ImmutableList<Daemon> daemons) {
+
+  /**
+   * Starts a site: platform, upstreams, the first configuration, daemons.
+   *
+   * @param vertx runs everything
+   * @return the site once all daemons listen; they may not serve yet
+   */
+  static Future<DemoSite> start(Vertx vertx) {
+    return PlatformStandin.start(vertx, DemoLayout.IP, 0)
+        .compose(
+            platform ->
+                startUpstreams(vertx, DemoLayout.orderDeskUpstreams())
+                    .compose(
+                        desk ->
+                            startUpstreams(vertx, DemoLayout.proofFilesUpstreams())
+                                .compose(files -> startDaemons(vertx, platform, desk, files))));
+  }
+
+  /** Returns where callers are served. */
+  ImmutableList<NetworkAddress> callerAddresses() {
+    return daemons.stream().map(Daemon::callerAddress).collect(toImmutableList());
+  }
+
+  /** Returns the way of requests through the daemons. */
+  Targets throughDaemons() {
+    return new Targets.Router(callerAddresses(), DemoLayout.ORDER_DESK, DemoLayout.PROOF_FILES);
+  }
+
+  /** Returns the way of requests straight to the upstreams. */
+  Targets straightToUpstreams() {
+    return new Targets.Direct(directAddresses(orderDesk), directAddresses(proofFiles));
+  }
+
+  /** Returns the records of all upstreams. */
+  Future<ImmutableList<UpstreamRecord>> records() {
+    return allOf(upstreams(), UpstreamStandin::record);
+  }
+
+  /** Stops the daemons first, then what they depend on. */
+  Future<Void> stop() {
+    return Future.join(daemons.stream().map(Daemon::stop).toList())
+        .eventually(() -> Future.join(upstreams().stream().map(UpstreamStandin::stop).toList()))
+        .eventually(platform::stop)
+        .mapEmpty();
+  }
+
+  private ImmutableList<UpstreamStandin> upstreams() {
+    return ImmutableList.<UpstreamStandin>builder().addAll(orderDesk).addAll(proofFiles).build();
+  }
+
+  private static Future<ImmutableList<UpstreamStandin>> startUpstreams(
+      Vertx vertx, ImmutableList<DemoLayout.Placed> upstreams) {
+    return allOf(upstreams, u -> UpstreamStandin.start(vertx, u.settings(), DemoLayout.IP, 0));
+  }
+
+  private static Future<DemoSite> startDaemons(
+      Vertx vertx,
+      PlatformStandin platform,
+      ImmutableList<UpstreamStandin> desk,
+      ImmutableList<UpstreamStandin> files) {
+    Configuration configuration =
+        DemoLayout.configuration(
+            definitions(DemoLayout.orderDeskUpstreams(), desk),
+            definitions(DemoLayout.proofFilesUpstreams(), files));
+    platform.putRow(
+        Configuration.NAME,
+        RowCodec.encode(new RowValue.ConfigurationRow(configuration)).toString());
+    ImmutableList<DaemonSettings> settings = DemoLayout.daemons(platform.address());
+    platform.setHosts(
+        new HostList(
+            settings.stream().map(DaemonSettings::self).collect(toImmutableList()),
+            ImmutableList.of()));
+    return allOf(settings, s -> Daemon.start(vertx, s))
+        .map(daemons -> new DemoSite(platform, desk, files, daemons));
+  }
+
+  private static ImmutableList<UpstreamDefinition> definitions(
+      ImmutableList<DemoLayout.Placed> placed, ImmutableList<UpstreamStandin> running) {
+    var definitions = ImmutableList.<UpstreamDefinition>builder();
+    for (int i = 0; i < placed.size(); i++) {
+      definitions.add(DemoLayout.definition(placed.get(i), running.get(i).address()));
+    }
+    return definitions.build();
+  }
+
+  private static ImmutableList<NetworkAddress> directAddresses(
+      ImmutableList<UpstreamStandin> upstreams) {
+    return upstreams.stream().map(UpstreamStandin::directAddress).collect(toImmutableList());
+  }
+
+  private static <S, T> Future<ImmutableList<T>> allOf(
+      ImmutableList<S> sources, Function<S, Future<T>> start) {
+    ImmutableList<Future<T>> futures = sources.stream().map(start).collect(toImmutableList());
+    return Future.join(futures)
+        .map(all -> futures.stream().map(Future::result).collect(toImmutableList()));
+  }
+}
