Add the operators' command line

Cause: operators state intents, read plans and confirm them from a shell or a script. A service file is checked before anything is sent.

--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/DaemonCommands.java
@@ -0,0 +1,235 @@
+package org.catkinlift.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ModelException;
+import org.catkinlift.model.PlanId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.plans.Intent;
+import org.catkinlift.plans.OperatorRequest;
+
+/** Declares the commands that ask a daemon. JCommander fills the fields of the nested classes. */
+final class DaemonCommands {
+  private DaemonCommands() {}
+
+  /** A command, which yields a task from its arguments. */
+  interface Command {
+
+    /**
+     * Returns what the arguments ask for.
+     *
+     * @return the task
+     * @throws ParameterException naming the argument that cannot be used
+     */
+    CliTask task();
+  }
+
+  /**
+   * Returns the commands of the first level, except {@code plan}.
+   *
+   * @return new command objects by name, in the order of the help text
+   */
+  static ImmutableMap<String, Command> commands() {
+    return ImmutableMap.of(
+        "status", new Status(),
+        "plans", new Plans(),
+        "show", new Show(),
+        "confirm", new Confirm(),
+        "explain", new Explain());
+  }
+
+  /**
+   * Returns the commands below {@code plan}.
+   *
+   * @return new command objects by name, in the order of the help text
+   */
+  static ImmutableMap<String, Command> planCommands() {
+    return ImmutableMap.of(
+        "put-service", new PutService(),
+        "remove-service", new RemoveService(),
+        "drain-zone", new DrainZone(),
+        "return-zone", new ReturnZone(),
+        "declare-zone-lost", new DeclareZoneLost(),
+        "retire-upstream", new RetireUpstream(),
+        "retire-host", new RetireHost());
+  }
+
+  /** Groups the commands below {@code plan}. */
+  @Parameters(commandDescription = "make a plan from an intent; nothing changes")
+  static final class PlanGroup {
+    PlanGroup() {}
+
+    /**
+     * Adds the commands of the group.
+     *
+     * @param group the parser of the group
+     * @param commands the commands by name
+     */
+    static void addTo(JCommander group, ImmutableMap<String, Command> commands) {
+      commands.forEach(group::addCommand);
+    }
+  }
+
+  @Parameters(commandDescription = "show the state of a daemon and its cell")
+  private static final class Status implements Command {
+    @Override
+    public CliTask task() {
+      return new CliTask.Ask(new OperatorRequest.ShowStatus());
+    }
+  }
+
+  @Parameters(commandDescription = "list all plans")
+  private static final class Plans implements Command {
+    @Override
+    public CliTask task() {
+      return new CliTask.Ask(new OperatorRequest.ListPlans());
+    }
+  }
+
+  @Parameters(commandDescription = "show one plan")
+  private static final class Show implements Command {
+    @Parameter(description = "PLAN", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return new CliTask.Ask(new OperatorRequest.ShowPlan(name(names, PlanId::of)));
+    }
+  }
+
+  @Parameters(commandDescription = "put a plan into force; repeating it does nothing twice")
+  private static final class Confirm implements Command {
+    @Parameter(description = "PLAN", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Parameter(names = "--wait", description = "wait until the configuration is in force")
+    private boolean wait;
+
+    @Override
+    public CliTask task() {
+      var request = new OperatorRequest.ConfirmPlan(name(names, PlanId::of));
+      return wait ? new CliTask.ConfirmAndWait(request) : new CliTask.Ask(request);
+    }
+  }
+
+  @Parameters(commandDescription = "show who owns a key and why")
+  private static final class Explain implements Command {
+    private static final int ARGUMENTS = 2;
+
+    @Parameter(description = "SERVICE KEY", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      if (words.size() != ARGUMENTS) {
+        throw new ParameterException("explain needs SERVICE and KEY");
+      }
+      ServiceName service = name(words.subList(0, 1), ServiceName::of);
+      return new CliTask.Ask(new OperatorRequest.ExplainKey(service, words.get(1)));
+    }
+  }
+
+  @Parameters(commandDescription = "create a service or replace its definition")
+  private static final class PutService implements Command {
+    @Parameter(names = "--file", required = true, description = "service definition (JSON)")
+    private String file = "";
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.PutService(ServiceFile.read(java.nio.file.Path.of(file))));
+    }
+  }
+
+  @Parameters(commandDescription = "remove a service")
+  private static final class RemoveService implements Command {
+    @Parameter(description = "NAME", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.RemoveService(name(names, ServiceName::of)));
+    }
+  }
+
+  @Parameters(commandDescription = "take an availability zone out of service")
+  private static final class DrainZone implements Command {
+    @Parameter(description = "ZONE", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.DrainZone(name(names, ZoneName::of)));
+    }
+  }
+
+  @Parameters(commandDescription = "bring an availability zone back")
+  private static final class ReturnZone implements Command {
+    @Parameter(description = "ZONE", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.ReturnZone(name(names, ZoneName::of)));
+    }
+  }
+
+  @Parameters(commandDescription = "state that an availability zone has stopped")
+  private static final class DeclareZoneLost implements Command {
+    @Parameter(description = "ZONE", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Parameter(names = "--hosts-are-off", description = "state that its hosts are switched off")
+    private boolean hostsAreOff;
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.DeclareZoneLost(name(names, ZoneName::of), hostsAreOff));
+    }
+  }
+
+  @Parameters(commandDescription = "take an upstream out of service for good")
+  private static final class RetireUpstream implements Command {
+    @Parameter(description = "ID", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.RetireUpstream(name(names, UpstreamId::of)));
+    }
+  }
+
+  @Parameters(commandDescription = "take a host out of service for good")
+  private static final class RetireHost implements Command {
+    @Parameter(description = "ID", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Override
+    public CliTask task() {
+      return plan(new Intent.RetireHost(name(names, HostId::of)));
+    }
+  }
+
+  private static CliTask plan(Intent intent) {
+    return new CliTask.Ask(new OperatorRequest.MakePlan(intent));
+  }
+
+  private static <T> T name(List<String> names, Function<String, T> factory) {
+    if (names.size() != 1) {
+      throw new ParameterException("exactly one name is needed, got " + names);
+    }
+    try {
+      return factory.apply(names.get(0));
+    } catch (ModelException e) {
+      throw new ParameterException(e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/LocalCommand.java
@@ -0,0 +1,27 @@
+package org.catkinlift.cli;
+
+import java.io.PrintStream;
+
+/**
+ * A command that asks no daemon.
+ *
+ * @param name its name on the command line
+ * @param arguments the object whose JCommander annotations declare its arguments
+ * @param action does the work
+ */
+public record LocalCommand(String name, Object arguments, Action action) {
+
+  /** The work of a command. */
+  @FunctionalInterface
+  public interface Action {
+
+    /**
+     * Does the work.
+     *
+     * @param out gets what was asked for
+     * @param err gets errors and progress
+     * @return 0 done, 1 failed, 2 bad usage
+     */
+    int run(PrintStream out, PrintStream err);
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/OperatorClient.java
@@ -0,0 +1,115 @@
+package org.catkinlift.cli;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Streams;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonValues;
+import org.catkinlift.daemon.json.StrictJson;
+import org.catkinlift.daemon.operator.OperatorCall;
+import org.catkinlift.daemon.operator.OperatorCalls;
+import org.catkinlift.daemon.operator.OperatorCodec;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorRequest;
+
+/** Asks the operator API of one daemon. */
+final class OperatorClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
+  /** Longer than the daemon's own limit for a reply (10 s). */
+  private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(15);
+
+  private static final int MALFORMED = 400;
+  private static final int UNAUTHORIZED = 401;
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+  private final NetworkAddress operator;
+  private final String token;
+
+  /**
+   * Creates a client.
+   *
+   * @param operator the operator address of the daemon
+   * @param token the operator token
+   */
+  OperatorClient(NetworkAddress operator, String token) {
+    this.operator = operator;
+    this.token = token;
+  }
+
+  /**
+   * Sends a request and waits for the reply.
+   *
+   * @param request the request
+   * @return the reply, which may be a failure
+   * @throws CliException if there is no reply
+   */
+  OperatorReply ask(OperatorRequest request) {
+    OperatorCall call = OperatorCalls.encode(request);
+    HttpResponse<String> response = send(call);
+    return switch (response.statusCode()) {
+      case UNAUTHORIZED ->
+          throw new CliException(
+              CliException.Code.UNAUTHORIZED, operator + " does not accept the token");
+      case MALFORMED ->
+          throw new CliException(CliException.Code.REFUSED, errorsOf(response.body()));
+      default -> replyOf(response);
+    };
+  }
+
+  private HttpResponse<String> send(OperatorCall call) {
+    String target = JsonValues.formatAddress(operator);
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + target + call.uri()))
+            .timeout(REPLY_TIMEOUT)
+            .header("Authorization", "Bearer " + token)
+            .method(call.method(), HttpRequest.BodyPublishers.ofString(call.body()))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofString());
+    } catch (IOException e) {
+      throw new CliException(
+          CliException.Code.UNREACHABLE, "no answer from " + target + ": " + e, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CliException(CliException.Code.UNREACHABLE, "interrupted", e);
+    }
+  }
+
+  private static OperatorReply replyOf(HttpResponse<String> response) {
+    return OperatorCodec.decodeReply(response.body(), new JsonErrors())
+        .orElseThrow(
+            () ->
+                new CliException(
+                    CliException.Code.BAD_ANSWER,
+                    "the daemon answered with status " + response.statusCode()));
+  }
+
+  private static ImmutableList<String> errorsOf(String body) {
+    return StrictJson.parse(body, new JsonErrors()).stream()
+        .flatMap(node -> Streams.stream(node.path("errors")))
+        .map(OperatorClient::describe)
+        .collect(toImmutableList());
+  }
+
+  private static String describe(JsonNode error) {
+    return error.path("path").asText()
+        + ": "
+        + error.path("value").asText()
+        + " is not allowed; allowed: "
+        + error.path("allowed").asText();
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/ReplyPrinter.java
@@ -0,0 +1,53 @@
+package org.catkinlift.cli;
+
+import java.io.PrintStream;
+import org.catkinlift.daemon.ExitCode;
+import org.catkinlift.daemon.json.StrictJson;
+import org.catkinlift.daemon.operator.OperatorCodec;
+import org.catkinlift.plans.OperatorReply;
+
+/** Prints replies of a daemon. */
+final class ReplyPrinter {
+  private final OutputFormat format;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  ReplyPrinter(OutputFormat format, PrintStream out, PrintStream err) {
+    this.format = format;
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Prints a reply; a failure goes to the error stream in text form.
+   *
+   * @param reply the reply
+   * @return the exit code that it means
+   */
+  ExitCode print(OperatorReply reply) {
+    switch (format) {
+      case JSON -> out.println(StrictJson.printIndented(OperatorCodec.encode(reply)));
+      case TEXT -> printText(reply);
+    }
+    return reply instanceof OperatorReply.Failed ? ExitCode.FAILED : ExitCode.DONE;
+  }
+
+  private void printText(OperatorReply reply) {
+    switch (reply) {
+      case OperatorReply.PlanShown r -> out.print(PlanText.format(r.plan()));
+      case OperatorReply.PlansListed r -> r.plans().forEach(p -> out.println(PlanText.line(p)));
+      case OperatorReply.Facts r -> printFacts(r);
+      case OperatorReply.Failed r -> err.println("error: " + r.detail());
+    }
+  }
+
+  private void printFacts(OperatorReply.Facts reply) {
+    int width = reply.facts().keySet().stream().mapToInt(String::length).max().orElse(0);
+    reply.facts().forEach((name, value) -> out.println(name + pad(name, width) + "  " + value));
+    reply.decisions().forEach(d -> out.println("decision: " + d));
+  }
+
+  private static String pad(String name, int width) {
+    return " ".repeat(width - name.length());
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line: arguments, client, output. */
+package org.catkinlift.cli;
--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
@@ -0,0 +1,310 @@
+package org.catkinlift.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.beust.jcommander.Parameter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.catkinlift.daemon.ExitCode;
+import org.catkinlift.daemon.operator.OperatorServer;
+import org.catkinlift.daemon.settings.SettingsReader;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.PlanId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.plans.Intent;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorRequest;
+import org.catkinlift.plans.Plan;
+import org.catkinlift.plans.PlanRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs the command line in process against an operator server with scripted replies. */
+final class CliTest {
+  private static final String TOKEN = "0123456789abcdef";
+  private static final String SERVICE = "../examples/tavua/services/proof-files.json";
+
+  private final Vertx vertx = Vertx.vertx();
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private final List<OperatorRequest> asked = new ArrayList<>();
+  private final Deque<OperatorReply> replies = new ArrayDeque<>();
+  private @TempDir Path folder;
+  private Path tokenFile;
+  private OperatorServer server;
+  private int port;
+
+  @BeforeEach
+  void start() throws Exception {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = socket.getLocalPort();
+    }
+    var settings =
+        SettingsReader.parse(
+            """
+            {"host": "h", "zone": "z", "callerAddress": "127.0.0.1:1", "operatorToken": "%s",
+             "peerAddress": "127.0.0.1:2", "operatorAddress": "127.0.0.1:%d",
+             "platformAddress": "127.0.0.1:3"}"""
+                .formatted(TOKEN, port));
+    server = new OperatorServer(vertx, settings, new MetricRegistry(), this::reply, () -> true);
+    server.start().toCompletionStage().toCompletableFuture().get();
+    tokenFile = Files.writeString(folder.resolve("token"), TOKEN + "\n");
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    vertx.close().toCompletionStage().toCompletableFuture().get();
+  }
+
+  private synchronized Future<OperatorReply> reply(OperatorRequest request) {
+    asked.add(request);
+    return Future.succeededFuture(replies.remove());
+  }
+
+  private ExitCode run(String line) {
+    return run(ImmutableList.of(), line);
+  }
+
+  private ExitCode run(ImmutableList<LocalCommand> local, String line) {
+    String options = "--operator 127.0.0.1:" + port + " --token-file " + tokenFile + ' ' + line;
+    return runPlain(local, options);
+  }
+
+  private ExitCode runPlain(ImmutableList<LocalCommand> local, String line) {
+    var args = ImmutableList.copyOf(Splitter.on(' ').omitEmptyStrings().split(line));
+    return new Cli(local, print(out), print(err)).run(args);
+  }
+
+  private static PrintStream print(ByteArrayOutputStream bytes) {
+    return new PrintStream(bytes, true, UTF_8);
+  }
+
+  private String text() {
+    return out.toString(UTF_8);
+  }
+
+  private String errors() {
+    return err.toString(UTF_8);
+  }
+
+  private static PlanRecord plan(PlanRecord.State state, String... refusals) {
+    var plan =
+        new Plan(
+            PlanId.of("p-1"),
+            new Intent.DrainZone(ZoneName.of("suva")),
+            7,
+            ImmutableMap.of(),
+            Configuration.builder().version(8).build(),
+            ImmutableList.of(
+                new Plan.Move(
+                    ServiceName.of("order-desk"),
+                    Optional.of(UpstreamId.of("desk-01")),
+                    Optional.empty(),
+                    9)),
+            ImmutableList.of(new Plan.Load("zone/nadi", 2.5, 4)),
+            Duration.ofMillis(1_500),
+            ImmutableList.copyOf(refusals));
+    return new PlanRecord(plan, state);
+  }
+
+  private static OperatorReply.Facts status(long version) {
+    return new OperatorReply.Facts(
+        ImmutableMap.of("host", "h", OperatorReply.Facts.CONFIGURATION_VERSION, "" + version),
+        ImmutableList.of("why"));
+  }
+
+  /** Guards against a command that asks for something else than its name says. */
+  @Test
+  void asksForWhatTheArgumentsSay() {
+    var suva = ZoneName.of("suva");
+    var expected =
+        ImmutableMap.<String, OperatorRequest>builder()
+            .put("status", new OperatorRequest.ShowStatus())
+            .put("plans", new OperatorRequest.ListPlans())
+            .put("show p-1", new OperatorRequest.ShowPlan(PlanId.of("p-1")))
+            .put("confirm p-1", new OperatorRequest.ConfirmPlan(PlanId.of("p-1")))
+            .put("explain s k&1", new OperatorRequest.ExplainKey(ServiceName.of("s"), "k&1"))
+            .put("plan remove-service s", make(new Intent.RemoveService(ServiceName.of("s"))))
+            .put("plan drain-zone suva", make(new Intent.DrainZone(suva)))
+            .put("plan return-zone suva", make(new Intent.ReturnZone(suva)))
+            .put("plan declare-zone-lost suva", make(new Intent.DeclareZoneLost(suva, false)))
+            .put(
+                "plan declare-zone-lost suva --hosts-are-off",
+                make(new Intent.DeclareZoneLost(suva, true)))
+            .put("plan retire-upstream u", make(new Intent.RetireUpstream(UpstreamId.of("u"))))
+            .put("plan retire-host h", make(new Intent.RetireHost(HostId.of("h"))))
+            .buildOrThrow();
+    expected.forEach(
+        (line, request) -> {
+          replies.add(status(1));
+          assertThat(run(line)).isEqualTo(ExitCode.DONE);
+          assertThat(asked.getLast()).isEqualTo(request);
+        });
+  }
+
+  private static OperatorRequest make(Intent intent) {
+    return new OperatorRequest.MakePlan(intent);
+  }
+
+  /** Guards against a service file that is changed on its way or sent although it is wrong. */
+  @Test
+  void sendsTheServiceFile() throws Exception {
+    replies.add(new OperatorReply.PlanShown(plan(PlanRecord.State.OPEN)));
+    assertThat(run("plan put-service --file " + SERVICE)).isEqualTo(ExitCode.DONE);
+    var intent = (Intent.PutService) ((OperatorRequest.MakePlan) asked.getLast()).intent();
+    assertThat(intent.definition().upstreams()).hasSize(6);
+    Path broken = Files.writeString(folder.resolve("b.json"), "{\"name\": 1, \"x\": 2}");
+    assertThat(run("plan put-service --file " + broken)).isEqualTo(ExitCode.BAD_USAGE);
+    assertThat(errors().lines().count()).isEqualTo(5);
+    assertThat(asked).hasSize(1);
+  }
+
+  /** Guards against bad usage that reaches a daemon or looks like another failure. */
+  @Test
+  void refusesBadUsage() {
+    var lines =
+        ImmutableList.of(
+            "",
+            "plan",
+            "plan drain-zone",
+            "plan drain-zone a b",
+            "plan drain-zone Suva",
+            "stat",
+            "explain s",
+            "show",
+            "--format xml status",
+            "plan put-service --file none.json");
+    for (String line : lines) {
+      assertThat(run(line)).isEqualTo(ExitCode.BAD_USAGE);
+    }
+    assertThat(runPlain(ImmutableList.of(), "status")).isEqualTo(ExitCode.BAD_USAGE);
+    assertThat(runPlain(ImmutableList.of(), "--operator localhost:1 status"))
+        .isEqualTo(ExitCode.BAD_USAGE);
+    assertThat(asked).isEmpty();
+    assertThat(errors().lines().count()).isEqualTo(lines.size() + 2);
+  }
+
+  /** Guards against help and version that need a daemon or leave out a command. */
+  @Test
+  void printsHelpAndVersion() {
+    assertThat(runPlain(ImmutableList.of(), "--help")).isEqualTo(ExitCode.DONE);
+    DaemonCommands.commands().keySet().forEach(c -> assertThat(text()).contains(c));
+    DaemonCommands.planCommands().keySet().forEach(c -> assertThat(text()).contains(c));
+    assertThat(runPlain(ImmutableList.of(), "--version")).isEqualTo(ExitCode.DONE);
+    assertThat(text()).containsMatch("catkinlift \\d+\\.\\d+\\.\\d+");
+  }
+
+  /** Guards against a plan whose text hides what would move or why it is refused. */
+  @Test
+  void printsPlans() {
+    replies.add(new OperatorReply.PlanShown(plan(PlanRecord.State.OPEN, "nadi is full")));
+    assertThat(run("show p-1")).isEqualTo(ExitCode.DONE);
+    assertThat(text())
+        .isEqualTo(
+            """
+            plan p-1 (open)
+              intent: drain-zone suva
+              made from configuration version 7
+              puts configuration version 8 into force
+              moves:
+                order-desk: 9 slots from desk-01 to none
+              loads afterwards:
+                zone/nadi: 2.5 of 4
+              expected duration: 1.5 s
+              refused: nadi is full
+              it cannot be confirmed; nothing has changed
+            """);
+  }
+
+  /** Guards against JSON output that scripts cannot read. */
+  @Test
+  void printsJson() {
+    replies.add(status(7));
+    assertThat(run("--format json status")).isEqualTo(ExitCode.DONE);
+    assertThat(text()).contains("\"configuration version\" : \"7\"");
+    assertThat(text()).contains("\"decisions\" : [ \"why\" ]");
+  }
+
+  /** Guards against a failure that looks like success. */
+  @Test
+  void failsWhenTheDaemonFails() throws Exception {
+    replies.add(new OperatorReply.Failed(OperatorReply.Reason.CONFLICT, "version is 9 now"));
+    assertThat(run("confirm p-1 --wait")).isEqualTo(ExitCode.FAILED);
+    assertThat(errors()).isEqualTo("error: version is 9 now\n");
+    Files.writeString(tokenFile, "another-token-of-this-length");
+    assertThat(run("status")).isEqualTo(ExitCode.FAILED);
+    assertThat(errors()).contains("does not accept the token");
+    server.stop().toCompletionStage().toCompletableFuture().get();
+    assertThat(run("status")).isEqualTo(ExitCode.FAILED);
+    assertThat(errors()).contains("no answer from 127.0.0.1:" + port);
+    assertThat(errors()).doesNotContain(TOKEN);
+  }
+
+  /** Guards against a confirmation that returns before its configuration is in force. */
+  @Test
+  void waitsUntilTheConfigurationIsInForce() {
+    replies.add(new OperatorReply.PlanShown(plan(PlanRecord.State.CONFIRMED)));
+    replies.add(status(7));
+    replies.add(status(7));
+    replies.add(status(8));
+    assertThat(run("confirm p-1 --wait")).isEqualTo(ExitCode.DONE);
+    assertThat(asked).hasSize(4);
+    assertThat(errors())
+        .isEqualTo(
+            """
+            configuration version in force: 7, wanted: 8
+            configuration version in force: 8, wanted: 8
+            """);
+  }
+
+  /** Guards against a wait without end. */
+  @Test
+  void givesUpWaiting() {
+    var wait = new ConfirmWait(r -> status(7), Runnable::run, print(err));
+    assertThat(wait.waitFor(8)).isEqualTo(ExitCode.FAILED);
+    assertThat(errors()).contains("version 8 is not in force yet");
+  }
+
+  /** Guards against a local command that is not found or whose exit code is lost. */
+  @Test
+  void runsLocalCommands() {
+    var arguments =
+        new Object() {
+          @Parameter(names = "--code")
+          private int code = 0;
+        };
+    var demo =
+        ImmutableList.of(
+            new LocalCommand(
+                "demo",
+                arguments,
+                (o, e) -> {
+                  o.println("demo runs");
+                  return arguments.code;
+                }));
+    assertThat(runPlain(demo, "demo --code 1")).isEqualTo(ExitCode.FAILED);
+    assertThat(text()).isEqualTo("demo runs\n");
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -134,8 +134,7 @@
             logger,
             metrics);
     ControlParts parts =
-        ControlParts.create(
-            settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
+        ControlParts.create(settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
     control = ControlLoop.start(parts, states, ports, workers::leasesHeld);
     return Future.succeededFuture();
   }
@@ -209,8 +208,7 @@
 
   private Future<Void> bounded(Future<Void> step) {
     Promise<Void> promise = Promise.promise();
-    long timer =
-        vertx.setTimer(settings.shutdownGrace().toMillis(), t -> promise.tryComplete());
+    long timer = vertx.setTimer(settings.shutdownGrace().toMillis(), t -> promise.tryComplete());
     step.onComplete(
         done -> {
           vertx.cancelTimer(timer);
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/ExitCode.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/ExitCode.java
@@ -1,5 +1,7 @@
 package org.catkinlift.daemon;
 
+import java.util.Arrays;
+
 /** The exit codes of both command lines. */
 public enum ExitCode {
   /** What was asked for was done. */
@@ -23,4 +25,14 @@
   public int number() {
     return number;
   }
+
+  /**
+   * Returns the exit code with a number.
+   *
+   * @param number the number
+   * @return the exit code; {@code FAILED} for a number that no exit code has
+   */
+  public static ExitCode of(int number) {
+    return Arrays.stream(values()).filter(c -> c.number == number).findFirst().orElse(FAILED);
+  }
 }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
@@ -35,8 +35,7 @@
       switch (service.kind()) {
         case ServiceKind.Keyed keyed ->
             tables.put(
-                service.name(),
-                SlotTable.of(keyed.slotCount(), store.assignments(service.name())));
+                service.name(), SlotTable.of(keyed.slotCount(), store.assignments(service.name())));
         case ServiceKind.Shared shared -> {}
       }
     }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -62,8 +62,7 @@
     this.states = states;
     this.events = events;
     this.attempts = attempts;
-    this.timer =
-        vertx.setPeriodic(TICK_INTERVAL.toMillis(), t -> tick());
+    this.timer = vertx.setPeriodic(TICK_INTERVAL.toMillis(), t -> tick());
   }
 
   private void tick() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorReply.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorReply.java
@@ -27,7 +27,10 @@
    * @param decisions recent decisions about the subject, newest first
    */
   record Facts(ImmutableMap<String, String> facts, ImmutableList<String> decisions)
-      implements OperatorReply {}
+      implements OperatorReply {
+    /** The fact of a status that a client waits for after it confirmed a plan. */
+    public static final String CONFIGURATION_VERSION = "configuration version";
+  }
 
   /**
    * The request failed; nothing has changed.
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/StatusFacts.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/StatusFacts.java
@@ -48,7 +48,7 @@
     facts.put("authority", Boolean.toString(ownership.hasAuthority(nowNanos)));
     facts.put("live daemons of the cell", list(members.live(members.self().cell(), nowNanos)));
     facts.put("known daemons", Integer.toString(members.known().size()));
-    facts.put("configuration version", Long.toString(configuration.version()));
+    facts.put(OperatorReply.Facts.CONFIGURATION_VERSION, Long.toString(configuration.version()));
     facts.put("configuration age", age.age(nowNanos).map(StatusFacts::seconds).orElse("unknown"));
     facts.put("services", list(configuration.services().keySet()));
     facts.put("drained availability zones", list(configuration.drainedZones()));
