Plug the daemon and the demo into the command lines

Change: DaemonMain starts the daemon, LocalCommands registers demo. The stop hook waits for three bounded steps of Daemon.stop() plus 5 s; one grace period, as before, could have cut the third step. The help text no longer repeats the intents of plan.

--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/CliParser.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/CliParser.java
@@ -62,7 +62,7 @@
     Optional<LocalCommand> local =
         localCommands.stream().filter(c -> c.name().equals(name)).findFirst();
     if (local.isPresent()) {
-      return new CliTask.RunLocal(local.get());
+      return localTask(local.get());
     }
     return commands.get(name).task();
   }
@@ -85,11 +85,18 @@
     return planCommands.get(name).task();
   }
 
+  private CliTask localTask(LocalCommand command) {
+    if (!command.wantsHelp().getAsBoolean()) {
+      return new CliTask.RunLocal(command);
+    }
+    var text = new StringBuilder();
+    parser.getUsageFormatter().usage(command.name(), text);
+    return new CliTask.Print(text.toString());
+  }
+
   private String help() {
     var text = new StringBuilder();
     parser.getUsageFormatter().usage(text);
-    text.append("\n  Intents of plan\n");
-    planParser.getUsageFormatter().usage(text);
     return text.toString();
   }
 }
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/LocalCommand.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/LocalCommand.java
@@ -1,15 +1,18 @@
 package org.catkinlift.cli;
 
 import java.io.PrintStream;
+import java.util.function.BooleanSupplier;
 
 /**
  * A command that asks no daemon.
  *
  * @param name its name on the command line
  * @param arguments the object whose JCommander annotations declare its arguments
+ * @param wantsHelp whether the parsed arguments ask for the help text only
  * @param action does the work
  */
-public record LocalCommand(String name, Object arguments, Action action) {
+public record LocalCommand(
+    String name, Object arguments, BooleanSupplier wantsHelp, Action action) {
 
   /** The work of a command. */
   @FunctionalInterface
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/LocalCommands.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/LocalCommands.java
@@ -1,18 +1,19 @@
 package org.catkinlift.cli;
 
 import com.google.common.collect.ImmutableList;
+import org.catkinlift.cli.demo.DemoCommand;
 
 /** Lists the commands that ask no daemon. */
 final class LocalCommands {
   private LocalCommands() {}
 
   /**
-   * Returns new command objects; the place to register {@code demo}: {@code var demo = new
-   * DemoCommand(); return ImmutableList.of(new LocalCommand("demo", demo, demo::run));}.
+   * Returns new command objects.
    *
    * @return the commands
    */
   static ImmutableList<LocalCommand> all() {
-    return ImmutableList.of();
+    var demo = new DemoCommand();
+    return ImmutableList.of(new LocalCommand("demo", demo, demo::wantsHelp, demo::run));
   }
 }
--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
@@ -294,17 +294,24 @@
         new Object() {
           @Parameter(names = "--code")
           private int code = 0;
+
+          @Parameter(names = "--help", help = true)
+          private boolean help;
         };
     var demo =
         ImmutableList.of(
             new LocalCommand(
                 "demo",
                 arguments,
+                () -> arguments.help,
                 (o, e) -> {
                   o.println("demo runs");
                   return arguments.code;
                 }));
     assertThat(runPlain(demo, "demo --code 1")).isEqualTo(ExitCode.FAILED);
     assertThat(text()).isEqualTo("demo runs\n");
+    assertThat(runPlain(demo, "demo --help")).isEqualTo(ExitCode.DONE);
+    assertThat(text()).contains("--code");
+    assertThat(runPlain(LocalCommands.all(), "demo --help")).isEqualTo(ExitCode.DONE);
   }
 }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/DaemonMain.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/DaemonMain.java
@@ -21,8 +21,7 @@
     command.run(ImmutableList.copyOf(args)).ifPresent(code -> System.exit(code.number()));
   }
 
-  /** The place where the daemon is plugged in: {@code Daemon.start(vertx, settings)}. */
   private static Future<RunningDaemon> start(Vertx vertx, DaemonSettings settings) {
-    return Future.failedFuture("this build can only check settings (--check)");
+    return Daemon.start(vertx, settings).map(daemon -> daemon::stop);
   }
 }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/StopHook.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/StopHook.java
@@ -8,7 +8,10 @@
 
 /** Stops the daemon when the process is asked to end (SIGTERM, SIGINT) and waits for it. */
 final class StopHook {
-  /** Time beyond the grace period for handing over duties and closing connections. */
+  /** Handing over duties, ending the callers' requests and ending the dispatched ones. */
+  private static final int BOUNDED_STEPS = 3;
+
+  /** Time for the health check to be noticed and for connections to be closed. */
   private static final Duration MARGIN = Duration.ofSeconds(5);
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -20,11 +23,11 @@
    * Creates the hook.
    *
    * @param daemon the daemon to stop
-   * @param grace how long the daemon itself waits for running requests
+   * @param grace the bound that the daemon sets for each of its steps
    */
   StopHook(RunningDaemon daemon, Duration grace) {
     this.daemon = daemon;
-    this.limit = grace.plus(MARGIN);
+    this.limit = grace.multipliedBy(BOUNDED_STEPS).plus(MARGIN);
   }
 
   /**
@@ -40,7 +43,7 @@
   /**
    * Stops the daemon and waits until it has ended.
    *
-   * @return {@code DONE}, or {@code FAILED} if it did not end within grace period and margin
+   * @return {@code DONE}, or {@code FAILED} if it did not end in time
    */
   ExitCode stop() {
     try {
@@ -51,7 +54,7 @@
           .get(limit.toMillis(), TimeUnit.MILLISECONDS);
       return ExitCode.DONE;
     } catch (ExecutionException | TimeoutException e) {
-      LOGGER.atSevere().withCause(e).log("the daemon did not stop within %s", limit);
+      LOGGER.atSevere().withCause(e).log("the daemon did not stop gracefully within %s", limit);
       return ExitCode.FAILED;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
