Route a request again when its dispatcher or owner has moved

Cause: in a rolling restart, requests that reached the old dispatcher were refused and used up the retry budget (OperationsTest: hundreds of 503).

--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/OperationsTest.java
@@ -0,0 +1,225 @@
+package org.catkinlift.cli;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.PlanId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.plans.Intent;
+import org.catkinlift.plans.OperatorReply;
+import org.catkinlift.plans.OperatorReply.Reason;
+import org.catkinlift.plans.OperatorRequest;
+import org.catkinlift.plans.PlanRecord;
+import org.catkinlift.standin.load.AuditReport;
+import org.catkinlift.standin.load.RecordAudit;
+import org.catkinlift.standin.platform.PlatformFaults;
+import org.catkinlift.standin.upstream.UpstreamRecord;
+import org.catkinlift.standin.upstream.UpstreamStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Runs daemons and stand-ins on loopback through the operators' tasks.
+ *
+ * <p>Waiting times bound the patience of the test, not the product; the bounds of the design are
+ * checked on virtual time.
+ */
+final class OperationsTest {
+  private static final HostId SUVA_1 = HostId.of("suva-1");
+  private static final HostId NADI_1 = HostId.of("nadi-1");
+  private static final ImmutableList<HostId> HOSTS =
+      ImmutableList.of(SUVA_1, HostId.of("suva-2"), NADI_1, HostId.of("nadi-2"));
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final ZoneName NADI = ZoneName.of("nadi");
+
+  private TestSite site;
+  private TestBalancer balancer;
+
+  @BeforeEach
+  void start() throws Exception {
+    site = TestSite.start("suva", "nadi");
+    site.awaitServing();
+    balancer =
+        new TestBalancer(
+            HOSTS.stream().map(h -> site.settings(h).callerAddress()).collect(toImmutableList()));
+  }
+
+  @AfterEach
+  void stop() {
+    balancer.close();
+    site.close();
+  }
+
+  @Test
+  void drainsAndReturnsZoneWithoutCuttingRequests() {
+    balancer.startLoad();
+    awaitLoad(100);
+
+    confirm(SUVA_1, new Intent.DrainZone(NADI));
+    awaitUntil("nadi gets no new work", () -> newExecutionsIn("nadi") == 0);
+    int drained = balancer.answered();
+    awaitLoad(drained + 100);
+    assertThat(newExecutionsIn("nadi")).isEqualTo(0);
+
+    confirm(NADI_1, new Intent.ReturnZone(NADI));
+    awaitUntil("nadi gets work again", () -> newExecutionsIn("nadi") > 0);
+
+    assertThat(balancer.failures()).isEmpty();
+    assertClean();
+  }
+
+  @Test
+  void oneOfTwoConflictingIntentsSucceeds() {
+    PlanId first = plan(SUVA_1, new Intent.DrainZone(NADI));
+    PlanId second = plan(NADI_1, new Intent.DrainZone(ZoneName.of("suva")));
+
+    OperatorReply accepted = ask(SUVA_1, new OperatorRequest.ConfirmPlan(first));
+    OperatorReply refused = ask(NADI_1, new OperatorRequest.ConfirmPlan(second));
+    OperatorReply repeated = ask(SUVA_1, new OperatorRequest.ConfirmPlan(first));
+
+    assertThat(stateOf(accepted)).isEqualTo(PlanRecord.State.CONFIRMED);
+    assertThat(reasonOf(refused)).isEqualTo(Reason.CONFLICT);
+    assertThat(stateOf(repeated)).isEqualTo(PlanRecord.State.CONFIRMED);
+    awaitVersion(2);
+  }
+
+  @Test
+  void refusesWrongToken() {
+    var client =
+        new OperatorClient(site.settings(SUVA_1).operatorAddress(), "another-token-of-length");
+
+    var e = assertThrows(CliException.class, () -> client.ask(new OperatorRequest.ShowStatus()));
+
+    assertThat(e.code()).isEqualTo(CliException.Code.UNAUTHORIZED);
+  }
+
+  @Test
+  void acceptedConfigurationReachesDaemonThatRestartsAndSurvivesPlatformOutage() {
+    TestSite.await(site.stopDaemon(NADI_1));
+    confirm(SUVA_1, new Intent.DrainZone(NADI));
+    PlatformFaults none = site.platform().faults();
+    site.platform().setFaults(none.toBuilder().outage(true).build());
+
+    site.startDaemon(NADI_1);
+    awaitVersion(2);
+    OperatorReply refused = ask(SUVA_1, new OperatorRequest.MakePlan(new Intent.ReturnZone(NADI)));
+    assertThat(reasonOf(refused)).isEqualTo(Reason.PLATFORM_UNREACHABLE);
+
+    site.platform().setFaults(none);
+    awaitUntil("the platform is reachable", () -> canPlan(SUVA_1));
+    assertThat(HOSTS.stream().map(this::versionOf).distinct().toList()).containsExactly(2L);
+  }
+
+  @Test
+  void rollingRestartUnderLoadCutsNoRequest() {
+    balancer.startLoad();
+    awaitLoad(100);
+
+    for (HostId host : HOSTS) {
+      TestSite.await(site.stopDaemon(host));
+      int before = balancer.answered();
+      awaitLoad(before + 50);
+      site.startDaemon(host);
+      awaitUntil(host + " serves", () -> versionOf(host) == 1);
+    }
+    awaitLoad(balancer.answered() + 100);
+
+    assertThat(balancer.failures()).isEmpty();
+    assertClean();
+  }
+
+  private boolean canPlan(HostId daemon) {
+    return ask(daemon, new OperatorRequest.MakePlan(new Intent.ReturnZone(NADI)))
+        instanceof OperatorReply.PlanShown;
+  }
+
+  private void confirm(HostId daemon, Intent intent) {
+    PlanId plan = plan(daemon, intent);
+    OperatorReply reply = ask(daemon, new OperatorRequest.ConfirmPlan(plan));
+    assertThat(stateOf(reply)).isEqualTo(PlanRecord.State.CONFIRMED);
+  }
+
+  private PlanId plan(HostId daemon, Intent intent) {
+    OperatorReply reply = ask(daemon, new OperatorRequest.MakePlan(intent));
+    assertThat(reply).isInstanceOf(OperatorReply.PlanShown.class);
+    return ((OperatorReply.PlanShown) reply).plan().plan().id();
+  }
+
+  private static PlanRecord.State stateOf(OperatorReply reply) {
+    assertThat(reply).isInstanceOf(OperatorReply.PlanShown.class);
+    return ((OperatorReply.PlanShown) reply).plan().state();
+  }
+
+  private static Reason reasonOf(OperatorReply reply) {
+    assertThat(reply).isInstanceOf(OperatorReply.Failed.class);
+    return ((OperatorReply.Failed) reply).reason();
+  }
+
+  private OperatorReply ask(HostId daemon, OperatorRequest request) {
+    NetworkAddress address = site.settings(daemon).operatorAddress();
+    return new OperatorClient(address, TestSite.TOKEN).ask(request);
+  }
+
+  private long versionOf(HostId daemon) {
+    var facts = (OperatorReply.Facts) ask(daemon, new OperatorRequest.ShowStatus());
+    return Long.parseLong(facts.facts().get(OperatorReply.Facts.CONFIGURATION_VERSION));
+  }
+
+  private void awaitVersion(long version) {
+    awaitUntil(
+        "version " + version + " is in force everywhere",
+        () -> HOSTS.stream().allMatch(h -> versionOf(h) == version));
+  }
+
+  private void awaitLoad(int answers) {
+    awaitUntil(answers + " answers", () -> balancer.answered() >= answers);
+  }
+
+  /** Counts the executions that start within a short time. */
+  private long newExecutionsIn(String zone) {
+    long before = executionsIn(zone);
+    int answered = balancer.answered();
+    awaitLoad(answered + 20);
+    return executionsIn(zone) - before;
+  }
+
+  private long executionsIn(String zone) {
+    return records(u -> u.settings().id().value().startsWith("desk-" + zone)).stream()
+        .mapToLong(r -> r.executions().size())
+        .sum();
+  }
+
+  private void assertClean() {
+    AuditReport audit =
+        RecordAudit.compare(
+            ImmutableSet.of(), records(u -> u.settings().id().value().startsWith("desk-")));
+    assertThat(audit.ordersRunTwice()).isEqualTo(0);
+    assertThat(audit.ownerConflicts()).isEqualTo(0);
+  }
+
+  private ImmutableList<UpstreamRecord> records(Predicate<UpstreamStandin> filter) {
+    return site.upstreams().stream()
+        .filter(filter)
+        .map(u -> TestSite.await(u.record()))
+        .collect(toImmutableList());
+  }
+
+  private void awaitUntil(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("not within patience: " + what + " " + balancer.failures());
+      }
+      TestSite.await(site.delay(Duration.ofMillis(50)));
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/TestBalancer.java
@@ -0,0 +1,123 @@
+package org.catkinlift.cli;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.catkinlift.model.NetworkAddress;
+
+/**
+ * Stands for the platform's load balancer: sends each request to a daemon whose last health check
+ * succeeded, and records all answers.
+ */
+final class TestBalancer implements AutoCloseable {
+  private static final long CHECK_MILLIS = 50;
+  private static final long REQUEST_MILLIS = 10;
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final ImmutableList<NetworkAddress> daemons;
+  private final List<NetworkAddress> healthy = new CopyOnWriteArrayList<>();
+  private final List<String> failures = new CopyOnWriteArrayList<>();
+  private final AtomicInteger answered = new AtomicInteger();
+  private final AtomicInteger number = new AtomicInteger();
+  private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
+
+  TestBalancer(ImmutableList<NetworkAddress> daemons) {
+    this.daemons = daemons;
+    var unused =
+        executor.scheduleWithFixedDelay(this::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  void startLoad() {
+    var unused =
+        executor.scheduleAtFixedRate(this::sendNext, 0, REQUEST_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  int answered() {
+    return answered.get();
+  }
+
+  ImmutableList<String> failures() {
+    return ImmutableList.copyOf(failures);
+  }
+
+  private void check() {
+    for (NetworkAddress daemon : daemons) {
+      if (isHealthy(daemon)) {
+        if (!healthy.contains(daemon)) {
+          healthy.add(daemon);
+        }
+      } else {
+        healthy.remove(daemon);
+      }
+    }
+  }
+
+  private boolean isHealthy(NetworkAddress daemon) {
+    try {
+      HttpRequest request = HttpRequest.newBuilder(uri(daemon, "/health")).build();
+      return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void sendNext() {
+    ImmutableList<NetworkAddress> choices = ImmutableList.copyOf(healthy);
+    if (choices.isEmpty()) {
+      return;
+    }
+    int n = number.incrementAndGet();
+    String key = "school-" + (n % 97);
+    String path =
+        n % 3 == 0
+            ? "/v1/order-desk/" + key + "/orders/" + key
+            : "/v1/order-desk/" + key + "/lookup/" + key;
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(uri(choices.get(n % choices.size()), path))
+            .timeout(TIMEOUT)
+            .header("Catkinlift-Request-Id", "load-" + n);
+    if (n % 3 == 0) {
+      request.POST(HttpRequest.BodyPublishers.ofString("1 diary"));
+    }
+    var unused =
+        client
+            .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+            .whenComplete((answer, failure) -> record(n, path, answer, failure));
+  }
+
+  private void record(int n, String path, HttpResponse<String> answer, Throwable failure) {
+    if (failure != null) {
+      failures.add("load-" + n + " " + path + ": " + failure);
+      return;
+    }
+    if (answer.statusCode() / 100 != 2) {
+      failures.add("load-" + n + " " + path + ": " + answer.statusCode() + " " + answer.body());
+      return;
+    }
+    answered.incrementAndGet();
+  }
+
+  private static URI uri(NetworkAddress daemon, String path) {
+    return URI.create("http://" + daemon + path);
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/RoutingState.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/RoutingState.java
@@ -10,5 +10,7 @@
  *
  * @param snapshot the snapshot for routing decisions
  * @param hosts the daemons that this one knows
+ * @param generation counts the states of this daemon
  */
-public record RoutingState(RoutingSnapshot snapshot, ImmutableMap<HostId, HostDefinition> hosts) {}
+public record RoutingState(
+    RoutingSnapshot snapshot, ImmutableMap<HostId, HostDefinition> hosts, long generation) {}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/RoutingStateHolder.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/RoutingStateHolder.java
@@ -4,12 +4,15 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
 import org.catkinlift.routing.RoutingSnapshot;
 
 /** Publishes the routing state from the control thread to the traffic threads. */
 public final class RoutingStateHolder {
   private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
+
+  /** Written by the control thread only. */
   private volatile RoutingState state;
 
   /**
@@ -18,7 +21,7 @@
    * @param self the host of the daemon
    */
   public RoutingStateHolder(HostId self) {
-    this.state = new RoutingState(RoutingSnapshot.empty(self), ImmutableMap.of());
+    this.state = new RoutingState(RoutingSnapshot.empty(self), ImmutableMap.of(), 0);
   }
 
   /**
@@ -33,10 +36,11 @@
   /**
    * Replaces the state and calls all listeners that wait for a change. Control thread only.
    *
-   * @param next the new state
+   * @param snapshot the new snapshot
+   * @param hosts the daemons that this one knows
    */
-  public void publish(RoutingState next) {
-    state = next;
+  public void publish(RoutingSnapshot snapshot, ImmutableMap<HostId, HostDefinition> hosts) {
+    state = new RoutingState(snapshot, hosts, state.generation() + 1);
     var due = ImmutableList.<Runnable>builder();
     for (Runnable r = waiting.poll(); r != null; r = waiting.poll()) {
       due.add(r);
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -156,7 +156,8 @@
     }
     if (routingChanged) {
       routingChanged = false;
-      states.publish(SnapshotBuilder.build(store, members));
+      states.publish(
+          SnapshotBuilder.build(store, members.self().id()), SnapshotBuilder.hosts(members));
     }
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
@@ -5,8 +5,6 @@
 import com.google.common.collect.ImmutableMap;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.VersionStore;
-import org.catkinlift.daemon.RoutingState;
-import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
@@ -21,12 +19,12 @@
 final class SnapshotBuilder {
   private SnapshotBuilder() {}
 
-  static RoutingState build(VersionStore store, MembershipView members) {
-    Configuration configuration = store.configuration();
-    return new RoutingState(
-        new RoutingSnapshot(
-            members.self().id(), configuration, slotTables(store), dispatchers(store)),
-        members.known().stream().collect(toImmutableMap(HostDefinition::id, h -> h)));
+  static RoutingSnapshot build(VersionStore store, HostId self) {
+    return new RoutingSnapshot(self, store.configuration(), slotTables(store), dispatchers(store));
+  }
+
+  static ImmutableMap<HostId, HostDefinition> hosts(MembershipView members) {
+    return members.known().stream().collect(toImmutableMap(HostDefinition::id, h -> h));
   }
 
   private static ImmutableMap<ServiceName, SlotTable> slotTables(VersionStore store) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
@@ -43,6 +43,10 @@
   private static final Duration BACKSTOP = Duration.ofMillis(250);
 
   private static final Duration RETRY_AFTER_NO_OWNER = Duration.ofMillis(500);
+
+  /** A dispatcher that gets its lease late is asked again without a new snapshot. */
+  private static final long MAX_WAIT_MILLIS = 50;
+
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final long NO_TIMER = -1;
@@ -59,6 +63,7 @@
   private final Map<Long, Attempt> attempts = new HashMap<>();
   private final Set<UpstreamId> tried = new HashSet<>();
 
+  private long routedGeneration;
   private HedgeRace race;
   private Optional<Outcome> earlier = Optional.empty();
   private Attempt winner;
@@ -101,6 +106,7 @@
       return;
     }
     RoutingState state = services.states().state();
+    routedGeneration = state.generation();
     RouteDecision decision =
         services
             .router()
@@ -133,18 +139,22 @@
   }
 
   private void waitForOwner(Duration limit) {
+    waitForRouting(limit, Outcome.notRun(RefusalCode.NO_OWNER, RETRY_AFTER_NO_OWNER));
+  }
+
+  private void waitForRouting(Duration limit, Outcome otherwise) {
     long now = System.nanoTime();
     if (waitUntilNanos == 0) {
       waitUntilNanos = now + limit.toNanos();
     }
-    if (now >= waitUntilNanos) {
-      giveUp(combined(Outcome.notRun(RefusalCode.NO_OWNER, RETRY_AFTER_NO_OWNER)));
+    if (now >= waitUntilNanos || remaining().compareTo(Duration.ZERO) <= 0) {
+      giveUp(combined(otherwise));
       return;
     }
     var once = new Once(this::route);
     services.states().onNextChange(() -> context.runOnContext(v -> once.run()));
     long millis = Duration.ofNanos(waitUntilNanos - now).toMillis() + 1;
-    var unused = services.vertx().setTimer(millis, t -> once.run());
+    var unused = services.vertx().setTimer(Math.min(millis, MAX_WAIT_MILLIS), t -> once.run());
   }
 
   /** Runs a task at most once; the first of two triggers counts. */
@@ -336,10 +346,21 @@
             System.nanoTime());
     switch (decision) {
       case RetryDecision.Retry retry -> retryAfter(retry.delay());
+      case RetryDecision.Reroute reroute -> reroute(reroute.limit(), outcome);
       case RetryDecision.GiveUp end -> giveUp(end.outcome());
     }
   }
 
+  /** Routes again at once if the snapshot has changed since the attempt, else after a change. */
+  private void reroute(Duration limit, Outcome outcome) {
+    tried.clear();
+    if (services.states().state().generation() != routedGeneration) {
+      route();
+      return;
+    }
+    waitForRouting(limit, outcome);
+  }
+
   private void retryAfter(Duration delay) {
     services
         .events()
--- a/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryDecision.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryDecision.java
@@ -19,4 +19,13 @@
    * @param outcome what the caller is told
    */
   record GiveUp(Outcome outcome) implements RetryDecision {}
+
+  /**
+   * The request is routed again once a routing snapshot shows the new dispatcher or owner.
+   *
+   * <p>Nothing has reached an upstream, so this costs no retry budget.
+   *
+   * @param limit how long the request may wait for the new snapshot
+   */
+  record Reroute(Duration limit) implements RetryDecision {}
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
@@ -5,10 +5,14 @@
 import org.catkinlift.model.RefusalCode;
 import org.catkinlift.model.RequestClass;
 import org.catkinlift.retries.RetryDecision.GiveUp;
+import org.catkinlift.retries.RetryDecision.Reroute;
 import org.catkinlift.retries.RetryDecision.Retry;
 
 /** Decides whether a request is sent again. */
 public final class RetryRule {
+  /** A planned hand-over takes some heartbeats; a loss is longer and is refused. */
+  private static final Duration LONGEST_REROUTE = Duration.ofSeconds(1);
+
   private static final int MAX_ATTEMPTS = 3;
 
   /** Doubles with each attempt; short against the 16 ms in which most requests are answered. */
@@ -37,6 +41,9 @@
       Duration remaining,
       RetryBudget budget,
       long nowNanos) {
+    if (hasMoved(outcome)) {
+      return new Reroute(LONGEST_REROUTE);
+    }
     Duration delay = delayAfter(attemptsMade, outcome);
     if (!mayRepeat(requestClass, outcome)
         || attemptsMade >= MAX_ATTEMPTS
@@ -67,6 +74,32 @@
     };
   }
 
+  /** The dispatcher or the owner is another one by now, and refused without running anything. */
+  private static boolean hasMoved(Outcome outcome) {
+    return switch (outcome) {
+      case Outcome.NotRun notRun ->
+          switch (notRun.code()) {
+            case DISPATCHER_UNREACHABLE, STALE_EPOCH -> true;
+            case BAD_REQUEST,
+                UNKNOWN_SERVICE,
+                NO_OWNER,
+                QUEUE_FULL,
+                DEADLINE_TOO_SHORT,
+                DEADLINE_PASSED,
+                UPSTREAM_SHED,
+                CONNECT_FAILED,
+                ZONE_UNAVAILABLE,
+                RETRY_BUDGET_EXHAUSTED,
+                STOPPING,
+                CONNECTION_LOST,
+                ANSWER_OVERDUE ->
+                false;
+          };
+      case Outcome.Answered answered -> false;
+      case Outcome.Unknown unknown -> false;
+    };
+  }
+
   private static boolean mayRepeat(RequestClass requestClass, Outcome outcome) {
     return switch (outcome) {
       case Outcome.Answered answered -> false;
