Measure the traffic path on virtual time

Change: nine scenarios with small fakes, each beside a plain baseline, and the command line of the bench. AttemptResult gets Stopped: the reply to a cancellation frees an execution slot, which Failed must not. The ramp counts only answers that were sent while the upstream was cold and that were not slow; before, answers of requests from before a shed answer raised the limit and a cold upstream that warms slower than one slot per completion got more than it bears.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/BenchMain.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/BenchMain.java
@@ -1,23 +1,84 @@
 package org.catkinlift.bench;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
 import com.google.common.collect.ImmutableList;
+import java.io.PrintStream;
+import java.util.Arrays;
+import org.catkinlift.bench.traffic.TrafficScenarios;
 
 /** Runs the scenarios and prints one JSON line for each measurement. */
 public final class BenchMain {
-  private static final ImmutableList<Scenario> SCENARIOS = ImmutableList.of();
+  private static final int ALL_OK = 0;
+  private static final int SOME_FAILED = 1;
+  private static final int BAD_USAGE = 2;
+
+  private static final ImmutableList<Scenario> SCENARIOS =
+      ImmutableList.<Scenario>builder().addAll(TrafficScenarios.all()).build();
 
-  private BenchMain() {}
+  private final PrintStream out;
+  private final PrintStream err;
+  private final MeasurementWriter writer = new MeasurementWriter();
+
+  BenchMain(PrintStream out, PrintStream err) {
+    this.out = out;
+    this.err = err;
+  }
 
   /**
-   * Runs the scenarios.
+   * Runs the scenarios and exits with 0 if all measurements are ok, 1 if one is not, 2 on bad
+   * usage.
    *
    * @param args the command line
    */
   public static void main(String[] args) {
-    for (Scenario scenario : SCENARIOS) {
-      for (Site site : Site.values()) {
-        scenario.run(site, 1).forEach(System.out::println);
+    System.exit(new BenchMain(System.out, System.err).run(args));
+  }
+
+  int run(String... args) {
+    var options = new BenchOptions();
+    var commander = JCommander.newBuilder().programName("bench").addObject(options).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      err.println(e.getMessage());
+      return BAD_USAGE;
+    }
+    if (options.isHelp()) {
+      var usage = new StringBuilder();
+      commander.getUsageFormatter().usage(usage);
+      out.print(usage);
+      return ALL_OK;
+    }
+    return run(options);
+  }
+
+  private int run(BenchOptions options) {
+    ImmutableList<Scenario> scenarios =
+        SCENARIOS.stream().filter(options::selects).collect(toImmutableList());
+    ImmutableList<Site> sites =
+        Arrays.stream(Site.values()).filter(options::selects).collect(toImmutableList());
+    if (scenarios.isEmpty() || sites.isEmpty()) {
+      err.println("no such scenario or site; scenarios: " + names());
+      return BAD_USAGE;
+    }
+    boolean allOk = true;
+    for (Scenario scenario : scenarios) {
+      for (Site site : sites) {
+        allOk &= print(scenario.run(site, options.seed()));
       }
     }
+    return allOk ? ALL_OK : SOME_FAILED;
+  }
+
+  private boolean print(ImmutableList<Measurement> measurements) {
+    measurements.forEach(measurement -> out.println(writer.line(measurement)));
+    return measurements.stream().allMatch(Measurement::ok);
+  }
+
+  private static ImmutableList<String> names() {
+    return SCENARIOS.stream().map(Scenario::name).collect(toImmutableList());
   }
 }
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/MeasurementWriter.java
@@ -0,0 +1,41 @@
+package org.catkinlift.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+
+/** Writes measurements as JSON lines. */
+final class MeasurementWriter {
+  /** Fixed, so that the same seed prints the same bytes. */
+  private static final int DIGITS = 4;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+
+  /** Returns one line without a line break. */
+  String line(Measurement measurement) {
+    ObjectNode node =
+        mapper
+            .createObjectNode()
+            .put("measure", measurement.measure())
+            .put("site", measurement.site().label())
+            .put("scenario", measurement.scenario())
+            .put("seed", measurement.seed())
+            .put("value", rounded(measurement.value()))
+            .put("unit", measurement.unit())
+            .put("bound", rounded(measurement.bound()))
+            .put("baseline", rounded(measurement.baseline()))
+            .put("baseline_name", measurement.baselineName())
+            .put("ok", measurement.ok());
+    try {
+      return mapper.writeValueAsString(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a measurement cannot be written as JSON", e);
+    }
+  }
+
+  private static BigDecimal rounded(double value) {
+    return BigDecimal.valueOf(value).setScale(DIGITS, RoundingMode.HALF_EVEN);
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/ColdStart.java
@@ -0,0 +1,71 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.catkinlift.bench.Measurement;
+import org.catkinlift.bench.Scenario;
+import org.catkinlift.bench.Site;
+import org.catkinlift.model.UpstreamId;
+
+/** One keyed upstream becomes cold under full load; it must not get more than it bears. */
+final class ColdStart implements Scenario {
+  private static final double UTILIZATION = 0.95;
+  private static final int COLD = 0;
+  private static final Duration WARM_UP = Duration.ofSeconds(5);
+  private static final Duration DURATION = Duration.ofSeconds(10);
+  private static final Duration FOUND_AFTER = Duration.ofMillis(250);
+
+  private final String name;
+  private final Consumer<FakeUpstream> fault;
+
+  private ColdStart(String name, Consumer<FakeUpstream> fault) {
+    this.name = name;
+    this.fault = fault;
+  }
+
+  /** The process restarts; a probe finds the new instance. */
+  static ColdStart announced() {
+    return new ColdStart("cold-start-announced", FakeUpstream::restart);
+  }
+
+  /** The process becomes cold while it runs, and sheds what it cannot bear. */
+  static ColdStart unannounced() {
+    return new ColdStart("cold-start-unannounced", FakeUpstream::becomeColdAndShed);
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public ImmutableList<Measurement> run(Site site, long seed) {
+    TrafficRun<RouterPath> run =
+        TrafficRun.orders(TrafficWorld.keyed(site), world -> RouterPath.of(world, seed), seed);
+    TrafficRun<PlainPath> plain =
+        TrafficRun.orders(
+            TrafficWorld.keyed(site),
+            world -> new PlainPath(world, new PlainRule.OwnerLimit(), seed),
+            seed);
+    UpstreamId cold = run.world().upstream(COLD).id();
+    execute(run, () -> run.path().link(cold).probe(FOUND_AFTER));
+    execute(plain, () -> {});
+    return ImmutableList.of(
+        MeasurementBuilder.of("excess_work", this, site, seed)
+            .value(run.records().largestExcess(), "requests")
+            .atMost(0)
+            .baseline("no_ramp", plain.records().largestExcess())
+            .invariantsKept(run.keepsInvariants())
+            .build());
+  }
+
+  private void execute(TrafficRun<?> run, Runnable afterFault) {
+    run.start(UTILIZATION);
+    run.advance(WARM_UP);
+    fault.accept(run.world().upstream(COLD));
+    afterFault.run();
+    run.advance(DURATION);
+    run.finish();
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
@@ -0,0 +1,154 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.catkinlift.bench.traffic.EntryDaemon.Target;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.RequestDescription;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.retries.HedgeRace;
+import org.catkinlift.retries.RetryDecision;
+import org.catkinlift.retries.RetryRule;
+import org.catkinlift.routing.RouteDecision;
+
+/** One request on its way through an entry daemon, with all its attempts. */
+final class Exchange {
+  private final EntryDaemon daemon;
+  private final CallerRequest request;
+  private final Consumer<CallerReply> reply;
+  private final long deadlineNanos;
+  private final long startedNanos;
+  private final Map<Long, Target> targets = new HashMap<>();
+  private ImmutableSet<UpstreamId> tried = ImmutableSet.of();
+  private Optional<Outcome> earlier = Optional.empty();
+  private HedgeRace race;
+  private int attemptsMade;
+
+  Exchange(EntryDaemon daemon, CallerRequest request, Consumer<CallerReply> reply) {
+    this.daemon = daemon;
+    this.request = request;
+    this.reply = reply;
+    this.startedNanos = now();
+    this.deadlineNanos = startedNanos + request.description().deadline().toNanos();
+  }
+
+  void start() {
+    attemptsMade++;
+    Optional<Target> target = target();
+    if (target.isEmpty()) {
+      return;
+    }
+    race = new HedgeRace(send(target.get()));
+    HedgeRace current = race;
+    daemon
+        .hedgeRule()
+        .delay(request.description().requestClass(), daemon.kind())
+        .ifPresent(delay -> daemon.timers().after(delay, () -> hedge(current)));
+  }
+
+  private Optional<Target> target() {
+    return switch (daemon.route(remainingRequest(), tried)) {
+      case RouteDecision.DispatchHere here -> Optional.of(Target.here(here));
+      case RouteDecision.Relay relay -> Optional.of(Target.relayed(relay));
+      case RouteDecision.Wait none -> {
+        finish(Outcome.notRun(RefusalCode.NO_OWNER, none.limit()));
+        yield Optional.empty();
+      }
+      case RouteDecision.Refuse refuse -> {
+        finish(refuse.outcome());
+        yield Optional.empty();
+      }
+    };
+  }
+
+  private long send(Target target) {
+    long sentNanos = now();
+    var number = new long[1];
+    var sent = new CallerRequest(request.number(), remainingRequest(), request.work());
+    number[0] = daemon.send(target, sent, answer -> ended(number[0], target, answer, sentNanos));
+    targets.put(number[0], target);
+    tried = ImmutableSet.<UpstreamId>builder().addAll(tried).add(target.upstream()).build();
+    return number[0];
+  }
+
+  private void hedge(HedgeRace current) {
+    if (current.isDecided()) {
+      return;
+    }
+    if (!daemon.hedgeRule().tryTake()) {
+      return;
+    }
+    switch (daemon.route(remainingRequest(), tried)) {
+      case RouteDecision.DispatchHere here -> current.hedged(send(Target.here(here)));
+      case RouteDecision.Relay relay -> current.hedged(send(Target.relayed(relay)));
+      case RouteDecision.Wait none -> {}
+      case RouteDecision.Refuse refuse -> {}
+    }
+  }
+
+  private void ended(long attempt, Target target, CallerReply answer, long sentNanos) {
+    Duration latency = Duration.ofNanos(now() - sentNanos);
+    if (!race.running().contains(attempt)) {
+      return;
+    }
+    daemon.chooser().finished(target.upstream(), latency, answer.outcome(), now());
+    HedgeRace.Step step =
+        answer.outcome() instanceof Outcome.Answered
+            ? race.answered(attempt)
+            : race.failed(attempt, answer.outcome());
+    switch (step) {
+      case HedgeRace.Step.Deliver deliver -> deliver(deliver, answer);
+      case HedgeRace.Step.Fail fail -> failed(fail.outcome());
+      case HedgeRace.Step.Continue running -> {}
+      case HedgeRace.Step.Drop drop -> {}
+    }
+  }
+
+  private void deliver(HedgeRace.Step.Deliver deliver, CallerReply answer) {
+    deliver.cancel().forEach(loser -> daemon.cancel(targets.get(loser), loser));
+    daemon.retryBudget().succeeded(now());
+    daemon.hedgeRule().answered(Duration.ofNanos(now() - startedNanos));
+    reply.accept(answer);
+  }
+
+  private void failed(Outcome outcome) {
+    Outcome combined = earlier.map(e -> RetryRule.combine(e, outcome)).orElse(outcome);
+    earlier = Optional.of(combined);
+    RetryDecision decision =
+        RetryRule.decide(
+            request.description().requestClass(),
+            attemptsMade,
+            combined,
+            Duration.ofNanos(deadlineNanos - now()),
+            daemon.retryBudget(),
+            now());
+    switch (decision) {
+      case RetryDecision.Retry retry -> daemon.timers().after(retry.delay(), this::start);
+      case RetryDecision.GiveUp giveUp -> finish(giveUp.outcome());
+    }
+  }
+
+  private void finish(Outcome outcome) {
+    Outcome combined = earlier.map(e -> RetryRule.combine(e, outcome)).orElse(outcome);
+    reply.accept(CallerReply.of(combined));
+  }
+
+  private RequestDescription remainingRequest() {
+    RequestDescription whole = request.description();
+    return new RequestDescription(
+        whole.id(),
+        whole.service(),
+        whole.key(),
+        whole.requestClass(),
+        Duration.ofNanos(Math.max(0, deadlineNanos - now())));
+  }
+
+  private long now() {
+    return daemon.timers().nowNanos();
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/FakeUpstream.java
@@ -0,0 +1,186 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.catkinlift.limits.AttemptResult;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.timer.TimerService;
+
+/**
+ * Executes requests for as long as their work takes.
+ *
+ * <p>It bears as many requests as it has execution slots; while cold it is slow and bears one at
+ * first, and one more after every few that it completed. Work above that waits inside, or is shed
+ * if the upstream sheds.
+ */
+final class FakeUpstream {
+  /** By then the router knows of a shed answer and what it sent before has arrived. */
+  private static final long SHED_KNOWN_NANOS = Duration.ofMillis(2).toNanos();
+
+  private static final int COMPLETIONS_PER_SLOT = 4;
+  private static final int COLD_SLOWNESS = 6;
+
+  private final UpstreamId id;
+  private final int slots;
+  private final TimerService timers;
+  private final WorkRecords records;
+  private final Map<Long, Execution> running = new LinkedHashMap<>();
+  private final Deque<Execution> waiting = new ArrayDeque<>();
+  private final Set<Long> cancelled = new HashSet<>();
+  private final Set<Long> silentConnections = new HashSet<>();
+  private int instance = 1;
+  private int coldFor;
+  private int slowFactor = 1;
+  private boolean sheds;
+  private boolean crossesNextAnswer;
+  private long shedSinceNanos = Long.MAX_VALUE;
+  private long busyNanos;
+
+  /** An answer on a connection, to the attempt that it names. */
+  record Answer(long attempt, long requestNumber, AttemptResult result) {}
+
+  private record Execution(
+      long attempt, CallerRequest request, long startedNanos, Consumer<Answer> reply) {}
+
+  FakeUpstream(UpstreamId id, int slots, TimerService timers, WorkRecords records) {
+    this.id = id;
+    this.slots = slots;
+    this.timers = timers;
+    this.records = records;
+  }
+
+  void receive(long connection, long attempt, CallerRequest request, Consumer<Answer> reply) {
+    var execution = new Execution(attempt, request, timers.nowNanos(), reply);
+    if (silentConnections.contains(connection)) {
+      return;
+    }
+    if (cancelled.remove(attempt)) {
+      answer(execution, new AttemptResult.Refused(RefusalCode.DEADLINE_PASSED));
+      return;
+    }
+    boolean isFull = running.size() + waiting.size() >= bears();
+    if (isFull && sheds) {
+      recordShed();
+      answer(execution, new AttemptResult.Shed());
+      return;
+    }
+    waiting.add(execution);
+    records.accepted(id, running.size() + waiting.size(), bears());
+    startNext();
+  }
+
+  /** Stops a request and answers it; one that has not arrived yet is refused on arrival. */
+  AttemptResult cancel(long attempt) {
+    var stopped = new AttemptResult.Stopped();
+    Execution execution = running.remove(attempt);
+    if (execution == null) {
+      waiting.removeIf(e -> e.attempt == attempt);
+      cancelled.add(attempt);
+      return stopped;
+    }
+    answer(execution, stopped);
+    startNext();
+    return stopped;
+  }
+
+  /** Replaces the process by a cold one; all connections are lost. */
+  void restart() {
+    instance++;
+    var lost = new AttemptResult.Failed(RefusalCode.CONNECTION_LOST);
+    var executions = ImmutableList.copyOf(Iterables.concat(running.values(), waiting));
+    running.clear();
+    waiting.clear();
+    becomeCold();
+    executions.forEach(execution -> answer(execution, lost));
+  }
+
+  void becomeColdAndShed() {
+    sheds = true;
+    becomeCold();
+  }
+
+  void slowDown(int factor) {
+    slowFactor = factor;
+  }
+
+  void silence(long connection) {
+    silentConnections.add(connection);
+  }
+
+  void crossNextAnswer() {
+    crossesNextAnswer = true;
+  }
+
+  UpstreamId id() {
+    return id;
+  }
+
+  String instance() {
+    return id + "-" + instance;
+  }
+
+  int inFlight() {
+    return running.size() + waiting.size();
+  }
+
+  long busyNanos() {
+    return busyNanos;
+  }
+
+  /** Work that is sent on after a shed answer counts as accepted above what is borne. */
+  private void recordShed() {
+    long now = timers.nowNanos();
+    shedSinceNanos = Math.min(shedSinceNanos, now);
+    if (now - shedSinceNanos > SHED_KNOWN_NANOS) {
+      records.accepted(id, inFlight() + 1, bears());
+    }
+  }
+
+  private void becomeCold() {
+    coldFor = (slots - 1) * COMPLETIONS_PER_SLOT;
+  }
+
+  private int bears() {
+    return slots - Math.ceilDiv(coldFor, COMPLETIONS_PER_SLOT);
+  }
+
+  private void startNext() {
+    while (running.size() < bears() && !waiting.isEmpty()) {
+      start(waiting.remove());
+    }
+  }
+
+  private void start(Execution execution) {
+    records.ran(execution.request);
+    running.put(execution.attempt, execution);
+    int factor = coldFor > 0 ? COLD_SLOWNESS : slowFactor;
+    Duration time = execution.request.work().multipliedBy(factor);
+    timers.after(time, () -> finish(execution, time));
+  }
+
+  private void finish(Execution execution, Duration time) {
+    if (!running.remove(execution.attempt, execution)) {
+      return;
+    }
+    busyNanos += time.toNanos();
+    coldFor = Math.max(0, coldFor - 1);
+    answer(execution, new AttemptResult.Answered(time, instance()));
+    startNext();
+  }
+
+  private void answer(Execution execution, AttemptResult result) {
+    long other = crossesNextAnswer ? -1 : 0;
+    crossesNextAnswer = false;
+    execution.reply.accept(
+        new Answer(execution.attempt + other, execution.request.number() + other, result));
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/SharedImbalance.java
@@ -0,0 +1,95 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.function.Function;
+import org.catkinlift.bench.Measurement;
+import org.catkinlift.bench.Scenario;
+import org.catkinlift.bench.Site;
+
+/** Measures how evenly the work of a shared service is divided, over intervals of 30 s. */
+final class SharedImbalance implements Scenario {
+  private static final double BOUND = 1.15;
+  private static final Duration WARM_UP = Duration.ofSeconds(5);
+  private static final double UTILIZATION = 0.6;
+  private static final int SLOWED = 0;
+
+  /** The half-life with which the design averages load. */
+  private static final Duration INTERVAL = Duration.ofSeconds(30);
+
+  private static final int INTERVALS = 2;
+
+  private final String name;
+  private final int slowFactor;
+
+  private SharedImbalance(String name, int slowFactor) {
+    this.name = name;
+    this.slowFactor = slowFactor;
+  }
+
+  static SharedImbalance equalUpstreams() {
+    return new SharedImbalance("shared-equal", 1);
+  }
+
+  /** One upstream takes twice as long and therefore bears half as many requests per second. */
+  static SharedImbalance oneSlower() {
+    return new SharedImbalance("shared-one-slower", 2);
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public ImmutableList<Measurement> run(Site site, long seed) {
+    TrafficRun<?> run = start(site, seed, world -> RouterPath.of(world, seed));
+    double value = meanOverIntervals(run);
+    run.finish();
+    TrafficRun<?> plain =
+        start(site, seed, world -> new PlainPath(world, new PlainRule.RandomChoice(), seed));
+    return ImmutableList.of(
+        MeasurementBuilder.of("imbalance", this, site, seed)
+            .value(value, "ratio")
+            .atMost(BOUND)
+            .baseline("random_choice", meanOverIntervals(plain))
+            .invariantsKept(run.keepsInvariants())
+            .build());
+  }
+
+  private TrafficRun<?> start(
+      Site site, long seed, Function<TrafficWorld, ? extends RequestPath> paths) {
+    TrafficRun<?> run = TrafficRun.lookups(TrafficWorld.shared(site), paths, seed);
+    run.world().upstream(SLOWED).slowDown(slowFactor);
+    run.start(UTILIZATION);
+    run.advance(WARM_UP);
+    return run;
+  }
+
+  private static double meanOverIntervals(TrafficRun<?> run) {
+    double sum = 0;
+    for (int i = 0; i < INTERVALS; i++) {
+      ImmutableList<Long> before = busyNanos(run);
+      run.advance(INTERVAL);
+      sum += maxOverMean(before, busyNanos(run));
+    }
+    return sum / INTERVALS;
+  }
+
+  private static double maxOverMean(ImmutableList<Long> before, ImmutableList<Long> after) {
+    double max = 0;
+    double total = 0;
+    for (int i = 0; i < before.size(); i++) {
+      double work = after.get(i) - before.get(i);
+      max = Math.max(max, work);
+      total += work;
+    }
+    return max * before.size() / total;
+  }
+
+  private static ImmutableList<Long> busyNanos(TrafficRun<?> run) {
+    return run.world().definitions().stream()
+        .map(d -> run.world().upstream(d.id()).busyNanos())
+        .collect(ImmutableList.toImmutableList());
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/SilentConnections.java
@@ -0,0 +1,51 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import org.catkinlift.bench.Measurement;
+import org.catkinlift.bench.Scenario;
+import org.catkinlift.bench.Site;
+
+/** One connection of each upstream becomes silent; measures the slowest lookup. */
+final class SilentConnections implements Scenario {
+  /** Half of the callers' deadline, by which a silent connection must be retired. */
+  private static final double BOUND_MILLIS = 1_000;
+
+  private static final double UTILIZATION = 0.3;
+  private static final Duration WARM_UP = Duration.ofSeconds(5);
+  private static final Duration DURATION = Duration.ofSeconds(10);
+
+  @Override
+  public String name() {
+    return "silent-connections";
+  }
+
+  @Override
+  public ImmutableList<Measurement> run(Site site, long seed) {
+    TrafficRun<RouterPath> run =
+        TrafficRun.lookups(TrafficWorld.keyed(site), world -> RouterPath.of(world, seed), seed);
+    TrafficRun<PlainPath> plain =
+        TrafficRun.lookups(
+            TrafficWorld.keyed(site),
+            world -> new PlainPath(world, new PlainRule.Owner(), seed),
+            seed);
+    execute(run, () -> run.path().links().forEach(UpstreamLink::silenceOneConnection));
+    execute(plain, () -> plain.path().silenceOneConnectionPerUpstream());
+    return ImmutableList.of(
+        MeasurementBuilder.of("tail_latency", this, site, seed)
+            .value(run.maxMillis(), "ms")
+            .atMost(BOUND_MILLIS)
+            .baseline("no_silence_check", plain.maxMillis())
+            .invariantsKept(run.keepsInvariants())
+            .build());
+  }
+
+  private static void execute(TrafficRun<?> run, Runnable fault) {
+    run.start(UTILIZATION);
+    run.advance(WARM_UP);
+    run.callers().measure(request -> true);
+    fault.run();
+    run.advance(DURATION);
+    run.finish();
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/TrafficScenarios.java
@@ -0,0 +1,27 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import org.catkinlift.bench.Scenario;
+
+/** Lists the scenarios of the traffic path. */
+public final class TrafficScenarios {
+  private TrafficScenarios() {}
+
+  /**
+   * Returns all scenarios.
+   *
+   * @return the scenarios in the order in which they run
+   */
+  public static ImmutableList<Scenario> all() {
+    return ImmutableList.of(
+        new KeyedTailLatency(),
+        SharedTailLatency.againstRoundRobin(),
+        SharedTailLatency.againstMisleadingReports(),
+        SharedImbalance.equalUpstreams(),
+        SharedImbalance.oneSlower(),
+        new RetryBurst(),
+        ColdStart.announced(),
+        ColdStart.unannounced(),
+        new SilentConnections());
+  }
+}
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/UpstreamLink.java
@@ -0,0 +1,247 @@
+package org.catkinlift.bench.traffic;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.catkinlift.connections.ConnectionAction;
+import org.catkinlift.connections.ConnectionHealth;
+import org.catkinlift.connections.ConnectionLimit;
+import org.catkinlift.limits.AttemptResult;
+import org.catkinlift.limits.DispatchAction;
+import org.catkinlift.limits.UpstreamDispatcher;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.timer.VirtualTimerService;
+
+/** Executes the actions of one dispatcher and its connections against a fake upstream. */
+final class UpstreamLink {
+  /** One way between a dispatcher and an upstream of its availability zone. */
+  private static final Duration ZONE_HOP = Duration.ofNanos(100_000);
+
+  private static final Duration CONNECT_TIME = Duration.ofMillis(1);
+  private static final Duration TICK = Duration.ofMillis(10);
+  private static final Duration RENEWAL = Duration.ofMillis(250);
+  private static final Duration LEASE = Duration.ofSeconds(1);
+  private static final Duration EARLIER_REQUESTS_KNOWN_AFTER = Duration.ofMillis(500);
+  private static final Duration PROBE_DEADLINE = Duration.ofSeconds(10);
+
+  private final VirtualTimerService timers;
+  private final FakeUpstream upstream;
+  private final UpstreamDispatcher dispatcher;
+  private final DispatchLease lease;
+  private final ConnectionHealth health = new ConnectionHealth();
+  private final ConnectionLimit connections;
+  private final Deque<Long> idle = new ArrayDeque<>();
+  private final Map<Long, Long> attemptOf = new HashMap<>();
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private long nextConnection = 1;
+  private long nextProbe = -1;
+  private int retired;
+  private int dropped;
+
+  private record Pending(CallerRequest request, int slot, Consumer<CallerReply> reply) {}
+
+  UpstreamLink(TrafficWorld world, UpstreamDefinition definition, HostId self, int limit) {
+    this.timers = world.timers();
+    this.upstream = world.upstream(definition.id());
+    this.dispatcher = new UpstreamDispatcher(definition.id(), self, limit, timers.nowNanos());
+    this.connections = new ConnectionLimit(definition.connectionLimit());
+    this.lease = new DispatchLease(definition.id(), self, Epoch.of(1, 1), LEASE);
+    start();
+  }
+
+  void offer(long attempt, CallerRequest request, int slot, Consumer<CallerReply> reply) {
+    pending.put(attempt, new Pending(request, slot, reply));
+    apply(
+        dispatcher.offer(attempt, request.description(), slot, Epoch.of(1, 1), timers.nowNanos()));
+  }
+
+  void cancel(long attempt) {
+    pending.remove(attempt);
+    attemptOf.forEach(
+        (connection, carried) -> {
+          if (carried == attempt) {
+            health.abandoned(connection, attempt);
+          }
+        });
+    apply(dispatcher.cancelled(attempt, timers.nowNanos()));
+  }
+
+  /** Asks the upstream for its instance after some time, as the coordinator does. */
+  void probe(Duration delay) {
+    timers.after(
+        delay, () -> apply(dispatcher.instanceSeen(upstream.instance(), timers.nowNanos())));
+  }
+
+  /** Makes the idle connection that is used next silent. */
+  void silenceOneConnection() {
+    Long connection = idle.peek();
+    if (connection != null) {
+      upstream.silence(connection);
+    }
+  }
+
+  int retired() {
+    return retired;
+  }
+
+  int dropped() {
+    return dropped;
+  }
+
+  private void start() {
+    var unused = timers.every(RENEWAL, () -> apply(dispatcher.leaseGranted(lease, now())));
+    unused = timers.every(TICK, this::tick);
+    apply(dispatcher.instanceSeen(upstream.instance(), now()));
+    apply(dispatcher.leaseGranted(lease, now()));
+    unused =
+        timers.after(
+            EARLIER_REQUESTS_KNOWN_AFTER,
+            () -> apply(dispatcher.earlierRequestsReported(0, now())));
+  }
+
+  private void tick() {
+    apply(dispatcher.tick(now()));
+    health.tick(now()).forEach(this::execute);
+  }
+
+  private void apply(ImmutableList<DispatchAction> actions) {
+    actions.forEach(this::execute);
+  }
+
+  private void execute(DispatchAction action) {
+    switch (action) {
+      case DispatchAction.Send send -> transmit(send);
+      case DispatchAction.Refuse refuse ->
+          reply(refuse.attempt(), CallerReply.of(refuse.outcome()));
+      case DispatchAction.CancelAtUpstream cancel -> cancelAtUpstream(cancel.attempt());
+      case DispatchAction.Report report -> {}
+    }
+  }
+
+  private void execute(ConnectionAction action) {
+    switch (action) {
+      case ConnectionAction.Retire retire -> {
+        retired++;
+        close(retire.connection(), RefusalCode.ANSWER_OVERDUE);
+      }
+      case ConnectionAction.ProbeNewConnection probe -> probe();
+      case ConnectionAction.DropAnswer drop -> dropped++;
+    }
+  }
+
+  private void transmit(DispatchAction.Send send) {
+    long attempt = send.attempt();
+    boolean reuse = !idle.isEmpty();
+    if (!reuse && !connections.tryOpenForRequest()) {
+      complete(attempt, new AttemptResult.Refused(RefusalCode.CONNECT_FAILED), -1);
+      return;
+    }
+    long connection = reuse ? idle.pop() : nextConnection++;
+    Duration delay = reuse ? ZONE_HOP : ZONE_HOP.plus(CONNECT_TIME);
+    CallerRequest request = pending.get(attempt).request();
+    attemptOf.put(connection, attempt);
+    health.sent(connection, attempt, now(), send.deadline());
+    timers.after(
+        delay,
+        () ->
+            upstream.receive(
+                connection,
+                attempt,
+                request,
+                answer -> timers.after(ZONE_HOP, () -> answered(connection, answer))));
+    timers.after(send.deadline(), () -> overdue(connection, attempt));
+  }
+
+  private void answered(long connection, FakeUpstream.Answer answer) {
+    ImmutableList<ConnectionAction> actions = health.answered(connection, answer.attempt(), now());
+    if (!actions.isEmpty()) {
+      actions.forEach(this::execute);
+      return;
+    }
+    attemptOf.remove(connection);
+    if (answer.result() instanceof AttemptResult.Failed) {
+      health.closed(connection);
+      connections.closed();
+    } else {
+      idle.push(connection);
+    }
+    complete(answer.attempt(), answer.result(), answer.requestNumber());
+  }
+
+  private void overdue(long connection, long attempt) {
+    if (attemptOf.getOrDefault(connection, 0L) == attempt) {
+      health.closed(connection);
+      close(connection, RefusalCode.ANSWER_OVERDUE);
+    }
+  }
+
+  private void close(long connection, RefusalCode code) {
+    health.closed(connection);
+    connections.closed();
+    Long attempt = attemptOf.remove(connection);
+    if (attempt != null) {
+      complete(attempt, new AttemptResult.Failed(code), -1);
+    }
+  }
+
+  private void probe() {
+    if (!connections.tryOpenForProbe()) {
+      return;
+    }
+    long connection = nextConnection++;
+    long attempt = nextProbe--;
+    health.sent(connection, attempt, now(), PROBE_DEADLINE);
+    timers.after(CONNECT_TIME.plus(ZONE_HOP.multipliedBy(2)), () -> probed(connection, attempt));
+  }
+
+  private void probed(long connection, long attempt) {
+    health.answered(connection, attempt, now()).forEach(this::execute);
+    idle.push(connection);
+  }
+
+  private void cancelAtUpstream(long attempt) {
+    timers.after(
+        ZONE_HOP,
+        () -> {
+          AttemptResult result = upstream.cancel(attempt);
+          timers.after(ZONE_HOP, () -> apply(dispatcher.completed(attempt, result, now())));
+        });
+  }
+
+  private void complete(long attempt, AttemptResult result, long answerTo) {
+    switch (result) {
+      case AttemptResult.Answered answered -> reply(attempt, CallerReply.answer(answerTo));
+      case AttemptResult.Shed shed -> reply(attempt, notRun(RefusalCode.UPSTREAM_SHED));
+      case AttemptResult.Refused refused -> reply(attempt, notRun(refused.code()));
+      case AttemptResult.Failed failed ->
+          reply(attempt, CallerReply.of(Outcome.unknown(failed.code())));
+      case AttemptResult.Stopped stopped ->
+          reply(attempt, CallerReply.of(Outcome.unknown(RefusalCode.ANSWER_OVERDUE)));
+    }
+    apply(dispatcher.completed(attempt, result, now()));
+  }
+
+  private void reply(long attempt, CallerReply reply) {
+    Pending request = pending.remove(attempt);
+    if (request != null) {
+      request.reply().accept(reply);
+    }
+  }
+
+  private static CallerReply notRun(RefusalCode code) {
+    return CallerReply.of(Outcome.notRun(code, Duration.ZERO));
+  }
+
+  private long now() {
+    return timers.nowNanos();
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/AttemptResult.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/AttemptResult.java
@@ -30,4 +30,12 @@
    * @param code the reason
    */
   record Failed(RefusalCode code) implements AttemptResult {}
+
+  /**
+   * The upstream no longer executes the request; it may have run in part or completely.
+   *
+   * <p>This is the reply to a cancellation, which {@link Failed} cannot express: a failed request
+   * may still hold an execution slot.
+   */
+  record Stopped() implements AttemptResult {}
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/SlowStartLimiter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/SlowStartLimiter.java
@@ -11,7 +11,9 @@
  * cold.
  *
  * <p>The limit of a cold upstream starts at 1 and grows only with completed work, because an
- * upstream that makes no progress does not become warm by waiting. Confined to one event loop.
+ * upstream that makes no progress does not become warm by waiting. Work that was sent before the
+ * upstream became cold, or that took longer than usual, shows nothing and does not count. Confined
+ * to one event loop.
  */
 final class SlowStartLimiter {
   private static final int FIRST_LIMIT = 1;
@@ -30,7 +32,9 @@
   private int completedAtLimit;
   private int slowInARow;
   private String instance = "";
+  private String previousInstance = "";
   private boolean unconfirmed;
+  private long coldSinceNanos = Long.MIN_VALUE;
 
   SlowStartLimiter(UpstreamId upstream, int fullLimit) {
     this.upstream = upstream;
@@ -65,8 +69,9 @@
     unconfirmed = true;
   }
 
-  ImmutableList<DecisionEvent> instanceSeen(String seen) {
-    if (seen.isEmpty()) {
+  ImmutableList<DecisionEvent> instanceSeen(String seen, long nowNanos) {
+    // An answer of the previous process may arrive after the news of the restart.
+    if (seen.isEmpty() || seen.equals(previousInstance)) {
       return ImmutableList.of();
     }
     unconfirmed = false;
@@ -74,42 +79,54 @@
       return ImmutableList.of();
     }
     boolean isFirst = instance.isEmpty();
+    previousInstance = instance;
     instance = seen;
-    return isFirst ? ImmutableList.of() : becomeCold("restarted");
+    return isFirst ? ImmutableList.of() : becomeCold("restarted", nowNanos);
   }
 
-  ImmutableList<DecisionEvent> answered(Duration latency) {
+  ImmutableList<DecisionEvent> answered(Duration latency, long nowNanos) {
     unconfirmed = false;
-    slowInARow = isSlow(latency) ? slowInARow + 1 : 0;
+    boolean isSlow = isSlow(latency);
+    boolean sentWhileCold = nowNanos - latency.toNanos() >= coldSinceNanos;
+    slowInARow = isSlow ? slowInARow + 1 : 0;
     latencies.record(latency);
-    if (slowInARow >= SLOW_ANSWERS_IN_A_ROW) {
-      return becomeCold("slow");
+    if (isCold()) {
+      return isSlow || !sentWhileCold ? ImmutableList.of() : grow();
     }
-    return grow();
+    return slowInARow < SLOW_ANSWERS_IN_A_ROW ? ImmutableList.of() : becomeSlow(nowNanos);
   }
 
-  ImmutableList<DecisionEvent> shed() {
+  /** A warm upstream that sheds is cold; a cold one that sheds gets half of the work. */
+  ImmutableList<DecisionEvent> shed(long nowNanos) {
     unconfirmed = false;
-    boolean wasCold = isCold();
+    if (!isCold()) {
+      return becomeCold("shed", nowNanos);
+    }
     limit = Math.max(FIRST_LIMIT, limit / 2);
-    completedAtLimit = 0;
-    return wasCold || !isCold() ? ImmutableList.of() : reportCold("shed");
+    restartRamp(nowNanos);
+    return ImmutableList.of();
   }
 
-  private ImmutableList<DecisionEvent> becomeCold(String reason) {
+  /** The median is learned again, so that an upstream that stays slow is not cold forever. */
+  private ImmutableList<DecisionEvent> becomeSlow(long nowNanos) {
+    latencies.clear();
+    return becomeCold("slow", nowNanos);
+  }
+
+  private ImmutableList<DecisionEvent> becomeCold(String reason, long nowNanos) {
     boolean wasCold = isCold();
     limit = Math.min(FIRST_LIMIT, fullLimit);
+    restartRamp(nowNanos);
+    return wasCold || !isCold() ? ImmutableList.of() : reportCold(reason);
+  }
+
+  private void restartRamp(long nowNanos) {
     completedAtLimit = 0;
     slowInARow = 0;
-    // The median is learned again, so an upstream that stays slow is not found cold forever.
-    latencies.clear();
-    return wasCold || !isCold() ? ImmutableList.of() : reportCold(reason);
+    coldSinceNanos = nowNanos;
   }
 
   private ImmutableList<DecisionEvent> grow() {
-    if (!isCold()) {
-      return ImmutableList.of();
-    }
     completedAtLimit++;
     if (completedAtLimit < limit) {
       return ImmutableList.of();
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
@@ -107,9 +107,10 @@
     boolean awaited = running.isAwaited(attempt);
     ImmutableList<DispatchAction> own =
         switch (result) {
-          case AttemptResult.Answered answered -> answered(attempt, answered, awaited);
-          case AttemptResult.Shed shed -> ended(attempt, limiter.shed());
+          case AttemptResult.Answered answered -> answered(attempt, answered, awaited, nowNanos);
+          case AttemptResult.Shed shed -> ended(attempt, limiter.shed(nowNanos));
           case AttemptResult.Refused refused -> ended(attempt, ImmutableList.of());
+          case AttemptResult.Stopped stopped -> ended(attempt, ImmutableList.of());
           case AttemptResult.Failed failed -> failed(attempt, failed.code(), awaited);
         };
     return concat(own, sendNext(nowNanos));
@@ -181,7 +182,7 @@
    * @return what to do
    */
   public ImmutableList<DispatchAction> instanceSeen(String instance, long nowNanos) {
-    return concat(noteInstance(instance), sendNext(nowNanos));
+    return concat(noteInstance(instance, nowNanos), sendNext(nowNanos));
   }
 
   /**
@@ -246,10 +247,12 @@
   }
 
   private ImmutableList<DispatchAction> answered(
-      long attempt, AttemptResult.Answered answer, boolean awaited) {
+      long attempt, AttemptResult.Answered answer, boolean awaited, long nowNanos) {
     running.ended(attempt);
-    ImmutableList<DispatchAction> instance = noteInstance(answer.instance());
-    return awaited ? concat(instance, reports(limiter.answered(answer.latency()))) : instance;
+    ImmutableList<DispatchAction> instance = noteInstance(answer.instance(), nowNanos);
+    return awaited
+        ? concat(instance, reports(limiter.answered(answer.latency(), nowNanos)))
+        : instance;
   }
 
   private ImmutableList<DispatchAction> ended(long attempt, List<DecisionEvent> events) {
@@ -268,9 +271,9 @@
     return ImmutableList.of(new CancelAtUpstream(attempt));
   }
 
-  private ImmutableList<DispatchAction> noteInstance(String instance) {
+  private ImmutableList<DispatchAction> noteInstance(String instance, long nowNanos) {
     String before = limiter.instance();
-    ImmutableList<DispatchAction> reports = reports(limiter.instanceSeen(instance));
+    ImmutableList<DispatchAction> reports = reports(limiter.instanceSeen(instance, nowNanos));
     if (!before.isEmpty() && !before.equals(limiter.instance())) {
       running.instanceChanged();
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/retries/HedgeRace.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/HedgeRace.java
@@ -67,7 +67,9 @@
       return new Step.Drop();
     }
     decided = true;
-    return new Step.Deliver(attempt, ImmutableList.copyOf(running));
+    var losers = ImmutableList.copyOf(running);
+    running.clear();
+    return new Step.Deliver(attempt, losers);
   }
 
   /**
@@ -90,6 +92,15 @@
     return new Step.Fail(failure.get());
   }
 
+  /**
+   * Tells whether the request has ended.
+   *
+   * @return true after {@link Step.Deliver} or {@link Step.Fail}
+   */
+  public boolean isDecided() {
+    return decided;
+  }
+
   /**
    * Returns the attempts that have not ended.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/UpstreamView.java
@@ -70,7 +70,7 @@
 
   private double expectedNanos(double usualLatencyNanos, long nowNanos) {
     double known = latencyNanos == 0 ? usualLatencyNanos : latencyNanos;
-    double silence = nowNanos - lastProgressNanos;
+    double silence = (double) (nowNanos - lastProgressNanos);
     if (inFlight > 0) {
       return Math.max(known, silence);
     }
@@ -78,7 +78,7 @@
   }
 
   private double failuresAt(long nowNanos) {
-    return failures * halving(nowNanos - lastProgressNanos);
+    return failures * halving((double) (nowNanos - lastProgressNanos));
   }
 
   private static double halving(double elapsedNanos) {
