--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/HotKeyCounter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/HotKeyCounter.java
@@ -50,9 +50,11 @@
         .collect(toImmutableMap(c -> c.key, Counter::certainSum));
   }
 
-  /** Multiplies all sums; their order stays the same. */
+  /** Multiplies all sums. Very small ones may become equal, so the order is built again. */
   void scale(double factor) {
+    ordered.clear();
     counters.values().forEach(c -> c.scale(factor));
+    ordered.addAll(counters.values());
   }
 
   private double evictSmallest() {
