--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/WorkRecords.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/WorkRecords.java
@@ -1,10 +1,10 @@
 package org.catkinlift.bench.traffic;
 
-import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.catkinlift.model.Outcome;
@@ -13,11 +13,17 @@
 
 /** Records what the fakes saw and judges the invariants at each event. */
 final class WorkRecords {
-  private static final int MAX_KEPT = 20;
+  /** The judged invariants of section 1.2 of the design. */
+  enum Invariant {
+    BEARABLE_WORK,
+    OWN_ANSWER,
+    TRUE_NOT_RUN,
+    AT_MOST_ONCE
+  }
 
   private final Map<Long, Integer> runs = new HashMap<>();
   private final Set<Long> toldNotRun = new HashSet<>();
-  private final List<String> violations = new ArrayList<>();
+  private final Map<Invariant, String> firstViolations = new EnumMap<>(Invariant.class);
   private long violationCount;
   private long totalRuns;
   private int largestExcess;
@@ -26,7 +32,9 @@
   void accepted(UpstreamId upstream, int inFlight, int bears) {
     largestExcess = Math.max(largestExcess, inFlight - bears);
     if (inFlight > bears) {
-      violate("upstream " + upstream + " has " + inFlight + " requests and bears " + bears);
+      violate(
+          Invariant.BEARABLE_WORK,
+          "upstream " + upstream + " has " + inFlight + " requests and bears " + bears);
     }
   }
 
@@ -35,10 +43,14 @@
     totalRuns++;
     int count = runs.merge(request.number(), 1, Integer::sum);
     if (count > 1 && request.description().requestClass().equals(RequestClass.AT_MOST_ONCE)) {
-      violate("at-most-once request " + request.number() + " ran " + count + " times");
+      violate(
+          Invariant.AT_MOST_ONCE,
+          "at-most-once request " + request.number() + " ran " + count + " times");
     }
     if (toldNotRun.contains(request.number())) {
-      violate("request " + request.number() + " ran after its caller was told that it did not");
+      violate(
+          Invariant.TRUE_NOT_RUN,
+          "request " + request.number() + " ran after its caller was told that it did not");
     }
   }
 
@@ -51,8 +63,9 @@
     }
   }
 
-  ImmutableList<String> violations() {
-    return ImmutableList.copyOf(violations);
+  /** Returns the first violation of each invariant that was violated. */
+  ImmutableMap<Invariant, String> firstViolations() {
+    return Maps.immutableEnumMap(firstViolations);
   }
 
   long violationCount() {
@@ -70,21 +83,23 @@
 
   private void checkOwnAnswer(CallerRequest request, CallerReply reply) {
     if (reply.answerTo() != request.number()) {
-      violate("request " + request.number() + " got the answer to " + reply.answerTo());
+      violate(
+          Invariant.OWN_ANSWER,
+          "request " + request.number() + " got the answer to " + reply.answerTo());
     }
   }
 
   private void checkNotRun(CallerRequest request) {
     toldNotRun.add(request.number());
     if (runs.containsKey(request.number())) {
-      violate("request " + request.number() + " ran, its caller was told that it did not");
+      violate(
+          Invariant.TRUE_NOT_RUN,
+          "request " + request.number() + " ran, its caller was told that it did not");
     }
   }
 
-  private void violate(String text) {
+  private void violate(Invariant invariant, String text) {
     violationCount++;
-    if (violations.size() < MAX_KEPT) {
-      violations.add(text);
-    }
+    firstViolations.putIfAbsent(invariant, text);
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/connections/ConnectionHealthTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/connections/ConnectionHealthTest.java
@@ -65,8 +65,7 @@
   void lateAnswerIsDroppedAndItsConnectionClosed() {
     health.sent(1, 10, 0, DEADLINE);
     health.abandoned(1, 10);
-    assertThat(health.answered(1, 10, MILLI))
-        .containsExactly(new DropAnswer(1, 10), new Retire(1));
+    assertThat(health.answered(1, 10, MILLI)).containsExactly(new DropAnswer(1, 10), new Retire(1));
     assertThat(health.answered(1, 10, MILLI)).containsExactly(new DropAnswer(1, 10));
   }
 
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/features/traffic/OutcomeSteps.java
@@ -0,0 +1,96 @@
+package org.catkinlift.features.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.time.Duration;
+import org.catkinlift.model.Outcome;
+import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.RequestClass;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.retries.HedgeRace;
+import org.catkinlift.retries.HedgeRule;
+import org.catkinlift.retries.RetryBudget;
+import org.catkinlift.retries.RetryDecision;
+import org.catkinlift.retries.RetryRule;
+
+/** Steps about the attempts of one request and what its caller is told. */
+public final class OutcomeSteps {
+  private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final Outcome LOST = Outcome.unknown(RefusalCode.CONNECTION_LOST);
+  private static final Outcome SHED = Outcome.notRun(RefusalCode.UPSTREAM_SHED, Duration.ZERO);
+
+  private final RetryBudget budget = new RetryBudget(0);
+  private final HedgeRace race = new HedgeRace(1);
+  private RequestClass requestClass = RequestClass.REPEATABLE;
+  private Outcome outcome = SHED;
+  private RetryDecision decision = new RetryDecision.GiveUp(SHED);
+
+  @Given("a repeatable request whose connection was lost after it was sent")
+  public void lostRequest() {
+    end(1, LOST);
+  }
+
+  @When("its second attempt is shed")
+  public void secondShed() {
+    end(3, RetryRule.combine(outcome, SHED));
+  }
+
+  @Then("its caller is told that the outcome is unknown")
+  public void toldUnknown() {
+    assertThat(decision).isEqualTo(new RetryDecision.GiveUp(LOST));
+  }
+
+  @Given("a hedged request")
+  public void hedged() {
+    race.hedged(2);
+  }
+
+  @When("the first attempt is lost and the second is shed")
+  public void bothFail() {
+    assertThat(race.failed(1, LOST)).isEqualTo(new HedgeRace.Step.Continue());
+    end(3, ((HedgeRace.Step.Fail) race.failed(2, SHED)).outcome());
+  }
+
+  @Given("an at-most-once request")
+  public void atMostOnce() {
+    requestClass = RequestClass.AT_MOST_ONCE;
+  }
+
+  @When("its first attempt ends with {word}")
+  public void firstUnknown(String code) {
+    end(1, Outcome.unknown(RefusalCode.valueOf(code)));
+  }
+
+  @When("its first attempt is refused with {word}")
+  public void firstRefused(String code) {
+    end(1, Outcome.notRun(RefusalCode.valueOf(code), Duration.ZERO));
+  }
+
+  @Then("it is not sent again")
+  public void notSentAgain() {
+    assertThat(decision).isEqualTo(new RetryDecision.GiveUp(outcome));
+  }
+
+  @Then("it is sent again")
+  public void sentAgain() {
+    assertThat(decision).isInstanceOf(RetryDecision.Retry.class);
+  }
+
+  @Then("it is never hedged")
+  public void neverHedged() {
+    var rule = new HedgeRule();
+    for (int i = 0; i < 100; i++) {
+      rule.answered(SECOND);
+    }
+    assertThat(rule.delay(RequestClass.REPEATABLE, ServiceKind.shared())).isPresent();
+    assertThat(rule.delay(requestClass, ServiceKind.shared())).isEmpty();
+  }
+
+  private void end(int attemptsMade, Outcome combined) {
+    outcome = combined;
+    decision = RetryRule.decide(requestClass, attemptsMade, combined, SECOND, budget, 0);
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/routing/RequestRouterTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/routing/RequestRouterTest.java
@@ -38,7 +38,8 @@
   private static final String KEY = "key";
   private static final int SLOT = KeyHasher.slotOf(KEY, ServiceKind.DEFAULT_SLOT_COUNT);
 
-  private final RequestRouter router = new RequestRouter(new SharedChooser(new SplittableRandom(1)));
+  private final RequestRouter router =
+      new RequestRouter(new SharedChooser(new SplittableRandom(1)));
 
   @Test
   void keyedRequestGoesToOwnerAlsoWhenOwnerWasTriedBefore() {
--- /dev/null
+++ b/catkinlift-decision/src/test/resources/features/traffic/at_most_once.feature
@@ -0,0 +1,33 @@
+Feature: An at-most-once request runs at most once (invariant 7)
+
+  Scenario Outline: The first attempt ends and the upstream may have run it
+    Given an at-most-once request
+    When its first attempt ends with <failure>
+    Then it is not sent again
+
+    Examples:
+      | failure         |
+      | CONNECTION_LOST |
+      | ANSWER_OVERDUE  |
+
+  Scenario Outline: The first attempt ends and did not run
+    Given an at-most-once request
+    When its first attempt is refused with <refusal>
+    Then it is sent again
+
+    Examples:
+      | refusal                |
+      | UPSTREAM_SHED          |
+      | STALE_EPOCH            |
+      | CONNECT_FAILED         |
+      | DISPATCHER_UNREACHABLE |
+
+  Scenario: A refusal follows an attempt with unknown outcome
+    Given an at-most-once request
+    When its first attempt ends with CONNECTION_LOST
+    And its second attempt is shed
+    Then it is not sent again
+
+  Scenario: The request is slow
+    Given an at-most-once request
+    Then it is never hedged
