Run a whole site for a second in a test

The parts of the daemon are tested alone; nothing failed if they did not work together.

DemoCommandTest starts the demo, sends the seeded mix for one second and requires the four counts of broken promises to be 0. Latencies do not decide it.

--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/demo/DemoCommandTest.java
@@ -0,0 +1,43 @@
+package org.catkinlift.cli.demo;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.beust.jcommander.JCommander;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Runs a whole site for one second; guards against parts that work alone but not together, and
+ * against a broken promise to a caller in normal operation. Latencies do not decide it.
+ */
+final class DemoCommandTest {
+
+  @Test
+  void servesASiteAndKeepsItsPromises() throws Exception {
+    var out = new ByteArrayOutputStream();
+    var err = new ByteArrayOutputStream();
+
+    int code = run(out, err, "--seconds", "1", "--format", "json", "--seed", "7");
+
+    assertWithMessage("%s%s", out.toString(UTF_8), err.toString(UTF_8)).that(code).isEqualTo(0);
+    JsonNode figures = new ObjectMapper().readTree(out.toString(UTF_8));
+    assertThat(figures.path("requests").asInt()).isGreaterThan(0);
+    assertThat(figures.path("answered").asInt()).isGreaterThan(0);
+    for (String promise :
+        new String[] {"wrong_answers", "orders_run_twice", "not_run_but_ran", "owner_conflicts"}) {
+      assertWithMessage(promise).that(figures.path(promise).asInt(-1)).isEqualTo(0);
+    }
+  }
+
+  private static int run(
+      ByteArrayOutputStream out, ByteArrayOutputStream err, String... arguments) {
+    var command = new DemoCommand();
+    JCommander.newBuilder().addObject(command).build().parse(arguments);
+    return command.run(new PrintStream(out, true, UTF_8), new PrintStream(err, true, UTF_8));
+  }
+}
