Audit the demo after its daemons have stopped

A request of unknown outcome may run after the load has ended, and ownership moves while daemons hand over their duties; an audit before that misses both.

The records are now read after the daemons have stopped.

--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
@@ -93,7 +93,7 @@
     var run = new DemoRun(vertx, site, seed, Duration.ofSeconds(seconds));
     DemoResult result = await(run.measure(), MARGIN.plusSeconds(2L * seconds));
     format.print(result, out);
-    await(site.stop(), STOP_LIMIT);
+    await(site.stopStandins(), STOP_LIMIT);
     return result.isClean() ? OK : FAILED;
   }
 
@@ -107,7 +107,7 @@
 
   private static void stop(DemoSite site, CountDownLatch stopped) {
     try {
-      await(site.stop(), STOP_LIMIT);
+      await(site.stopDaemons().eventually(site::stopStandins), STOP_LIMIT);
     } catch (ExecutionException | TimeoutException e) {
       System.err.println("error: the site did not stop in order: " + e);
     } catch (InterruptedException e) {
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoRun.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoRun.java
@@ -1,6 +1,5 @@
 package org.catkinlift.cli.demo;
 
-import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -25,19 +24,25 @@
     this.duration = duration;
   }
 
-  /** Measures; the audit covers the run through the daemons. */
+  /**
+   * Measures, stops the daemons and compares the records.
+   *
+   * <p>The records are read last, so that they show what requests of unknown outcome did later and
+   * who owned what while the daemons handed over their duties.
+   */
   Future<DemoResult> measure() {
-    return load("routed", site.throughDaemons()).compose(routed -> audited(routed));
-  }
-
-  private Future<DemoResult> audited(LoadReport routed) {
-    ImmutableSet<String> refused = routed.refusedIds();
-    return site.records()
-        .map(records -> RecordAudit.compare(refused, records))
+    return load("routed", site.throughDaemons())
         .compose(
-            audit ->
+            routed ->
                 load("direct", site.straightToUpstreams())
-                    .map(direct -> new DemoResult(routed, direct, audit)));
+                    .compose(direct -> audited(routed, direct)));
+  }
+
+  private Future<DemoResult> audited(LoadReport routed, LoadReport direct) {
+    return site.stopDaemons()
+        .compose(v -> site.records())
+        .map(records -> RecordAudit.compare(routed.refusedIds(), records))
+        .map(audit -> new DemoResult(routed, direct, audit));
   }
 
   private Future<LoadReport> load(String name, Targets targets) {
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoSite.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoSite.java
@@ -70,10 +70,14 @@
     return allOf(upstreams(), UpstreamStandin::record);
   }
 
-  /** Stops the daemons first, then what they depend on. */
-  Future<Void> stop() {
-    return Future.join(daemons.stream().map(Daemon::stop).toList())
-        .eventually(() -> Future.join(upstreams().stream().map(UpstreamStandin::stop).toList()))
+  /** Stops the daemons in order. */
+  Future<Void> stopDaemons() {
+    return Future.join(daemons.stream().map(Daemon::stop).toList()).mapEmpty();
+  }
+
+  /** Stops what the daemons depend on. */
+  Future<Void> stopStandins() {
+    return Future.join(upstreams().stream().map(UpstreamStandin::stop).toList())
         .eventually(platform::stop)
         .mapEmpty();
   }
