--- /dev/null
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/settings/SettingsPageTest.java
@@ -0,0 +1,33 @@
+package org.catkinlift.daemon.settings;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.base.CharMatcher;
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import org.catkinlift.daemon.DocTables;
+import org.junit.jupiter.api.Test;
+
+final class SettingsPageTest {
+  private static final int EFFECT = 4;
+
+  /** Guards against settings that are not documented, or documented with another unit or range. */
+  @Test
+  void pageListsExactlyTheKeysOfTheReader() throws IOException {
+    var rows = DocTables.rows("settings.md");
+    assertThat(rows.stream().map(row -> row.subList(0, EFFECT)).collect(toImmutableList()))
+        .containsExactlyElementsIn(
+            SettingsKeys.ALL.stream().map(SettingsPageTest::row).collect(toImmutableList()))
+        .inOrder();
+    rows.forEach(row -> assertThat(row.get(EFFECT)).isNotEmpty());
+  }
+
+  private static ImmutableList<String> row(SettingsKey<?> key) {
+    return ImmutableList.of(
+        key.path(),
+        key.unit(),
+        CharMatcher.is('"').removeFrom(key.fallback()),
+        CharMatcher.is('"').removeFrom(key.value().allowed()));
+  }
+}
