Test the limit for replies of the control thread

Cause: the rule that an operator request is answered even if the control thread is silent had no test. Change: OperatorServer takes the limit in a package-private constructor; a test sets it to 1 ms and never replies. Conclusion: the answer is 503 and says that the outcome is unknown.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorServer.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorServer.java
@@ -40,6 +40,7 @@
   private final MetricRegistry metrics;
   private final Function<OperatorRequest, Future<OperatorReply>> control;
   private final BooleanSupplier isServing;
+  private final Duration replyTimeout;
   private final HttpServer server;
 
   /**
@@ -58,11 +59,23 @@
       MetricRegistry metrics,
       Function<OperatorRequest, Future<OperatorReply>> control,
       BooleanSupplier isServing) {
+    this(vertx, settings, metrics, control, isServing, REPLY_TIMEOUT);
+  }
+
+  /** Creates the server with another limit for replies of the control thread, for tests. */
+  OperatorServer(
+      Vertx vertx,
+      DaemonSettings settings,
+      MetricRegistry metrics,
+      Function<OperatorRequest, Future<OperatorReply>> control,
+      BooleanSupplier isServing,
+      Duration replyTimeout) {
     this.vertx = vertx;
     this.settings = settings;
     this.metrics = metrics;
     this.control = control;
     this.isServing = isServing;
+    this.replyTimeout = replyTimeout;
     this.server = vertx.createHttpServer(optionsOf(settings)).requestHandler(this::handle);
   }
 
@@ -144,18 +157,18 @@
   private void askControl(HttpServerRequest request, OperatorRequest operatorRequest) {
     Context context = vertx.getOrCreateContext();
     Future.<OperatorReply>future(promise -> control.apply(operatorRequest).onComplete(promise))
-        .timeout(REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .timeout(replyTimeout.toMillis(), TimeUnit.MILLISECONDS)
         .map(HttpReply::of)
-        .otherwise(OperatorServer::failure)
+        .otherwise(this::failure)
         .onSuccess(reply -> context.runOnContext(v -> send(request, reply)));
   }
 
-  private static HttpReply failure(Throwable cause) {
+  private HttpReply failure(Throwable cause) {
     if (cause instanceof TimeoutException) {
       return HttpReply.of(
           new OperatorReply.Failed(
               OperatorReply.Reason.PLATFORM_UNREACHABLE,
-              "no reply within " + REPLY_TIMEOUT.toSeconds() + " s; the outcome is unknown"));
+              "no reply within " + replyTimeout.toMillis() + " ms; the outcome is unknown"));
     }
     LOGGER.atSevere().withCause(cause).log("operator request failed");
     return HttpReply.empty(500);
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
@@ -16,6 +17,7 @@
 import java.net.http.HttpRequest.BodyPublisher;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.catkinlift.daemon.metrics.DaemonMetrics;
@@ -53,10 +55,14 @@
 
   @AfterEach
   void stop() throws Exception {
-    server.stop().toCompletionStage().toCompletableFuture().get();
+    stopServer();
     vertx.close().toCompletionStage().toCompletableFuture().get();
   }
 
+  private void stopServer() throws Exception {
+    server.stop().toCompletionStage().toCompletableFuture().get();
+  }
+
   private Future<OperatorReply> ask(OperatorRequest request) {
     asked.set(request);
     return reply.get();
@@ -181,6 +187,21 @@
     assertThat(send("GET", "/v1/status", "").statusCode()).isEqualTo(500);
   }
 
+  /** Guards against a connection that waits for ever because the control thread is blocked. */
+  @Test
+  void answersWhenTheControlThreadIsSilent() throws Exception {
+    stopServer();
+    var timeout = Duration.ofMillis(1);
+    server =
+        new OperatorServer(
+            vertx, settings(), new MetricRegistry(), this::ask, isServing::get, timeout);
+    server.start().toCompletionStage().toCompletableFuture().get();
+    reply.set(Promise.<OperatorReply>promise().future());
+    var response = send("POST", "/v1/plans/p-1/confirm", "");
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.body()).contains("the outcome is unknown");
+  }
+
   /** Guards against metrics that are not the registry's. */
   @Test
   void printsMetrics() throws Exception {
