Retire silent links without ending their streams, and ask for earlier work

Cause: in OperationsTest on a busy machine, links were closed by a ping timeout of 500 ms after pauses of the process, and 9 at-most-once requests ended with an unknown outcome; a new dispatcher never learned what the upstream still executed for the previous one and assumed it full for 1.5 s, so queues overflowed. Change: a silent link is checked twice, then retired for new messages and closed only if it stays silent for 10 s; a new dispatcher asks the upstream for its load 510 ms after its first lease.

--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/OperationsTest.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/OperationsTest.java
@@ -130,6 +130,8 @@
       awaitLoad(before + 50);
       site.startDaemon(host);
       awaitUntil(host + " serves", () -> versionOf(host) == 1);
+      site.awaitServing();
+      awaitUntil("all cells have a coordinator", () -> HOSTS.stream().allMatch(this::isSettled));
     }
     awaitLoad(balancer.answered() + 100);
 
@@ -174,6 +176,11 @@
     return Long.parseLong(facts.facts().get(OperatorReply.Facts.CONFIGURATION_VERSION));
   }
 
+  private boolean isSettled(HostId daemon) {
+    var facts = (OperatorReply.Facts) ask(daemon, new OperatorRequest.ShowStatus());
+    return !facts.facts().get("coordinator").equals("none");
+  }
+
   private void awaitVersion(long version) {
     awaitUntil(
         "version " + version + " is in force everywhere",
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -40,12 +40,18 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RETRY_AFTER = Duration.ofMillis(100);
 
+  /** By then every request that the previous dispatcher sent has started or never will. */
+  private static final Duration EARLIER_WORK_ASKED_AFTER = Duration.ofMillis(510);
+
+  private static final Duration EARLIER_WORK_ASKED_AGAIN_AFTER = Duration.ofMillis(100);
+
   /** Shorter than the idle time after which networks drop the state of connections. */
   private static final int KEEP_ALIVE_SECONDS = 25;
 
   /** Attempt numbers of probes are negative, so that they never meet those of requests. */
   private static final long FIRST_PROBE = -1;
 
+  private final Vertx vertx;
   private final UpstreamDefinition upstream;
   private final HostId self;
   private final EventSink events;
@@ -56,8 +62,10 @@
   private final Map<HttpConnection, Long> numbers = new HashMap<>();
   private long lastConnection;
   private long nextProbe = FIRST_PROBE;
+  private boolean earlierWorkAsked;
 
   UpstreamWorker(Vertx vertx, UpstreamDefinition upstream, HostId self, EventSink events) {
+    this.vertx = vertx;
     this.upstream = upstream;
     this.self = self;
     this.events = events;
@@ -93,18 +101,40 @@
 
   void leaseGranted(DispatchLease lease, long atNanos) {
     execute(dispatcher.leaseGranted(lease, atNanos));
+    if (!earlierWorkAsked) {
+      earlierWorkAsked = true;
+      vertx.setTimer(EARLIER_WORK_ASKED_AFTER.toMillis(), t -> askEarlierWork());
+    }
   }
 
   void leaseLost() {
+    earlierWorkAsked = false;
     execute(dispatcher.leaseLost(System.nanoTime()));
   }
 
-  void instanceSeen(String instance) {
-    execute(dispatcher.instanceSeen(instance, System.nanoTime()));
+  /** Asks the upstream how much it still executes for the previous dispatcher. */
+  private void askEarlierWork() {
+    long askedNanos = System.nanoTime();
+    client
+        .request(controlOptions(HttpMethod.GET, "/_upstream/load"))
+        .compose(HttpClientRequest::send)
+        .compose(HttpClientResponse::body)
+        .onSuccess(body -> earlierWorkAnswered(UpstreamLoadReport.read(body), askedNanos));
   }
 
-  void earlierRequestsReported(int requests, long askedNanos) {
-    execute(dispatcher.earlierRequestsReported(requests, askedNanos));
+  private void earlierWorkAnswered(Optional<UpstreamLoadReport> report, long askedNanos) {
+    int own = dispatcher.load(System.nanoTime()).inFlight();
+    int earlier = report.map(r -> Math.max(0, r.running() + r.waiting() - own)).orElse(0);
+    if (report.isPresent()) {
+      execute(dispatcher.earlierRequestsReported(earlier, askedNanos));
+    }
+    if (report.isEmpty() || earlier > 0) {
+      vertx.setTimer(EARLIER_WORK_ASKED_AGAIN_AFTER.toMillis(), t -> askEarlierWork());
+    }
+  }
+
+  void instanceSeen(String instance) {
+    execute(dispatcher.instanceSeen(instance, System.nanoTime()));
   }
 
   void tick() {
@@ -248,14 +278,17 @@
     return options;
   }
 
+  private static RequestOptions controlOptions(HttpMethod method, String path) {
+    return new RequestOptions()
+        .setMethod(method)
+        .setURI(path)
+        .setTimeout(CONNECT_TIMEOUT.toMillis());
+  }
+
   private void cancelAtUpstream(UpstreamExchange exchange) {
-    var options =
-        new RequestOptions()
-            .setMethod(HttpMethod.DELETE)
-            .setURI("/_upstream/requests/" + exchange.head().request().id().value())
-            .setTimeout(CONNECT_TIMEOUT.toMillis());
+    String path = "/_upstream/requests/" + exchange.head().request().id().value();
     client
-        .request(options)
+        .request(controlOptions(HttpMethod.DELETE, path))
         .compose(HttpClientRequest::send)
         .onSuccess(answer -> cancellationAnswered(exchange, answer));
   }
@@ -299,13 +332,8 @@
 
   private void probe() {
     long attempt = nextProbe--;
-    var options =
-        new RequestOptions()
-            .setMethod(HttpMethod.GET)
-            .setURI("/_upstream/health")
-            .setTimeout(CONNECT_TIMEOUT.toMillis());
     client
-        .request(options)
+        .request(controlOptions(HttpMethod.GET, "/_upstream/health"))
         .onSuccess(
             request -> {
               long connection = numberOf(request.connection());
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
@@ -54,7 +54,11 @@
     }
     link =
         new PeerLink(
-            context.channel(), HostId.of(frame.getOpen().getHost()), numbers.next(), false);
+            context.channel(),
+            HostId.of(frame.getOpen().getHost()),
+            numbers.next(),
+            false,
+            l -> {});
   }
 
   private static void answerPing(ChannelHandlerContext context, Frame frame) {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerLink.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerLink.java
@@ -4,33 +4,41 @@
 import io.netty.channel.ChannelFutureListener;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.model.HostId;
 import org.catkinlift.protocol.generated.Frame;
 import org.catkinlift.protocol.generated.PingFrame;
 
 /**
- * Sends frames over one connection to another daemon and closes it when it goes silent.
+ * Sends frames over one connection to another daemon and retires it when it goes silent.
  *
  * <p>A connection can lose its path while both ends consider it open. Therefore each message is
- * followed by a ping unless one is under way, and a ping without an answer closes the connection,
- * so that the next message opens a new one.
+ * followed by a ping unless one is under way. A connection whose ping stays unanswered is retired:
+ * the next message opens a new one. Its streams get some time to end, since the other daemon may
+ * only have been paused, and then it is closed.
  */
 public final class PeerLink {
   private static final Duration PONG_TIMEOUT = Duration.ofMillis(500);
 
+  /** As long as the default deadline of a request. */
+  private static final Duration CLOSE_AFTER_RETIREMENT = Duration.ofSeconds(10);
+
   private final Channel channel;
   private final HostId peer;
   private final long number;
   private final boolean outgoing;
+  private final Consumer<PeerLink> onRetire;
   private boolean pingOutstanding;
   private long pingNumber;
 
-  PeerLink(Channel channel, HostId peer, long number, boolean outgoing) {
+  PeerLink(
+      Channel channel, HostId peer, long number, boolean outgoing, Consumer<PeerLink> onRetire) {
     this.channel = channel;
     this.peer = peer;
     this.number = number;
     this.outgoing = outgoing;
+    this.onRetire = onRetire;
   }
 
   /**
@@ -109,16 +117,39 @@
         .writeAndFlush(
             Frame.newBuilder().setPing(PingFrame.newBuilder().setNumber(expected)).build())
         .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    var unused =
-        channel
-            .eventLoop()
-            .schedule(
-                () -> closeIfUnanswered(expected), PONG_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    checkLater(() -> suspect(expected), PONG_TIMEOUT);
+  }
+
+  /**
+   * Checks once more after what has arrived meanwhile was read, because after a pause of this
+   * process the timer runs before the answer is read.
+   */
+  private void suspect(long expected) {
+    if (isUnanswered(expected)) {
+      checkLater(() -> retireIfUnanswered(expected), PONG_TIMEOUT);
+    }
+  }
+
+  private void retireIfUnanswered(long expected) {
+    if (!isUnanswered(expected)) {
+      return;
+    }
+    onRetire.accept(this);
+    checkLater(() -> closeIfUnanswered(expected), CLOSE_AFTER_RETIREMENT);
   }
 
+  /** A retired connection that answered after all stays open for the streams that it carries. */
   private void closeIfUnanswered(long expected) {
-    if (pingOutstanding && pingNumber == expected) {
-      var unused = channel.close();
+    if (isUnanswered(expected)) {
+      close();
     }
   }
+
+  private boolean isUnanswered(long expected) {
+    return pingOutstanding && pingNumber == expected;
+  }
+
+  private void checkLater(Runnable check, Duration delay) {
+    var unused = channel.eventLoop().schedule(check, delay.toMillis(), TimeUnit.MILLISECONDS);
+  }
 }
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
@@ -168,7 +168,7 @@
                 channel ->
                     new FrameHandler(
                         listener,
-                        new PeerLink(channel, key.peer().id(), numbers.next(), true),
+                        new PeerLink(channel, key.peer().id(), numbers.next(), true, onClose),
                         onClose)))
         .connect(new InetSocketAddress(address.ip(), address.port()))
         .addListener((ChannelFuture connected) -> finishOpen(key, connected, opening));
