--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/RouteSamples.java
@@ -0,0 +1,44 @@
+package org.catkinlift.bench.traffic;
+
+import java.time.Duration;
+import org.catkinlift.bench.Site;
+import org.catkinlift.model.RequestDescription;
+import org.catkinlift.routing.RoutingSnapshot;
+
+/** Provides the inputs of a routing decision at the size of a site. */
+public final class RouteSamples {
+  private RouteSamples() {}
+
+  /**
+   * Returns the snapshot of a daemon whose site has one keyed service.
+   *
+   * @param site the site
+   * @return the snapshot
+   */
+  public static RoutingSnapshot keyed(Site site) {
+    TrafficWorld world = TrafficWorld.keyed(site);
+    return world.snapshotOf(world.host(0));
+  }
+
+  /**
+   * Returns the snapshot of a daemon whose site has one shared service.
+   *
+   * @param site the site
+   * @return the snapshot
+   */
+  public static RoutingSnapshot shared(Site site) {
+    TrafficWorld world = TrafficWorld.shared(site);
+    return world.snapshotOf(world.host(0));
+  }
+
+  /**
+   * Returns a request to the service of these snapshots.
+   *
+   * @return the request
+   */
+  public static RequestDescription request() {
+    return new Workload(TrafficWorld.SERVICE, Duration.ofMillis(20), Duration.ofSeconds(2), 0, 1)
+        .request(1)
+        .description();
+  }
+}
