Keep the limit at one after a refused connection

Cause: while an upstream's process is down its connections are refused, and each refused request made room for the next; the process that comes up is cold and would have got a full limit of requests before its first answer. Change: a failed connect has the effect of a lost connection: one request at a time until an answer or a probe names the instance. Conclusion: covered by a test of its own.

--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
@@ -109,7 +109,7 @@
         switch (result) {
           case AttemptResult.Answered answered -> answered(attempt, answered, awaited, nowNanos);
           case AttemptResult.Shed shed -> ended(attempt, limiter.shed(nowNanos));
-          case AttemptResult.Refused refused -> ended(attempt, ImmutableList.of());
+          case AttemptResult.Refused refused -> refused(attempt, refused.code());
           case AttemptResult.Stopped stopped -> ended(attempt, ImmutableList.of());
           case AttemptResult.Failed failed -> failed(attempt, failed.code(), awaited);
         };
@@ -260,6 +260,14 @@
     return reports(events);
   }
 
+  /** A refused connection hints at a restart, after which the upstream is cold. */
+  private ImmutableList<DispatchAction> refused(long attempt, RefusalCode code) {
+    if (code == RefusalCode.CONNECT_FAILED) {
+      limiter.connectionLost();
+    }
+    return ended(attempt, ImmutableList.of());
+  }
+
   private ImmutableList<DispatchAction> failed(long attempt, RefusalCode code, boolean awaited) {
     if (!awaited) {
       return ImmutableList.of();
--- a/catkinlift-decision/src/test/java/org/catkinlift/limits/UpstreamDispatcherTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/limits/UpstreamDispatcherTest.java
@@ -164,6 +164,18 @@
     assertThat(sent(fixture.see("second"))).containsExactly(2L);
   }
 
+  @Test
+  void upstreamThatCannotBeReachedGetsOneRequestAtATime() {
+    var fixture = DispatcherFixture.ready(4);
+    assertThat(fixture.offerMany(6)).hasSize(4);
+    var unreachable = new AttemptResult.Refused(RefusalCode.CONNECT_FAILED);
+    for (long attempt = 1; attempt <= 3; attempt++) {
+      assertThat(sent(fixture.complete(attempt, unreachable))).isEmpty();
+    }
+    assertThat(sent(fixture.complete(4, unreachable))).hasSize(1);
+    assertThat(fixture.currentLimit()).isEqualTo(1);
+  }
+
   private static RefusalCode codeOf(ImmutableList<DispatchAction> actions) {
     return refused(actions).get(0).outcome().code();
   }
