Build slot tables by home cell

Cause: epochs of different cells are not comparable. After a lost cell's slots moved to another cell with a lower term, its old assignment would have won in SlotTable. Change: SlotTable.of(homes, assignments) takes from each cell only the slots whose home it is; the existing factory stays.

--- a/catkinlift-decision/src/main/java/org/catkinlift/routing/SlotTable.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/SlotTable.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.SlotOwner;
 
 /** Finds the owner of a key in constant time. Immutable. */
@@ -32,6 +34,33 @@
     return new SlotTable(owners, overrides.buildKeepingLast());
   }
 
+  /**
+   * Builds the table of one service, taking from each cell only the slots whose home it is.
+   *
+   * <p>Epochs of different cells are not comparable, and the assignment of a lost cell stays known,
+   * so only the home map tells which cell's entry counts.
+   *
+   * @param homes the home map of the service
+   * @param assignments the assignment of each cell
+   * @return the table
+   */
+  public static SlotTable of(HomeMap homes, Iterable<Assignment> assignments) {
+    int slotCount = homes.homes().size();
+    var owners = new SlotOwner[slotCount];
+    java.util.Arrays.fill(owners, SlotOwner.NONE);
+    var overrides = ImmutableMap.<String, SlotOwner>builder();
+    for (Assignment assignment : assignments) {
+      CellId cell = assignment.cell();
+      assignment.slots().entrySet().stream()
+          .filter(e -> homes.homes().get(e.getKey()).equals(cell))
+          .forEach(e -> owners[e.getKey()] = e.getValue());
+      assignment.overrides().entrySet().stream()
+          .filter(e -> homes.homes().get(KeyHasher.slotOf(e.getKey(), slotCount)).equals(cell))
+          .forEach(overrides::put);
+    }
+    return new SlotTable(owners, overrides.buildKeepingLast());
+  }
+
   private static SlotOwner later(SlotOwner a, SlotOwner b) {
     return b.epoch().isAfter(a.epoch()) ? b : a;
   }
