Hold a restarted coordinator back while forgotten grants may be in force

A holder that restarted during a platform outage took its role back after 1 s, had forgotten its long grants and moved slots of an upstream that it did not reach. Change: UnknownGrants: such a holder grants nothing until every upstream has accepted an empty grant of the new term, or until the longest grant has ended, and asks its voters for promises of that length meanwhile. Voters read the row as soon as a promise request is missed, which shortens takeovers with an old view of the row. Decisions are skipped after events that change nothing.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -18,6 +18,7 @@
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.RowValue.CellRow;
+import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
@@ -45,6 +46,7 @@
   private Optional<Coordinator> coordinator = Optional.empty();
   private Optional<HostId> heardCoordinator = Optional.empty();
   private long roundAt = Long.MIN_VALUE / 4;
+  private final long startedAt;
   private long tickAt;
   private long resumedAt;
   private long takenAt;
@@ -65,6 +67,7 @@
     this.foreign = new ForeignTakeovers(context, book);
     this.bounds = new LeaseBounds(context, authority, takeover.authority());
     this.announcer = new Announcer(context);
+    this.startedAt = nowNanos;
     this.tickAt = nowNanos;
     this.resumedAt = nowNanos;
   }
@@ -100,7 +103,7 @@
   }
 
   private void readRow(long nowNanos, Outbox out) {
-    boolean wanted = !authority().isHolder() && book.isFree(authority().rowName(), nowNanos);
+    boolean wanted = !authority().isHolder() && book.endsSoon(authority().rowName(), nowNanos);
     boolean urgent = authority().row().isEmpty() || authority().isOutdated() || wanted;
     boolean failing = !context.platform().isReachable();
     if (!role.isBusy() && reads.isDue(urgent || failing, authority().isHolder(), nowNanos)) {
@@ -126,6 +129,9 @@
 
   /** Zero unless a service may have caused long promises that this run does not know of. */
   private Duration longestPromise() {
+    if (context.store().configuration().version() == 0) {
+      return CutOffRule.DEFAULT_LONG_PROMISE; // the rules of the services are not known yet
+    }
     return context.store().configuration().services().values().stream()
         .flatMap(s -> ServiceRules.hold(s).stream())
         .map(CutOffRule.Hold::longPromise)
@@ -250,7 +256,7 @@
       if (wantsShort && holderKnowsThisRun) {
         book.excludeLongPromise();
       }
-      if (!wantsShort) {
+      if (!wantsShort || !isKnownVoter()) {
         reads.readSoon();
       }
       answerForCell(from, request, nowNanos, out);
@@ -259,6 +265,11 @@
     foreign.promise(request, nowNanos, out).ifPresent(p -> out.send(from, p));
   }
 
+  /** A daemon that is asked but sees itself as no voter has an old view of the row. */
+  private boolean isKnownVoter() {
+    return authority().row().filter(r -> r.voters().contains(context.host())).isPresent();
+  }
+
   /** The holder itself promises nothing to a holder of an earlier term. */
   private void answerForCell(HostId from, PromiseRequest request, long nowNanos, Outbox out) {
     if (authority().isHolder() && request.term() <= authority().term()) {
@@ -334,7 +345,7 @@
     return switch (event) {
       case ControlEvent.Tick t -> true;
       case ControlEvent.PlatformReplied r -> true;
-      case ControlEvent.UpstreamReplied r -> true;
+      case ControlEvent.UpstreamReplied r -> !(r.reply() instanceof UpstreamRequest.Reply.Granted);
       case ControlEvent.StopRequested s -> true;
       case ControlEvent.PeerMessageReceived m -> false;
       case ControlEvent.LoadReported l -> false;
@@ -354,13 +365,22 @@
         book.wasResigned(authority().rowName())
             ? QuietTime.after(nowNanos, context.timings())
             : QuietTime.NONE;
-    coordinator = Optional.of(new Coordinator(context, authority().term(), bounds, quiet));
+    coordinator =
+        Optional.of(
+            new Coordinator(context, authority().term(), bounds, quiet, unknownUntil(nowNanos)));
     takenAt = nowNanos;
     out.log(EventCode.ROLE_TAKEN, "cell", context.cell(), "term", authority().term());
     roundAt = nowNanos;
     coordinator.ifPresent(c -> round(c, nowNanos, out));
   }
 
+  /** Returns until when long grants of an earlier run may be in force; a past time if none are. */
+  private long unknownUntil(long nowNanos) {
+    boolean first = authority().term() <= 1;
+    boolean known = first || book.isLongPromiseExcluded(longestPromise(), nowNanos);
+    return known ? nowNanos : startedAt + context.timings().withMargin(longestPromise());
+  }
+
   private void loseRole(Coordinator former, Outbox out) {
     coordinator = Optional.empty();
     held.clear();
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -1,11 +1,13 @@
 package org.catkinlift.ownership;
 
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.catkinlift.control.PeerMessage.Heartbeat;
@@ -32,19 +34,22 @@
   private final EpochIssuer epochs;
   private final LeaseBounds bounds;
   private final QuietTime quiet;
+  private final UnknownGrants unknown;
   private final UpstreamLinks links;
   private final DispatchLeases leases;
   private final TreeMap<ServiceName, SlotControl> slots = new TreeMap<>();
   private ImmutableMap<UpstreamId, ServiceDefinition> services = ImmutableMap.of();
   private long takeoverTerm;
 
-  Coordinator(CellContext context, long term, LeaseBounds bounds, QuietTime quiet) {
+  Coordinator(
+      CellContext context, long term, LeaseBounds bounds, QuietTime quiet, long unknownUntil) {
     this.context = context;
     this.epochs = new EpochIssuer(term);
     this.bounds = bounds;
     this.quiet = quiet;
     this.links = new UpstreamLinks(context.timings(), epochs);
     this.leases = new DispatchLeases(context.host(), context.timings(), epochs);
+    this.unknown = UnknownGrants.until(links, unknownUntil);
   }
 
   long term() {
@@ -53,7 +58,7 @@
 
   /** Returns when all grants of this term have surely ended. */
   long latestGrantEnd() {
-    return links.latestEnd();
+    return Math.max(links.latestEnd(), unknown.latestEnd());
   }
 
   /** Tells whether nothing is under way that a successor would not know of. */
@@ -122,13 +127,26 @@
     followConfiguration();
     followTakeoverTerm();
     for (SlotControl control : slots.values()) {
-      if (bounds.authorityUntil(control.service(), nowNanos) <= nowNanos) {
+      boolean authority = bounds.authorityUntil(control.service(), nowNanos) > nowNanos;
+      if (!authority || mayHoldUnknown(control.service(), nowNanos)) {
         continue;
       }
       control.update(mayMove, nowNanos, out).forEach(u -> grant(u, nowNanos, out));
     }
   }
 
+  private boolean mayHoldUnknown(ServiceDefinition service, long nowNanos) {
+    return ServiceRules.hold(service).isPresent() && !unknown.isOver(holdUpstreams(), nowNanos);
+  }
+
+  /** The upstreams of this cell that may have long grants. */
+  private ImmutableSet<UpstreamId> holdUpstreams() {
+    return services.entrySet().stream()
+        .filter(e -> ServiceRules.hold(e.getValue()).isPresent())
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
+  }
+
   private void followConfiguration() {
     ImmutableMap<ServiceName, ServiceDefinition> wanted =
         context.store().configuration().services();
@@ -224,9 +242,13 @@
       return;
     }
     SlotControl control = slots.get(service.name());
-    boolean mayGrant = control == null || control.isLoaded();
+    boolean replaces =
+        control != null
+            && mayHoldUnknown(service, nowNanos)
+            && unknown.mayReplace(holdUpstreams(), nowNanos);
+    boolean mayGrant = control == null || control.isLoaded() || replaces;
     GrantContent content =
-        control == null
+        control == null || replaces
             ? GrantContent.withoutSlots(service.name(), upstream, dispatcher.get())
             : control.grantFor(upstream, dispatcher.get());
     long until = mayGrant ? bounds.grantUntil(service, nowNanos) : CellAuthority.NONE;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
@@ -79,14 +79,14 @@
     }
   }
 
-  /** The foreign cells with lapse slots whose daemons are silent. */
+  /** The foreign cells with lapse slots whose coordinator is silent. */
   private ImmutableSet<CellId> suspects(long nowNanos) {
     return lapseServices().stream()
         .flatMap(s -> s.upstreams().stream())
         .filter(u -> !u.zone().equals(context.self().zone()))
         .map(u -> u.cell())
-        .filter(c -> context.members().live(c, nowNanos).isEmpty())
-        .filter(c -> hasSlots(c))
+        .filter(c -> book.endsSoon(OwnTakeoverRole.PREFIX + c, nowNanos))
+        .filter(this::hasSlots)
         .collect(toImmutableSet());
   }
 
@@ -105,6 +105,7 @@
   private boolean mayTake(CellId cell, RoleKeeper keeper, long nowNanos) {
     long grace = IN_CELL_FIRST.toNanos() + longestStartBound();
     return keeper.authority().row().isPresent()
+        && context.members().live(cell, nowNanos).isEmpty()
         && book.isFree(OwnTakeoverRole.PREFIX + cell, nowNanos - grace)
         && nowNanos - keeper.authority().unchangedSince()
             > context.timings().withMargin(context.timings().platformLease()) + grace
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -40,7 +40,7 @@
   private final Map<CellId, Long> lostSince = new HashMap<>();
   private Optional<Row> row = Optional.empty();
   private boolean recovered;
-  private long changedAt = Long.MIN_VALUE / 4;
+  private long plannedAt = Long.MIN_VALUE / 4;
 
   HomeMoves(CellContext context, ServiceDefinition service) {
     this.context = context;
@@ -121,17 +121,18 @@
   }
 
   private void chooseLeaving(ImmutableMap<CellId, Double> weights, long nowNanos) {
+    boolean due = nowNanos - plannedAt >= INTERVAL.toNanos();
+    if (!due && weights.containsKey(context.cell())) {
+      return;
+    }
+    plannedAt = due ? nowNanos : plannedAt;
     HomeMap present = written().orElseThrow();
-    boolean due = nowNanos - changedAt >= INTERVAL.toNanos();
     int budget = due ? PlacementPlanner.budget(present.homes().size()) : 0;
     HomeMap next = HomeMapPlanner.change(present, weights, budget);
     IntStream.range(0, present.homes().size())
         .filter(slot -> present.homes().get(slot).equals(context.cell()))
         .filter(slot -> !next.homes().get(slot).equals(context.cell()))
         .forEach(slot -> leaving.put(slot, next.homes().get(slot)));
-    if (!leaving.isEmpty()) {
-      changedAt = nowNanos;
-    }
   }
 
   /** Writes the new home of the slots that are released, and of slots of lost cells. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
@@ -13,6 +13,9 @@
  * promise longer by the clock margin than its receiver does.
  */
 final class PromiseBook {
+  /** A holder asks every 250 ms, so a promise of 1 s with this rest has missed one request. */
+  private static final long ENDS_SOON_NANOS = 600_000_000L;
+
   private final OwnershipTimings timings;
   private final Map<String, Entry> entries = new HashMap<>();
   private final long startedNanos;
@@ -71,6 +74,11 @@
     return entry(row).resigned;
   }
 
+  /** Tells whether no request has renewed the promise for some time, or there is none. */
+  boolean endsSoon(String row, long nowNanos) {
+    return isFree(row, nowNanos + ENDS_SOON_NANOS);
+  }
+
   /** Tells whether this daemon may take the role as far as its promises go. */
   boolean isFree(String row, long nowNanos) {
     return isStartOver(nowNanos) && nowNanos > entry(row).untilNanos;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/RoleKeeper.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/RoleKeeper.java
@@ -113,10 +113,15 @@
         .collect(toImmutableSortedSet(Comparator.naturalOrder()));
   }
 
+  /** Asks the voters and as many candidates as may join them. */
   void requestPromises(Set<HostId> candidates, Duration duration, long nowNanos, Outbox out) {
-    Set<HostId> all = Sets.union(authority.otherVoters(), candidates);
-    Set<HostId> others = Sets.difference(all, ImmutableSet.of(self));
-    authority.requestPromises(others, duration, nowNanos, out);
+    ImmutableSet<HostId> voters = authority.otherVoters();
+    ImmutableSet<HostId> joining =
+        candidates.stream()
+            .filter(c -> !c.equals(self) && !voters.contains(c))
+            .limit(Math.max(0, MAX_VOTERS - 1 - voters.size()))
+            .collect(toImmutableSet());
+    authority.requestPromises(Sets.union(voters, joining), duration, nowNanos, out);
   }
 
   /** Handles the answer to a call of this keeper; answers to other calls are ignored. */
