--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -0,0 +1,62 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.junit.jupiter.api.Test;
+
+final class GrantLedgerTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final Duration LEASE = Duration.ofSeconds(1);
+  private static final HostId HOST = HostId.of("h");
+
+  private final GrantLedger ledger = new GrantLedger(OwnershipTimings.defaults(), 0);
+
+  private void read(long call, String instance, long now) {
+    ledger.replied(call, new Reply.Probed(instance, now / 1_000_000, Epoch.NONE), now);
+  }
+
+  /** Guards against a lease that reaches beyond authority on the upstream's clock. */
+  @Test
+  void aLeaseEndsWithAuthorityIncludingTheMargin() {
+    read(1, "i", SECOND);
+    Duration lease = ledger.lease(LEASE, SECOND + SECOND / 2, SECOND);
+    assertThat(lease.toMillis()).isEqualTo(495);
+    assertThat(ledger.lease(LEASE, SECOND, SECOND)).isEqualTo(Duration.ZERO);
+  }
+
+  /** Guards against moving a slot while its former owner may still hold it. */
+  @Test
+  void aUnitIsHeldUntilTheLeaseHasSurelyEnded() {
+    read(1, "i", SECOND);
+    ledger.granted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, LEASE);
+    assertThat(ledger.mayHold(7, 2 * SECOND)).isTrue();
+    assertThat(ledger.mayHold(7, 2 * SECOND + SECOND / 50)).isFalse();
+  }
+
+  /** Guards against waiting for a process that is gone, and against late answers of it. */
+  @Test
+  void aNewInstanceHoldsNothingAndALateAnswerOfTheOldOneIsIgnored() {
+    read(1, "i", SECOND);
+    ledger.granted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, Duration.ofMinutes(10));
+    read(5, "j", 2 * SECOND);
+    assertThat(ledger.mayHold(7, 2 * SECOND)).isFalse();
+    read(3, "i", 3 * SECOND);
+    assertThat(ledger.reading().orElseThrow().instance()).isEqualTo("j");
+  }
+
+  /** Guards against a coordinator that was paused and takes all upstreams for lost. */
+  @Test
+  void silenceCountsOnlyIfTheUpstreamWasAsked() {
+    read(1, "i", SECOND);
+    assertThat(ledger.isLost(9 * SECOND)).isFalse();
+    for (int i = 0; i < 4; i++) {
+      ledger.asked();
+    }
+    assertThat(ledger.isLost(9 * SECOND)).isTrue();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/HeldLeasesTest.java
@@ -0,0 +1,59 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import org.catkinlift.control.PeerMessage.Digest;
+import org.catkinlift.control.PeerMessage.Heartbeat;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+final class HeldLeasesTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final DispatchLease LEASE =
+      new DispatchLease(UpstreamId.of("u"), HostId.of("h"), Epoch.of(1, 1), Duration.ofSeconds(1));
+
+  private final HeldLeases held = new HeldLeases();
+
+  private boolean accept(long term, long sequence, long answered, long now, DispatchLease... l) {
+    var digest = new Digest(ImmutableMap.of());
+    return held.accept(
+        new Heartbeat(CellId.of("c"), term, sequence, answered, digest, ImmutableList.copyOf(l)),
+        now);
+  }
+
+  /** Guards against a delayed heartbeat that lengthens a lease. */
+  @Test
+  void aLeaseCountsFromTheAnswerThatTheHeartbeatNames() {
+    accept(1, 1, 0, SECOND);
+    accept(1, 2, 1, SECOND + SECOND * 9 / 10, LEASE);
+    assertThat(held.current(SECOND + SECOND * 9 / 10)).hasSize(1);
+    assertThat(held.current(2 * SECOND)).isEmpty();
+  }
+
+  /** Guards against leases of heartbeats that were overtaken or name an earlier run's answer. */
+  @Test
+  void olderHeartbeatsAndUnknownAnswersGiveNothing() {
+    accept(1, 5, 3, SECOND, LEASE);
+    assertThat(held.current(SECOND)).isEmpty();
+    assertThat(accept(1, 4, 5, SECOND, LEASE)).isFalse();
+    assertThat(held.current(SECOND)).isEmpty();
+  }
+
+  /** Guards against a gap at a planned change of the coordinator. */
+  @Test
+  void leasesOfAFormerCoordinatorRunOut() {
+    accept(1, 1, 0, SECOND);
+    accept(1, 2, 1, SECOND, LEASE);
+    accept(2, 1, 0, SECOND);
+    assertThat(held.current(SECOND)).hasSize(1);
+    accept(2, 2, 1, SECOND);
+    assertThat(held.current(SECOND)).isEmpty();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/PromiseBookTest.java
@@ -0,0 +1,58 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.catkinlift.control.PeerMessage.PromiseRequest;
+import org.junit.jupiter.api.Test;
+
+final class PromiseBookTest {
+  private static final String ROW = "cell/a";
+  private static final long SECOND = 1_000_000_000L;
+  private static final Duration PROMISE = Duration.ofSeconds(1);
+  private static final Duration LONG = Duration.ofMinutes(10);
+
+  private final PromiseBook book = new PromiseBook(OwnershipTimings.defaults(), 0);
+
+  private Duration ask(long term, long sequence, Duration wanted, boolean reachable, long now) {
+    return book.promise(new PromiseRequest(ROW, term, sequence, wanted), reachable, now).duration();
+  }
+
+  /** Guards against a promise that an earlier run of the voter has contradicted. */
+  @Test
+  void aVoterThatHasJustStartedPromisesNothing() {
+    book.observeTerm(ROW, 1);
+    assertThat(ask(1, 1, PROMISE, true, SECOND)).isEqualTo(Duration.ZERO);
+    assertThat(book.isFree(ROW, SECOND)).isFalse();
+    assertThat(ask(1, 2, PROMISE, true, 2 * SECOND)).isEqualTo(PROMISE);
+  }
+
+  /** Guards against authority for a term that others have ended. */
+  @Test
+  void anEarlierTermOrAnUnreadRowGetsNoPromise() {
+    assertThat(ask(1, 1, PROMISE, true, 2 * SECOND)).isEqualTo(Duration.ZERO);
+    book.observeTerm(ROW, 2);
+    assertThat(ask(1, 2, PROMISE, true, 2 * SECOND)).isEqualTo(Duration.ZERO);
+    assertThat(ask(2, 1, PROMISE, true, 2 * SECOND)).isEqualTo(PROMISE);
+  }
+
+  /** Guards against a voter that could take the role but has promised not to for long. */
+  @Test
+  void aVoterThatReachesThePlatformGivesNoLongPromise() {
+    book.observeTerm(ROW, 1);
+    assertThat(ask(1, 1, LONG, true, 2 * SECOND)).isEqualTo(PROMISE);
+    assertThat(ask(1, 2, LONG, false, 2 * SECOND)).isEqualTo(LONG);
+  }
+
+  /** Guards against a takeover within the margin of the clocks, and against a late request. */
+  @Test
+  void aPromiseLastsLongerForItsGiverAndOnlyALaterRequestShortensIt() {
+    book.observeTerm(ROW, 1);
+    ask(1, 5, LONG, false, 2 * SECOND);
+    assertThat(ask(1, 4, PROMISE, true, 2 * SECOND)).isEqualTo(Duration.ZERO);
+    assertThat(book.isFree(ROW, 9 * SECOND)).isFalse();
+    ask(1, 6, PROMISE, true, 10 * SECOND);
+    assertThat(book.isFree(ROW, 11 * SECOND)).isFalse();
+    assertThat(book.isFree(ROW, 11 * SECOND + SECOND / 50)).isTrue();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/placement/PlacementPlannerTest.java
@@ -0,0 +1,79 @@
+package org.catkinlift.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.catkinlift.model.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+final class PlacementPlannerTest {
+  private static final UpstreamId A = UpstreamId.of("a");
+  private static final UpstreamId B = UpstreamId.of("b");
+  private static final UpstreamId C = UpstreamId.of("c");
+  private static final ImmutableMap<UpstreamId, Double> ALL =
+      ImmutableMap.of(A, 4.0, B, 4.0, C, 4.0);
+
+  /** Slots 0 to 29 are spread evenly over the three upstreams, each with load 1. */
+  private static PlacementInput even(
+      ImmutableMap<Integer, Double> changed, ImmutableMap<UpstreamId, Double> capacities) {
+    var owners = ImmutableSortedMap.<Integer, Optional<UpstreamId>>naturalOrder();
+    var loads = ImmutableMap.<Integer, Double>builder();
+    IntStream.range(0, 30)
+        .forEach(
+            s -> {
+              owners.put(s, Optional.of(ImmutableSet.of(A, B, C).asList().get(s % 3)));
+              loads.put(s, changed.getOrDefault(s, 1.0));
+            });
+    return new PlacementInput(
+        owners.buildOrThrow(), loads.buildOrThrow(), capacities, ImmutableSet.of());
+  }
+
+  /** Guards against moves of slots whose owner is well. */
+  @Test
+  void aLossMovesOnlyTheSlotsOfTheLostUpstream() {
+    var input = even(ImmutableMap.of(), ImmutableMap.of(A, 4.0, B, 4.0));
+    var moves = PlacementPlanner.rescue(input);
+    assertThat(moves).hasSize(10);
+    assertThat(moves.stream().allMatch(m -> m.from().equals(Optional.of(C)))).isTrue();
+    assertThat(moves.stream().filter(m -> m.to().equals(A)).count()).isEqualTo(5);
+  }
+
+  /** Guards against churn: an imbalance within the limit is left alone. */
+  @Test
+  void aSmallImbalanceMovesNothing() {
+    assertThat(PlacementPlanner.balance(even(ImmutableMap.of(0, 1.9), ALL), 10)).isEmpty();
+  }
+
+  /** Guards against moves beyond the budget and against moving pinned slots. */
+  @Test
+  void aLargeImbalanceMovesFewSlotsFromTheMostLoaded() {
+    PlacementInput input = even(ImmutableMap.of(0, 6.0, 3, 3.0), ALL);
+    var moves = PlacementPlanner.balance(input, 1);
+    assertThat(moves).hasSize(1);
+    assertThat(moves.getFirst().from()).hasValue(A);
+    var pinned =
+        new PlacementInput(
+            input.owners(), input.loads(), input.capacities(), input.owners().keySet());
+    assertThat(PlacementPlanner.balance(pinned, 10)).isEmpty();
+  }
+
+  /** Guards against a returning cold upstream that gets its full share at once. */
+  @Test
+  void aColdUpstreamGetsItsShareByCapacityOnly() {
+    var input = even(ImmutableMap.of(), ImmutableMap.of(A, 4.0, B, 4.0, UpstreamId.of("d"), 1.0));
+    var moves = PlacementPlanner.rescue(input);
+    long cold = moves.stream().filter(m -> m.to().equals(UpstreamId.of("d"))).count();
+    assertThat(cold).isAtMost(4);
+  }
+
+  /** Guards against an endless exchange when one slot alone is too heavy. */
+  @Test
+  void aSlotThatIsTooHeavyStaysWhereItIs() {
+    var moves = PlacementPlanner.balance(even(ImmutableMap.of(0, 100.0), ALL), 20);
+    assertThat(moves.stream().noneMatch(m -> m.slot() == 0)).isTrue();
+  }
+}
