--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
@@ -35,6 +35,7 @@
   private VersionStore store = new VersionStore();
   private CellControl control;
   private double clockRate = 1;
+  private long clockOffset;
   private int starts;
   private boolean paused;
   private boolean lost;
@@ -125,8 +126,14 @@
     return !lost && !paused;
   }
 
+  /** Changes the rate of a running clock, which neither jumps nor goes back. */
+  void setClockRateFromNow(double rate) {
+    clockOffset = now() - (long) (world.nowNanos() * rate);
+    clockRate = rate;
+  }
+
   private long now() {
-    return (long) (world.nowNanos() * clockRate);
+    return clockOffset + (long) (world.nowNanos() * clockRate);
   }
 
   void tick() {
--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeUpstream.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeUpstream.java
@@ -86,6 +86,11 @@
     return (long) (timers.nowNanos() * clockRate / 1_000_000) + 1_000_000_007L * starts;
   }
 
+  @Override
+  public String toString() {
+    return " lease left " + (expiresAtMillis - clockMillis()) + " ms, newest " + newest;
+  }
+
   private String instance() {
     return definition.id() + "#" + starts;
   }
