--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -41,6 +42,7 @@
   private final Vertx vertx = Vertx.vertx();
   private final UpstreamControlClient client =
       UpstreamControlClient.create(vertx, Duration.ofSeconds(2));
+  private final HttpClient httpClient = vertx.createHttpClient();
   private UpstreamStandin standin;
 
   @BeforeEach
@@ -166,8 +168,7 @@
             .putHeader(HeaderNames.SLOT, slot)
             .putHeader(HeaderNames.EPOCH, epoch)
             .putHeader(HeaderNames.DISPATCHER, "h1");
-    return vertx
-        .createHttpClient()
+    return httpClient
         .request(options)
         .compose(r -> r.send(Buffer.buffer()))
         .compose(r -> r.body().map(r));
