--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
@@ -68,10 +68,13 @@
     Vertx vertx = Vertx.vertx();
     try {
       DemoSite site = await(startReady(vertx), MARGIN);
-      return seconds > 0 ? measure(vertx, site, out) : serve(site, out);
-    } catch (ExecutionException | TimeoutException e) {
+      return seconds > 0 ? measure(vertx, site, out, err) : serve(site, out);
+    } catch (ExecutionException e) {
       err.println("error: " + e.getCause());
       return FAILED;
+    } catch (TimeoutException e) {
+      err.println("error: the site did not start, answer or stop in time");
+      return FAILED;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return FAILED;
@@ -88,11 +91,12 @@
                     .map(v -> site));
   }
 
-  private int measure(Vertx vertx, DemoSite site, PrintStream out)
+  private int measure(Vertx vertx, DemoSite site, PrintStream out, PrintStream err)
       throws InterruptedException, ExecutionException, TimeoutException {
     var run = new DemoRun(vertx, site, seed, Duration.ofSeconds(seconds));
     DemoResult result = await(run.measure(), MARGIN.plusSeconds(2L * seconds));
     format.print(result, out);
+    result.routed().problems().forEach(p -> err.println("error: wrong answer to " + p));
     await(site.stopStandins(), STOP_LIMIT);
     return result.isClean() ? OK : FAILED;
   }
