Test the form of the Authorization header and the stated length of bodies

Change: two more headers in refusesRequestsWithoutToken and the test refusesAStatedLengthAtOnce, which sends no body.

--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -104,6 +105,8 @@
     "GET, /v1/status, Bearer 0123456789abcde",
     "GET, /v1/status, Bearer 0123456789abcdef0",
     "GET, /v1/status, 0123456789abcdef",
+    "GET, /v1/status, Bearer_0123456789abcdef",
+    "GET, /v1/status, Bear",
     "GET, /metrics, Bearer x",
     "GET, /nothing, ''",
     "POST, /v1/plans, ''"
@@ -133,6 +136,19 @@
     assertThat(asked.get()).isNull();
   }
 
+  /** Guards against a large body that is received although its stated length is too large. */
+  @Test
+  void refusesAStatedLengthAtOnce() throws Exception {
+    try (var socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      var head =
+          "POST /v1/plans HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n"
+              .formatted(TOKEN, MAX_BODY + 1);
+      socket.getOutputStream().write(head.getBytes(UTF_8));
+      var answer = new String(socket.getInputStream().readAllBytes(), UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 413 ");
+    }
+  }
+
   /** Guards against malformed requests that reach the control thread or whose errors are hidden. */
   @ParameterizedTest
   @CsvSource(
