--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -5,17 +5,20 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublisher;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.catkinlift.daemon.metrics.DaemonMetrics;
@@ -53,10 +56,14 @@
 
   @AfterEach
   void stop() throws Exception {
-    server.stop().toCompletionStage().toCompletableFuture().get();
+    stopServer();
     vertx.close().toCompletionStage().toCompletableFuture().get();
   }
 
+  private void stopServer() throws Exception {
+    server.stop().toCompletionStage().toCompletableFuture().get();
+  }
+
   private Future<OperatorReply> ask(OperatorRequest request) {
     asked.set(request);
     return reply.get();
@@ -98,6 +105,8 @@
     "GET, /v1/status, Bearer 0123456789abcde",
     "GET, /v1/status, Bearer 0123456789abcdef0",
     "GET, /v1/status, 0123456789abcdef",
+    "GET, /v1/status, Bearer_0123456789abcdef",
+    "GET, /v1/status, Bear",
     "GET, /metrics, Bearer x",
     "GET, /nothing, ''",
     "POST, /v1/plans, ''"
@@ -127,6 +136,19 @@
     assertThat(asked.get()).isNull();
   }
 
+  /** Guards against a large body that is received although its stated length is too large. */
+  @Test
+  void refusesAStatedLengthAtOnce() throws Exception {
+    try (var socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      var head =
+          "POST /v1/plans HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n"
+              .formatted(TOKEN, MAX_BODY + 1);
+      socket.getOutputStream().write(head.getBytes(UTF_8));
+      var answer = new String(socket.getInputStream().readAllBytes(), UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 413 ");
+    }
+  }
+
   /** Guards against malformed requests that reach the control thread or whose errors are hidden. */
   @ParameterizedTest
   @CsvSource(
@@ -181,6 +203,21 @@
     assertThat(send("GET", "/v1/status", "").statusCode()).isEqualTo(500);
   }
 
+  /** Guards against a connection that waits for ever because the control thread is blocked. */
+  @Test
+  void answersWhenTheControlThreadIsSilent() throws Exception {
+    stopServer();
+    var timeout = Duration.ofMillis(1);
+    server =
+        new OperatorServer(
+            vertx, settings(), new MetricRegistry(), this::ask, isServing::get, timeout);
+    server.start().toCompletionStage().toCompletableFuture().get();
+    reply.set(Promise.<OperatorReply>promise().future());
+    var response = send("POST", "/v1/plans/p-1/confirm", "");
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.body()).contains("the outcome is unknown");
+  }
+
   /** Guards against metrics that are not the registry's. */
   @Test
   void printsMetrics() throws Exception {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -18,6 +18,7 @@
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.RowValue.CellRow;
+import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
@@ -45,6 +46,7 @@
   private Optional<Coordinator> coordinator = Optional.empty();
   private Optional<HostId> heardCoordinator = Optional.empty();
   private long roundAt = Long.MIN_VALUE / 4;
+  private final long startedAt;
   private long tickAt;
   private long resumedAt;
   private long takenAt;
@@ -65,6 +67,7 @@
     this.foreign = new ForeignTakeovers(context, book);
     this.bounds = new LeaseBounds(context, authority, takeover.authority());
     this.announcer = new Announcer(context);
+    this.startedAt = nowNanos;
     this.tickAt = nowNanos;
     this.resumedAt = nowNanos;
   }
@@ -100,7 +103,7 @@
   }
 
   private void readRow(long nowNanos, Outbox out) {
-    boolean wanted = !authority().isHolder() && book.isFree(authority().rowName(), nowNanos);
+    boolean wanted = !authority().isHolder() && book.endsSoon(authority().rowName(), nowNanos);
     boolean urgent = authority().row().isEmpty() || authority().isOutdated() || wanted;
     boolean failing = !context.platform().isReachable();
     if (!role.isBusy() && reads.isDue(urgent || failing, authority().isHolder(), nowNanos)) {
@@ -126,6 +129,9 @@
 
   /** Zero unless a service may have caused long promises that this run does not know of. */
   private Duration longestPromise() {
+    if (context.store().configuration().version() == 0) {
+      return CutOffRule.DEFAULT_LONG_PROMISE; // the rules of the services are not known yet
+    }
     return context.store().configuration().services().values().stream()
         .flatMap(s -> ServiceRules.hold(s).stream())
         .map(CutOffRule.Hold::longPromise)
@@ -144,7 +150,9 @@
     if (context.platform().isReachable()) {
       role.keep(wantedVoters(live, nowNanos), nowNanos, out);
     }
-    if (authority().has(nowNanos) && hasLapseService()) {
+    boolean active = authority().has(nowNanos) && hasLapseService();
+    takeover.setActive(active);
+    if (active) {
       takeover.round(nowNanos, out);
       foreign.round(nowNanos, out);
     }
@@ -200,10 +208,11 @@
     return leaving.contains(host) || isRetiring(host) || (stopping && host.equals(context.host()));
   }
 
-  /** After a pause of this daemon, silence of others says nothing for a while. */
+  /** After a pause of this daemon or at the start of its term, silence says nothing for a while. */
   private ImmutableSet<HostId> dispatchers(
       Coordinator current, ImmutableSet<HostId> live, long nowNanos) {
-    boolean justResumed = nowNanos - resumedAt < Duration.ofSeconds(1).toNanos();
+    long since = Math.max(resumedAt, takenAt);
+    boolean justResumed = nowNanos - since < Duration.ofSeconds(1).toNanos();
     ImmutableSet<HostId> alive =
         live.stream()
             .filter(h -> !isGoing(h))
@@ -236,8 +245,8 @@
             ownLoads));
   }
 
-  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos) {
-    coordinator.ifPresent(c -> c.acknowledged(from, ack, nowNanos));
+  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos, Outbox out) {
+    coordinator.ifPresent(c -> c.acknowledged(from, ack, nowNanos, out));
   }
 
   void promiseRequested(HostId from, PromiseRequest request, long nowNanos, Outbox out) {
@@ -247,7 +256,7 @@
       if (wantsShort && holderKnowsThisRun) {
         book.excludeLongPromise();
       }
-      if (!wantsShort) {
+      if (!wantsShort || !isKnownVoter()) {
         reads.readSoon();
       }
       answerForCell(from, request, nowNanos, out);
@@ -256,6 +265,11 @@
     foreign.promise(request, nowNanos, out).ifPresent(p -> out.send(from, p));
   }
 
+  /** A daemon that is asked but sees itself as no voter has an old view of the row. */
+  private boolean isKnownVoter() {
+    return authority().row().filter(r -> r.voters().contains(context.host())).isPresent();
+  }
+
   /** The holder itself promises nothing to a holder of an earlier term. */
   private void answerForCell(HostId from, PromiseRequest request, long nowNanos, Outbox out) {
     if (authority().isHolder() && request.term() <= authority().term()) {
@@ -314,11 +328,11 @@
   }
 
   /** Follows a change of the role, decides as the coordinator, and announces what changed. */
-  void update(long nowNanos, Outbox out) {
+  void update(ControlEvent event, long nowNanos, Outbox out) {
     followRole(nowNanos, out);
     boolean mayMove = !stopping && !isRetiring(context.host());
     coordinator
-        .filter(c -> authority().has(nowNanos))
+        .filter(c -> decidesAfter(event) && authority().has(nowNanos))
         .ifPresent(c -> c.update(mayMove, nowNanos, out));
     if (stopping || isRetiring(context.host())) {
       handOver(nowNanos, out);
@@ -326,6 +340,19 @@
     announcer.announce(nowNanos, out);
   }
 
+  /** Messages of peers change what is decided only by the next tick, which spares work. */
+  private static boolean decidesAfter(ControlEvent event) {
+    return switch (event) {
+      case ControlEvent.Tick t -> true;
+      case ControlEvent.PlatformReplied r -> true;
+      case ControlEvent.UpstreamReplied r -> !(r.reply() instanceof UpstreamRequest.Reply.Granted);
+      case ControlEvent.StopRequested s -> true;
+      case ControlEvent.PeerMessageReceived m -> false;
+      case ControlEvent.LoadReported l -> false;
+      case ControlEvent.OperatorRequested o -> false;
+    };
+  }
+
   private void followRole(long nowNanos, Outbox out) {
     if (!authority().isHolder()) {
       coordinator.ifPresent(c -> loseRole(c, out));
@@ -334,10 +361,24 @@
     if (coordinator.filter(c -> c.term() == authority().term()).isPresent()) {
       return;
     }
-    coordinator = Optional.of(new Coordinator(context, authority().term(), bounds));
+    QuietTime quiet =
+        book.wasResigned(authority().rowName())
+            ? QuietTime.after(nowNanos, context.timings())
+            : QuietTime.NONE;
+    coordinator =
+        Optional.of(
+            new Coordinator(context, authority().term(), bounds, quiet, unknownUntil(nowNanos)));
     takenAt = nowNanos;
-    roundAt = Long.MIN_VALUE / 4;
     out.log(EventCode.ROLE_TAKEN, "cell", context.cell(), "term", authority().term());
+    roundAt = nowNanos;
+    coordinator.ifPresent(c -> round(c, nowNanos, out));
+  }
+
+  /** Returns until when long grants of an earlier run may be in force; a past time if none are. */
+  private long unknownUntil(long nowNanos) {
+    boolean first = authority().term() <= 1;
+    boolean known = first || book.isLongPromiseExcluded(longestPromise(), nowNanos);
+    return known ? nowNanos : startedAt + context.timings().withMargin(longestPromise());
   }
 
   private void loseRole(Coordinator former, Outbox out) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -1,11 +1,13 @@
 package org.catkinlift.ownership;
 
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.catkinlift.control.PeerMessage.Heartbeat;
@@ -31,18 +33,23 @@
   private final CellContext context;
   private final EpochIssuer epochs;
   private final LeaseBounds bounds;
+  private final QuietTime quiet;
+  private final UnknownGrants unknown;
   private final UpstreamLinks links;
   private final DispatchLeases leases;
   private final TreeMap<ServiceName, SlotControl> slots = new TreeMap<>();
   private ImmutableMap<UpstreamId, ServiceDefinition> services = ImmutableMap.of();
   private long takeoverTerm;
 
-  Coordinator(CellContext context, long term, LeaseBounds bounds) {
+  Coordinator(
+      CellContext context, long term, LeaseBounds bounds, QuietTime quiet, long unknownUntil) {
     this.context = context;
     this.epochs = new EpochIssuer(term);
     this.bounds = bounds;
+    this.quiet = quiet;
     this.links = new UpstreamLinks(context.timings(), epochs);
     this.leases = new DispatchLeases(context.host(), context.timings(), epochs);
+    this.unknown = UnknownGrants.until(links, unknownUntil);
   }
 
   long term() {
@@ -51,7 +58,7 @@
 
   /** Returns when all grants of this term have surely ended. */
   long latestGrantEnd() {
-    return links.latestEnd();
+    return Math.max(links.latestEnd(), unknown.latestEnd());
   }
 
   /** Tells whether nothing is under way that a successor would not know of. */
@@ -67,10 +74,16 @@
     return nowNanos - leases.answeredAt(host) <= Duration.ofSeconds(1).toNanos();
   }
 
-  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos) {
-    if (ack.term() == term()) {
-      leases.acknowledged(from, ack, nowNanos);
-      reported(ack.loads(), nowNanos);
+  /** The first answer of a daemon gets its leases at once. */
+  void acknowledged(HostId from, HeartbeatAck ack, long nowNanos, Outbox out) {
+    if (ack.term() != term()) {
+      return;
+    }
+    boolean first = leases.answered(from) == 0;
+    leases.acknowledged(from, ack, nowNanos);
+    reported(ack.loads(), nowNanos);
+    if (first) {
+      sendLeases(ImmutableSet.of(from), nowNanos, out);
     }
   }
 
@@ -114,13 +127,26 @@
     followConfiguration();
     followTakeoverTerm();
     for (SlotControl control : slots.values()) {
-      if (bounds.authorityUntil(control.service(), nowNanos) <= nowNanos) {
+      boolean authority = bounds.authorityUntil(control.service(), nowNanos) > nowNanos;
+      if (!authority || mayHoldUnknown(control.service(), nowNanos)) {
         continue;
       }
       control.update(mayMove, nowNanos, out).forEach(u -> grant(u, nowNanos, out));
     }
   }
 
+  private boolean mayHoldUnknown(ServiceDefinition service, long nowNanos) {
+    return ServiceRules.hold(service).isPresent() && !unknown.isOver(holdUpstreams(), nowNanos);
+  }
+
+  /** The upstreams of this cell that may have long grants. */
+  private ImmutableSet<UpstreamId> holdUpstreams() {
+    return services.entrySet().stream()
+        .filter(e -> ServiceRules.hold(e.getValue()).isPresent())
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
+  }
+
   private void followConfiguration() {
     ImmutableMap<ServiceName, ServiceDefinition> wanted =
         context.store().configuration().services();
@@ -129,7 +155,8 @@
         .filter(s -> ServiceRules.keyed(s).isPresent())
         .filter(s -> !slots.containsKey(s.name()))
         .filter(s -> !s.upstreamsOf(context.cell()).isEmpty())
-        .forEach(s -> slots.put(s.name(), new SlotControl(context, s, epochs, links, leases)));
+        .forEach(
+            s -> slots.put(s.name(), new SlotControl(context, s, epochs, links, leases, quiet)));
     services =
         wanted.values().stream()
             .flatMap(s -> s.upstreamsOf(context.cell()).stream().map(u -> new Placed(u, s)))
@@ -191,13 +218,19 @@
         out.send(host, new Heartbeat(context.cell(), term(), sequence, answered, digest, given));
       }
     }
-    return give(context.host(), nowNanos);
+    return hosts.contains(context.host()) ? give(context.host(), nowNanos) : ImmutableList.of();
+  }
+
+  /** An upstream that checks no grants is protected from a former dispatcher only by time. */
+  private long dispatchUntil(UpstreamId upstream, long nowNanos) {
+    boolean wait = !isChecked(upstream) && !quiet.isOver(nowNanos);
+    return wait ? CellAuthority.NONE : bounds.dispatchUntil(services.get(upstream), nowNanos);
   }
 
   private ImmutableList<DispatchLease> give(HostId host, long nowNanos) {
     return leases.give(
         host,
-        u -> bounds.dispatchUntil(services.get(u), nowNanos),
+        u -> dispatchUntil(u, nowNanos),
         u -> bounds.wantedDispatch(services.get(u), nowNanos),
         nowNanos);
   }
@@ -209,9 +242,13 @@
       return;
     }
     SlotControl control = slots.get(service.name());
-    boolean mayGrant = control == null || control.isLoaded();
+    boolean replaces =
+        control != null
+            && mayHoldUnknown(service, nowNanos)
+            && unknown.mayReplace(holdUpstreams(), nowNanos);
+    boolean mayGrant = control == null || control.isLoaded() || replaces;
     GrantContent content =
-        control == null
+        control == null || replaces
             ? GrantContent.withoutSlots(service.name(), upstream, dispatcher.get())
             : control.grantFor(upstream, dispatcher.get());
     long until = mayGrant ? bounds.grantUntil(service, nowNanos) : CellAuthority.NONE;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
@@ -79,14 +79,14 @@
     }
   }
 
-  /** The foreign cells with lapse slots whose daemons are silent. */
+  /** The foreign cells with lapse slots whose coordinator is silent. */
   private ImmutableSet<CellId> suspects(long nowNanos) {
     return lapseServices().stream()
         .flatMap(s -> s.upstreams().stream())
         .filter(u -> !u.zone().equals(context.self().zone()))
         .map(u -> u.cell())
-        .filter(c -> context.members().live(c, nowNanos).isEmpty())
-        .filter(c -> hasSlots(c))
+        .filter(c -> book.endsSoon(OwnTakeoverRole.PREFIX + c, nowNanos))
+        .filter(this::hasSlots)
         .collect(toImmutableSet());
   }
 
@@ -105,6 +105,7 @@
   private boolean mayTake(CellId cell, RoleKeeper keeper, long nowNanos) {
     long grace = IN_CELL_FIRST.toNanos() + longestStartBound();
     return keeper.authority().row().isPresent()
+        && context.members().live(cell, nowNanos).isEmpty()
         && book.isFree(OwnTakeoverRole.PREFIX + cell, nowNanos - grace)
         && nowNanos - keeper.authority().unchangedSince()
             > context.timings().withMargin(context.timings().platformLease()) + grace
@@ -180,6 +181,9 @@
 
   void replied(long call, Reply reply, long nowNanos, Outbox out) {
     keepers.values().forEach(k -> replied(k, call, reply, nowNanos, out));
+    if (reply instanceof Reply.Rows rows) {
+      observe(rows.rows(), nowNanos);
+    }
     if (call != homesCall) {
       return;
     }
@@ -191,6 +195,16 @@
     }
   }
 
+  /** Rows that were read for any reason start the time for which a row is unchanged. */
+  private void observe(ImmutableList<Row> rows, long nowNanos) {
+    for (Row row : rows) {
+      if (row.name().startsWith(OwnTakeoverRole.PREFIX)) {
+        var cell = CellId.of(row.name().substring(OwnTakeoverRole.PREFIX.length()));
+        keeper(cell).authority().observe(Optional.of(row), nowNanos);
+      }
+    }
+  }
+
   /** After the role is taken, the new home maps are read so that all cells learn of them. */
   private void replied(RoleKeeper keeper, long call, Reply reply, long nowNanos, Outbox out) {
     boolean before = keeper.authority().isHolder();
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
@@ -13,12 +13,15 @@
  * promise longer by the clock margin than its receiver does.
  */
 final class PromiseBook {
+  /** A holder asks every 250 ms, so a promise of 1 s with this rest has missed one request. */
+  private static final long ENDS_SOON_NANOS = 600_000_000L;
+
   private final OwnershipTimings timings;
   private final Map<String, Entry> entries = new HashMap<>();
   private final long startedNanos;
   private boolean longPromiseExcluded;
 
-  private record Entry(long term, long sequence, long untilNanos) {}
+  private record Entry(long term, long sequence, long untilNanos, boolean resigned) {}
 
   PromiseBook(OwnershipTimings timings, long startedNanos) {
     this.timings = timings;
@@ -29,7 +32,7 @@
   void observeTerm(String row, long term) {
     Entry entry = entry(row);
     if (term > entry.term) {
-      entries.put(row, new Entry(term, 0, entry.untilNanos));
+      entries.put(row, new Entry(term, 0, entry.untilNanos, entry.resigned));
     }
   }
 
@@ -58,10 +61,24 @@
         Math.max(
             nowNanos + timings.withMargin(given),
             Math.min(entry.untilNanos, nowNanos + timings.withMargin(wanted)));
-    entries.put(request.row(), new Entry(request.term(), request.sequence(), until));
+    entries.put(
+        request.row(), new Entry(request.term(), request.sequence(), until, wanted.isZero()));
     return answer(request, given, request.term());
   }
 
+  /**
+   * Tells whether the latest holder gave the role up early. Its grants and leases may then last for
+   * a lease from now; otherwise they ended before the promise did.
+   */
+  boolean wasResigned(String row) {
+    return entry(row).resigned;
+  }
+
+  /** Tells whether no request has renewed the promise for some time, or there is none. */
+  boolean endsSoon(String row, long nowNanos) {
+    return isFree(row, nowNanos + ENDS_SOON_NANOS);
+  }
+
   /** Tells whether this daemon may take the role as far as its promises go. */
   boolean isFree(String row, long nowNanos) {
     return isStartOver(nowNanos) && nowNanos > entry(row).untilNanos;
@@ -86,7 +103,7 @@
   }
 
   private Entry entry(String row) {
-    return entries.getOrDefault(row, new Entry(0, 0, Long.MIN_VALUE));
+    return entries.getOrDefault(row, new Entry(0, 0, Long.MIN_VALUE, false));
   }
 
   private static Promise answer(PromiseRequest request, Duration given, long newestTerm) {
