Bound rerouting by the deadline and test it

Cause: the features of at-most-once requests expected Retry for refusals that are now answered with Reroute. Change: the feature states Reroute for STALE_EPOCH and DISPATCHER_UNREACHABLE, that it costs no retry budget, and that it never follows an unknown outcome; this is stricter than before.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
@@ -18,6 +18,9 @@
 
 /** One request on its way through an entry daemon, with all its attempts. */
 final class Exchange {
+  /** A daemon learns of a new dispatcher within some heartbeats. */
+  private static final Duration REROUTE_DELAY = Duration.ofMillis(50);
+
   private final EntryDaemon daemon;
   private final CallerRequest request;
   private final Consumer<CallerReply> reply;
@@ -129,6 +132,7 @@
             now());
     switch (decision) {
       case RetryDecision.Retry retry -> daemon.timers().after(retry.delay(), this::start);
+      case RetryDecision.Reroute reroute -> daemon.timers().after(REROUTE_DELAY, this::start);
       case RetryDecision.GiveUp giveUp -> finish(giveUp.outcome());
     }
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
@@ -41,8 +41,8 @@
       Duration remaining,
       RetryBudget budget,
       long nowNanos) {
-    if (hasMoved(outcome)) {
-      return new Reroute(LONGEST_REROUTE);
+    if (hasMoved(outcome) && remaining.isPositive()) {
+      return new Reroute(remaining.compareTo(LONGEST_REROUTE) < 0 ? remaining : LONGEST_REROUTE);
     }
     Duration delay = delayAfter(attemptsMade, outcome);
     if (!mayRepeat(requestClass, outcome)
--- a/catkinlift-decision/src/test/java/org/catkinlift/features/traffic/OutcomeSteps.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/features/traffic/OutcomeSteps.java
@@ -79,6 +79,21 @@
     assertThat(decision).isInstanceOf(RetryDecision.Retry.class);
   }
 
+  @When("its second attempt is refused with {word}")
+  public void secondRefused(String code) {
+    Outcome refusal = Outcome.notRun(RefusalCode.valueOf(code), Duration.ZERO);
+    end(2, RetryRule.combine(outcome, refusal));
+  }
+
+  @Then("it is routed again without cost to the retry budget")
+  public void routedAgain() {
+    assertThat(decision).isInstanceOf(RetryDecision.Reroute.class);
+    for (int i = 0; i < 1_000; i++) {
+      end(1, outcome);
+    }
+    assertThat(decision).isInstanceOf(RetryDecision.Reroute.class);
+  }
+
   @Then("it is never hedged")
   public void neverHedged() {
     var rule = new HedgeRule();
--- a/catkinlift-decision/src/test/resources/features/traffic/at_most_once.feature
+++ b/catkinlift-decision/src/test/resources/features/traffic/at_most_once.feature
@@ -15,11 +15,30 @@
     When its first attempt is refused with <refusal>
     Then it is sent again
 
+    Examples:
+      | refusal        |
+      | UPSTREAM_SHED  |
+      | CONNECT_FAILED |
+
+  Scenario Outline: The owner or the dispatcher has moved and the request did not run
+    Given an at-most-once request
+    When its first attempt is refused with <refusal>
+    Then it is routed again without cost to the retry budget
+
+    Examples:
+      | refusal                |
+      | STALE_EPOCH            |
+      | DISPATCHER_UNREACHABLE |
+
+  Scenario Outline: A refusal of a former dispatcher follows an attempt with unknown outcome
+    Given an at-most-once request
+    When its first attempt ends with CONNECTION_LOST
+    And its second attempt is refused with <refusal>
+    Then it is not sent again
+
     Examples:
       | refusal                |
-      | UPSTREAM_SHED          |
       | STALE_EPOCH            |
-      | CONNECT_FAILED         |
       | DISPATCHER_UNREACHABLE |
 
   Scenario: A refusal follows an attempt with unknown outcome
