--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -6,9 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
@@ -22,7 +20,6 @@
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
-import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
 
 /** Does the duties of one run of a daemon: as a voter, as a dispatcher and as the coordinator. */
@@ -41,7 +38,7 @@
   private final HeldLeases held = new HeldLeases();
   private final Announcer announcer;
   private final RowReadPlan reads = new RowReadPlan();
-  private final Set<HostId> leaving = new HashSet<>();
+  private final CellMembers members;
   private ImmutableList<UpstreamLoad> ownLoads = ImmutableList.of();
   private Optional<Coordinator> coordinator = Optional.empty();
   private Optional<HostId> heardCoordinator = Optional.empty();
@@ -57,6 +54,7 @@
 
   CellDuties(CellContext context, long nowNanos) {
     this.context = context;
+    this.members = new CellMembers(context);
     this.book = new PromiseBook(context.timings(), nowNanos);
     var authority =
         new CellAuthority(
@@ -112,7 +110,7 @@
   }
 
   private void take(long nowNanos, Outbox out) {
-    boolean excluded = stopping || isRetiring(context.host()) || role.isBusy();
+    boolean excluded = stopping || members.isRetiring(context.host()) || role.isBusy();
     if (excluded
         || !authority().isKnown()
         || !rule.mayTake(authority(), longestPromise(), nowNanos)) {
@@ -139,16 +137,11 @@
         .orElse(Duration.ZERO);
   }
 
-  private boolean isRetiring(HostId host) {
-    return context.store().configuration().retiringHosts().contains(host);
-  }
-
   private void round(Coordinator current, long nowNanos, Outbox out) {
-    ImmutableSet<HostId> hosts = hostsOfCell();
-    ImmutableSet<HostId> live = context.members().live(context.cell(), nowNanos);
-    role.requestPromises(candidates(live), promiseToAsk(current, nowNanos), nowNanos, out);
+    ImmutableSet<HostId> eligible = members.eligible(nowNanos);
+    role.requestPromises(eligible, promiseToAsk(current, nowNanos), nowNanos, out);
     if (context.platform().isReachable()) {
-      role.keep(wantedVoters(live, nowNanos), nowNanos, out);
+      role.keep(wantedVoters(eligible, nowNanos), nowNanos, out);
     }
     boolean active = authority().has(nowNanos) && hasLapseService();
     takeover.setActive(active);
@@ -156,8 +149,8 @@
       takeover.round(nowNanos, out);
       foreign.round(nowNanos, out);
     }
-    ImmutableSet<HostId> dispatchers = dispatchers(current, live, nowNanos);
-    ImmutableList<DispatchLease> own = current.round(hosts, dispatchers, nowNanos, out);
+    ImmutableSet<HostId> dispatchers = dispatchers(current, eligible, nowNanos);
+    ImmutableList<DispatchLease> own = current.round(members.all(), dispatchers, nowNanos, out);
     held.acceptOwn(current.term(), own, nowNanos);
   }
 
@@ -178,25 +171,14 @@
         .anyMatch(ServiceRules::isLapse);
   }
 
-  private ImmutableSet<HostId> hostsOfCell() {
-    return context.members().known().stream()
-        .filter(h -> h.cell().equals(context.cell()))
-        .map(HostDefinition::id)
-        .collect(toImmutableSet());
-  }
-
-  private ImmutableSet<HostId> candidates(ImmutableSet<HostId> live) {
-    return live.stream().filter(h -> !isGoing(h)).collect(toImmutableSet());
-  }
-
-  private ImmutableSet<HostId> wantedVoters(ImmutableSet<HostId> live, long nowNanos) {
+  private ImmutableSet<HostId> wantedVoters(ImmutableSet<HostId> eligible, long nowNanos) {
     ImmutableSet<HostId> answering =
         authority().otherVoters().stream()
-            .filter(v -> !isGoing(v))
+            .filter(v -> !members.isGoing(v))
             .filter(
                 v -> isNewTerm(nowNanos) || authority().hasAnswered(v, VOTER_LOST_AFTER, nowNanos))
             .collect(toImmutableSet());
-    return Sets.union(answering, candidates(live)).immutableCopy();
+    return Sets.union(answering, eligible).immutableCopy();
   }
 
   /** A new holder gives the voters time for their first answers. */
@@ -204,21 +186,16 @@
     return nowNanos - Math.max(takenAt, resumedAt) < VOTER_LOST_AFTER.toNanos();
   }
 
-  private boolean isGoing(HostId host) {
-    return leaving.contains(host) || isRetiring(host) || (stopping && host.equals(context.host()));
-  }
-
   /** After a pause of this daemon or at the start of its term, silence says nothing for a while. */
   private ImmutableSet<HostId> dispatchers(
-      Coordinator current, ImmutableSet<HostId> live, long nowNanos) {
+      Coordinator current, ImmutableSet<HostId> eligible, long nowNanos) {
     long since = Math.max(resumedAt, takenAt);
     boolean justResumed = nowNanos - since < Duration.ofSeconds(1).toNanos();
     ImmutableSet<HostId> alive =
-        live.stream()
-            .filter(h -> !isGoing(h))
+        eligible.stream()
             .filter(h -> justResumed || current.hasAnsweredLately(h, nowNanos))
             .collect(toImmutableSet());
-    boolean keepsOwn = alive.isEmpty() && !isRetiring(context.host());
+    boolean keepsOwn = alive.isEmpty() && !members.isRetiring(context.host());
     return keepsOwn ? ImmutableSet.of(context.host()) : alive;
   }
 
@@ -298,11 +275,11 @@
 
   /** A daemon that introduces itself is not about to leave any more. */
   void introduced(HostId host) {
-    leaving.remove(host);
+    members.introduced(host);
   }
 
   void leaving(HostId host) {
-    leaving.add(host);
+    members.leaving(host);
   }
 
   void platformReplied(long call, Reply reply, long nowNanos, Outbox out) {
@@ -325,16 +302,17 @@
 
   void stop() {
     stopping = true;
+    members.leaving(context.host());
   }
 
   /** Follows a change of the role, decides as the coordinator, and announces what changed. */
   void update(ControlEvent event, long nowNanos, Outbox out) {
     followRole(nowNanos, out);
-    boolean mayMove = !stopping && !isRetiring(context.host());
+    boolean mayMove = !stopping && !members.isRetiring(context.host());
     coordinator
         .filter(c -> decidesAfter(event) && authority().has(nowNanos))
         .ifPresent(c -> c.update(mayMove, nowNanos, out));
-    if (stopping || isRetiring(context.host())) {
+    if (stopping || members.isRetiring(context.host())) {
       handOver(nowNanos, out);
     }
     announcer.announce(nowNanos, out);
