--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/BenchMain.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/BenchMain.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import java.io.PrintStream;
 import java.util.Arrays;
+import org.catkinlift.bench.ownership.OwnershipScenarios;
 import org.catkinlift.bench.traffic.TrafficScenarios;
 
 /** Runs the scenarios and prints one JSON line for each measurement. */
@@ -16,7 +17,10 @@
   private static final int BAD_USAGE = 2;
 
   private static final ImmutableList<Scenario> SCENARIOS =
-      ImmutableList.<Scenario>builder().addAll(TrafficScenarios.all()).build();
+      ImmutableList.<Scenario>builder()
+          .addAll(OwnershipScenarios.all())
+          .addAll(TrafficScenarios.all())
+          .build();
 
   private final PrintStream out;
   private final PrintStream err;
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -298,10 +298,7 @@
       return;
     }
     execute(
-        dispatcher.completed(
-            exchange.attempt(),
-            new AttemptResult.Refused(RefusalCode.ANSWER_OVERDUE),
-            System.nanoTime()));
+        dispatcher.completed(exchange.attempt(), new AttemptResult.Stopped(), System.nanoTime()));
   }
 
   private void execute(ConnectionAction action) {
