Let an availability zone get its slots back, and keep waiting requests

Cause: OperationsTest (drain and return under load, rolling restart) failed. A trace of the platform's rows showed two faults: a coordinator planned homes from the map that it had read before another cell wrote a later one, so a returned availability zone never got a slot back; and a voter that had read the missing cell row promised nothing, so its coordinator renewed the row twice a second for ever. Requests that waited for moving slots overflowed the queue of 4 x limit. Every key looked hot in the first seconds, because its load was compared with averages that follow later. Loads were reported before the control thread existed. Change: HomeMoves reads the row again when a later map is known; PromiseBook knows a row that was read as missing; the queue factor is 16 and comes from the settings, as does the idle time of upstream connections; hot keys need a half-life of reports; SnapshotBuilder uses the home map.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import java.util.stream.Stream;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.PeerMessage;
+import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.daemon.control.ControlLoop;
 import org.catkinlift.daemon.control.ControlParts;
 import org.catkinlift.daemon.http.RequestEnd;
@@ -60,7 +61,7 @@
   private WorkerLoops workers;
   private RelayServer relayServer;
   private PeerTransport transport;
-  private ControlLoop control;
+  private volatile ControlLoop control;
   private HttpPlatform platform;
   private OperatorServer operators;
   private volatile boolean stopping;
@@ -100,7 +101,7 @@
             logger::log,
             new AtomicLong(),
             this::requestEnded,
-            loads -> control.offer(new ControlEvent.LoadReported(loads)));
+            this::loadsReported);
     loops =
         IntStream.range(0, TRAFFIC_LOOPS)
             .mapToObj(i -> new TrafficLoop(shared, random.split()))
@@ -163,6 +164,14 @@
     return this;
   }
 
+  /** The event loops start to report before the control thread runs. */
+  private void loadsReported(ImmutableList<UpstreamLoad> loads) {
+    if (control != null) {
+      control.offer(new ControlEvent.LoadReported(loads));
+    }
+    loads.forEach(l -> metrics.upstreamLoad(l.upstream(), l.queued(), l.inFlight()));
+  }
+
   private void requestEnded(RequestEnd end) {
     metrics.requestEnded(end.service(), end.outcome(), end.latency());
     for (int i = 1; i < end.attempts(); i++) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/SnapshotBuilder.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.VersionStore;
@@ -32,14 +33,21 @@
     for (ServiceDefinition service : store.configuration().services().values()) {
       switch (service.kind()) {
         case ServiceKind.Keyed keyed ->
-            tables.put(
-                service.name(), SlotTable.of(keyed.slotCount(), store.assignments(service.name())));
+            tables.put(service.name(), slotTable(store, service.name(), keyed.slotCount()));
         case ServiceKind.Shared shared -> {}
       }
     }
     return tables.buildOrThrow();
   }
 
+  /** Without the home map no assignment counts yet, and requests wait for it. */
+  private static SlotTable slotTable(VersionStore store, ServiceName service, int slotCount) {
+    return store
+        .homeMap(service)
+        .map(homes -> SlotTable.of(homes, store.assignments(service)))
+        .orElseGet(() -> SlotTable.of(slotCount, ImmutableList.of()));
+  }
+
   private static ImmutableMap<UpstreamId, HostId> dispatchers(VersionStore store) {
     var dispatchers = ImmutableMap.<UpstreamId, HostId>builder();
     for (DispatcherMap map : store.dispatcherMaps()) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
@@ -65,7 +65,7 @@
     loop = context;
     workers =
         new UpstreamWorkers(
-            vertx, shared.settings().host(), shared.states(), shared.events(), shared.attempts());
+            vertx, shared.settings(), shared.states(), shared.events(), shared.attempts());
     vertx.setPeriodic(LOAD_REPORT_MILLIS, t -> shared.loads().accept(workers.loads()));
     return Future.succeededFuture();
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/SettingsKeys.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/settings/SettingsKeys.java
@@ -62,7 +62,7 @@
 
   static final SettingsKey<Integer> QUEUE_FACTOR =
       new SettingsKey<>(
-          "limits.queueFactor", "multiple of the limit", "4", JsonValues.integer(1, 64));
+          "limits.queueFactor", "multiple of the limit", "16", JsonValues.integer(1, 64));
   static final SettingsKey<Integer> MAX_CONTROL_BODY_BYTES =
       new SettingsKey<>(
           "limits.maxControlBodyBytes", "bytes", "4194304", JsonValues.integer(1 << 10, 1 << 26));
@@ -71,7 +71,7 @@
   static final SettingsKey<Duration> CALLER_IDLE =
       millis("limits.callerIdleMs", "60000", Duration.ofSeconds(1), Duration.ofHours(1));
   static final SettingsKey<Duration> UPSTREAM_IDLE =
-      millis("limits.upstreamIdleMs", "300000", Duration.ofSeconds(1), Duration.ofHours(1));
+      millis("limits.upstreamIdleMs", "25000", Duration.ofSeconds(1), Duration.ofSeconds(30));
   static final SettingsKey<Duration> SHUTDOWN_GRACE =
       millis("shutdownGraceMs", "30000", Duration.ZERO, Duration.ofHours(1));
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -20,6 +20,7 @@
 import org.catkinlift.daemon.EventSink;
 import org.catkinlift.daemon.http.Headers;
 import org.catkinlift.daemon.relay.EntryEnd;
+import org.catkinlift.daemon.settings.LimitSettings;
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.limits.AttemptResult;
@@ -45,9 +46,6 @@
 
   private static final Duration EARLIER_WORK_ASKED_AGAIN_AFTER = Duration.ofMillis(100);
 
-  /** Shorter than the idle time after which networks drop the state of connections. */
-  private static final int KEEP_ALIVE_SECONDS = 25;
-
   /** Attempt numbers of probes are negative, so that they never meet those of requests. */
   private static final long FIRST_PROBE = -1;
 
@@ -64,20 +62,30 @@
   private long nextProbe = FIRST_PROBE;
   private boolean earlierWorkAsked;
 
-  UpstreamWorker(Vertx vertx, UpstreamDefinition upstream, HostId self, EventSink events) {
+  UpstreamWorker(
+      Vertx vertx,
+      UpstreamDefinition upstream,
+      HostId self,
+      LimitSettings limits,
+      EventSink events) {
     this.vertx = vertx;
     this.upstream = upstream;
     this.self = self;
     this.events = events;
     this.dispatcher =
-        new UpstreamDispatcher(upstream.id(), self, upstream.concurrencyLimit(), System.nanoTime());
+        new UpstreamDispatcher(
+            upstream.id(),
+            self,
+            upstream.concurrencyLimit(),
+            limits.queueFactor(),
+            System.nanoTime());
     this.client =
         vertx.createHttpClient(
             new HttpClientOptions()
                 .setDefaultHost(upstream.address().ip())
                 .setDefaultPort(upstream.address().port())
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setKeepAliveTimeout((int) limits.upstreamIdle().toSeconds())
                 .setDecompressionSupported(false),
             new PoolOptions().setHttp1MaxSize(upstream.connectionLimit()));
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -21,8 +21,8 @@
 import org.catkinlift.daemon.relay.ContextDispatchEnd;
 import org.catkinlift.daemon.relay.DispatchEnd;
 import org.catkinlift.daemon.relay.EntryEnd;
+import org.catkinlift.daemon.settings.DaemonSettings;
 import org.catkinlift.model.DispatchLease;
-import org.catkinlift.model.HostId;
 import org.catkinlift.model.Outcome;
 import org.catkinlift.model.RefusalCode;
 import org.catkinlift.model.ServiceDefinition;
@@ -37,7 +37,7 @@
 
   private final Vertx vertx;
   private final Context context;
-  private final HostId self;
+  private final DaemonSettings settings;
   private final RoutingStateHolder states;
   private final EventSink events;
   private final AtomicLong attempts;
@@ -49,16 +49,20 @@
    * Creates the registry of one event loop; called on it.
    *
    * @param vertx the event loops
-   * @param self the host of this daemon
+   * @param settings the daemon's settings
    * @param states shows the definitions of upstreams
    * @param events takes log events
    * @param attempts numbers the attempts of the daemon
    */
   public UpstreamWorkers(
-      Vertx vertx, HostId self, RoutingStateHolder states, EventSink events, AtomicLong attempts) {
+      Vertx vertx,
+      DaemonSettings settings,
+      RoutingStateHolder states,
+      EventSink events,
+      AtomicLong attempts) {
     this.vertx = vertx;
     this.context = vertx.getOrCreateContext();
-    this.self = self;
+    this.settings = settings;
     this.states = states;
     this.events = events;
     this.attempts = attempts;
@@ -149,7 +153,7 @@
     if (present != null) {
       release(present);
     }
-    var worker = new UpstreamWorker(vertx, definition, self, events);
+    var worker = new UpstreamWorker(vertx, definition, settings.host(), settings.limits(), events);
     workers.put(definition.id(), worker);
     return worker;
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/RequestQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/RequestQueue.java
@@ -7,18 +7,23 @@
 
 /** Holds the requests that wait for an upstream, first in, first out, up to a bound. */
 final class RequestQueue {
-  /** Queue length per execution slot. */
-  private static final int LENGTH_FACTOR = 4;
-
   private final Map<Long, WaitingRequest> waiting = new LinkedHashMap<>();
+  private final int factor;
   private int capacity;
 
-  RequestQueue(int limit) {
+  /**
+   * Creates an empty queue.
+   *
+   * @param limit the number of requests that the upstream executes at once
+   * @param factor the longest queue, in multiples of the limit
+   */
+  RequestQueue(int limit, int factor) {
+    this.factor = factor;
     changeLimit(limit);
   }
 
   void changeLimit(int limit) {
-    capacity = limit * LENGTH_FACTOR;
+    capacity = limit * factor;
   }
 
   boolean isFull() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
@@ -28,6 +28,12 @@
  * upstream's connections.
  */
 public final class UpstreamDispatcher {
+  /**
+   * The longest queue in multiples of the limit. Requests that wait for a slot or lease to move
+   * arrive all at once; with a factor of 4 a planned drain at a load of a few percent overflowed.
+   */
+  public static final int DEFAULT_QUEUE_FACTOR = 16;
+
   /** A new dispatcher gets its lease within about this time, or another daemon gets it. */
   private static final Duration LONGEST_WAIT_FOR_LEASE = Duration.ofSeconds(1);
 
@@ -51,10 +57,24 @@
    * @param nowNanos the time
    */
   public UpstreamDispatcher(UpstreamId upstream, HostId self, int limit, long nowNanos) {
+    this(upstream, self, limit, DEFAULT_QUEUE_FACTOR, nowNanos);
+  }
+
+  /**
+   * Creates a dispatcher without a lease.
+   *
+   * @param upstream the upstream
+   * @param self the host of this daemon
+   * @param limit the number of requests that the upstream executes at once, at least 1
+   * @param queueFactor the longest queue, in multiples of the limit
+   * @param nowNanos the time
+   */
+  public UpstreamDispatcher(
+      UpstreamId upstream, HostId self, int limit, int queueFactor, long nowNanos) {
     this.upstream = upstream;
     this.self = self;
     this.limiter = new SlowStartLimiter(upstream, limit);
-    this.queue = new RequestQueue(limit);
+    this.queue = new RequestQueue(limit, queueFactor);
     this.load = new LoadMeter(nowNanos);
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -106,6 +106,10 @@
     if (!recovered || writer.isBusy() || !context.platform().isReachable()) {
       return;
     }
+    if (isOutdated()) {
+      writer.read(out);
+      return;
+    }
     ImmutableMap<CellId, Double> weights = weights(nowNanos);
     if (weights.isEmpty()) {
       return;
@@ -120,6 +124,15 @@
     }
   }
 
+  /** Another cell has written the home map since this one read it. */
+  private boolean isOutdated() {
+    return context
+        .store()
+        .homeMap(service.name())
+        .filter(known -> written().filter(w -> w.version() >= known.version()).isEmpty())
+        .isPresent();
+  }
+
   private void chooseLeaving(ImmutableMap<CellId, Double> weights, long nowNanos) {
     boolean due = nowNanos - plannedAt >= INTERVAL.toNanos();
     if (!due && weights.containsKey(context.cell())) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/PromiseBook.java
@@ -28,10 +28,13 @@
     this.startedNanos = startedNanos;
   }
 
-  /** Notes the term of a row, so that requests of earlier holders get no promise. */
+  /**
+   * Notes the term of a row, so that requests of earlier holders get no promise. A row that does
+   * not exist yet has term 0, and is known from then on.
+   */
   void observeTerm(String row, long term) {
     Entry entry = entry(row);
-    if (term > entry.term) {
+    if (term > entry.term || !entries.containsKey(row)) {
       entries.put(row, new Entry(term, 0, entry.untilNanos, entry.resigned));
     }
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -297,7 +297,7 @@
   }
 
   private void overrideHotKeys(long nowNanos, Outbox out) {
-    for (String key : loads.newHotKeys(capacities(nowNanos).size())) {
+    for (String key : loads.newHotKeys(capacities(nowNanos).size(), nowNanos)) {
       table.addOverride(key, epochs.next(), epochs.next());
       table.unitOf(key).flatMap(table::owner).ifPresent(touched::add);
       changed = true;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -32,6 +32,7 @@
   private final EffectiveCapacity capacity = new EffectiveCapacity();
   private final Map<String, Double> keyLoads = new HashMap<>();
   private final Map<UpstreamId, UpstreamLoad> latest = new HashMap<>();
+  private final Map<UpstreamId, Double> reportedTotals = new HashMap<>();
   private final Map<Integer, Long> movedAt = new HashMap<>();
   private long firstReportAt = Long.MAX_VALUE;
   private long balancedAt = NEVER;
@@ -47,6 +48,8 @@
       averages.add(unit, loadOf(unit, load), nowNanos);
     }
     load.keyLoads().forEach(keyLoads::put);
+    double total = load.slotLoads().values().stream().mapToDouble(Double::doubleValue).sum();
+    reportedTotals.put(load.upstream(), total);
   }
 
   /** The load of a slot excludes that of its keys that are placed apart. */
@@ -83,11 +86,8 @@
   /** Returns the moves that are due; none before the averages cover a half-life. */
   ImmutableList<SlotMove> balance(
       Set<Integer> units, ImmutableMap<UpstreamId, Double> capacities, long nowNanos) {
-    boolean known =
-        firstReportAt != Long.MAX_VALUE
-            && nowNanos - firstReportAt >= LoadAverage.HALF_LIFE.toNanos();
     boolean due = nowNanos - balancedAt >= INTERVAL.toNanos();
-    if (!known || !due) {
+    if (!isKnown(nowNanos) || !due) {
       return ImmutableList.of();
     }
     balancedAt = nowNanos;
@@ -98,12 +98,23 @@
     return moves;
   }
 
-  /** Returns the keys that are to be placed apart and whose slot has an owner. */
-  ImmutableList<String> newHotKeys(int upstreams) {
-    if (keyLoads.isEmpty() || upstreams == 0) {
+  /** Before the averages cover a half-life, a few requests look like a heavy load. */
+  private boolean isKnown(long nowNanos) {
+    return firstReportAt != Long.MAX_VALUE
+        && nowNanos - firstReportAt >= LoadAverage.HALF_LIFE.toNanos();
+  }
+
+  /**
+   * Returns the keys that are to be placed apart and whose slot has an owner.
+   *
+   * <p>The fair share comes from the same reports as the loads of the keys, since the averages of
+   * the slots follow a growing load later and would make every key look hot.
+   */
+  ImmutableList<String> newHotKeys(int upstreams, long nowNanos) {
+    if (keyLoads.isEmpty() || upstreams == 0 || !isKnown(nowNanos)) {
       return ImmutableList.of();
     }
-    double total = averages.values().values().stream().mapToDouble(Double::doubleValue).sum();
+    double total = reportedTotals.values().stream().mapToDouble(Double::doubleValue).sum();
     double fairShare = total / upstreams;
     int room = HotKeys.MAX_OVERRIDES - table.overrideCount();
     ImmutableList<String> hot =
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/PromiseBookTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/PromiseBookTest.java
@@ -36,6 +36,13 @@
     assertThat(ask(2, 1, PROMISE, true, 2 * SECOND)).isEqualTo(PROMISE);
   }
 
+  /** Guards against a holder that has to renew its row for ever because one voter stays silent. */
+  @Test
+  void aVoterThatReadBeforeTheRowExistedPromises() {
+    book.observeTerm(ROW, 0);
+    assertThat(ask(1, 1, PROMISE, true, 2 * SECOND)).isEqualTo(PROMISE);
+  }
+
   /** Guards against a voter that could take the role but has promised not to for long. */
   @Test
   void aVoterThatReachesThePlatformGivesNoLongPromise() {
