--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
@@ -18,8 +17,6 @@
 import org.catkinlift.daemon.relay.ContextEntryEnd;
 import org.catkinlift.daemon.relay.DispatchEnd;
 import org.catkinlift.daemon.relay.EntryEnd;
-import org.catkinlift.events.DecisionEvent;
-import org.catkinlift.events.EventCode;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
@@ -44,11 +41,6 @@
 
   private static final Duration RETRY_AFTER_NO_OWNER = Duration.ofMillis(500);
 
-  /** A dispatcher that gets its lease late is asked again without a new snapshot. */
-  private static final long MAX_WAIT_MILLIS = 50;
-
-  private static final int NO_CONTENT = 204;
-  private static final int NOT_MODIFIED = 304;
   private static final long NO_TIMER = -1;
 
   private final EntryServices services;
@@ -59,6 +51,9 @@
   private final Runnable onEnd;
   private final Context context;
   private final RequestBody body;
+  private final AnswerWriter answer;
+  private final EntryEvents events;
+  private final RoutingWait routingWait;
   private final long receivedNanos = System.nanoTime();
   private final Map<Long, Attempt> attempts = new HashMap<>();
   private final Set<UpstreamId> tried = new HashSet<>();
@@ -70,7 +65,6 @@
   private int attemptsMade;
   private boolean hedged;
   private boolean ended;
-  private long waitUntilNanos;
   private long backstopTimer = NO_TIMER;
   private long hedgeTimer = NO_TIMER;
 
@@ -87,6 +81,9 @@
     this.onEnd = onEnd;
     this.context = services.vertx().getOrCreateContext();
     this.body = new RequestBody(request);
+    this.answer = new AnswerWriter(request);
+    this.events = new EntryEvents(services.events(), description);
+    this.routingWait = new RoutingWait(services, this::route);
   }
 
   void start() {
@@ -143,34 +140,8 @@
   }
 
   private void waitForRouting(Duration limit, Outcome otherwise) {
-    long now = System.nanoTime();
-    if (waitUntilNanos == 0) {
-      waitUntilNanos = now + limit.toNanos();
-    }
-    if (now >= waitUntilNanos || remaining().compareTo(Duration.ZERO) <= 0) {
+    if (!remaining().isPositive() || !routingWait.await(limit)) {
       giveUp(combined(otherwise));
-      return;
-    }
-    var once = new Once(this::route);
-    services.states().onNextChange(() -> context.runOnContext(v -> once.run()));
-    long millis = Duration.ofNanos(waitUntilNanos - now).toMillis() + 1;
-    var unused = services.vertx().setTimer(Math.min(millis, MAX_WAIT_MILLIS), t -> once.run());
-  }
-
-  /** Runs a task at most once; the first of two triggers counts. */
-  private static final class Once {
-    private final Runnable task;
-    private boolean done;
-
-    private Once(Runnable task) {
-      this.task = task;
-    }
-
-    private void run() {
-      if (!done) {
-        done = true;
-        task.run();
-      }
     }
   }
 
@@ -186,8 +157,8 @@
       race.hedged(attempt.number);
     }
     services.chooser().started(upstream, attempt.startedNanos);
-    services.events().log(routed(attempt, slot, epoch, remote));
     RelayHead head = head(upstream, slot, epoch);
+    events.routed(attempt.number, head, remote);
     var entry = new ContextEntryEnd(context, attempt);
     attempt.dispatch =
         remote
@@ -199,20 +170,6 @@
     }
   }
 
-  private DecisionEvent routed(
-      Attempt attempt, int slot, Epoch epoch, Optional<HostDefinition> remote) {
-    return new DecisionEvent(
-        EventCode.REQUEST_ROUTED,
-        ImmutableMap.of(
-            "request", description.id().value(),
-            "service", description.service().value(),
-            "upstream", attempt.upstream.value(),
-            "slot", Integer.toString(slot),
-            "epoch", epoch.toString(),
-            "attempt", Long.toString(attempt.number),
-            "dispatcher", remote.map(h -> h.id().value()).orElse("self")));
-  }
-
   private RelayHead head(UpstreamId upstream, int slot, Epoch epoch) {
     RequestDescription remaining =
         RequestDescription.builder()
@@ -261,7 +218,7 @@
       return;
     }
     hedged = true;
-    services.events().log(DecisionEvent.of(EventCode.REQUEST_HEDGED, "request", description.id()));
+    events.hedged();
     route();
   }
 
@@ -271,7 +228,7 @@
       case HedgeRace.Step.Deliver deliver -> {
         deliver.cancel().forEach(loser -> cancel(attempts.get(loser)));
         winner = attempt;
-        writeHead(status, headers);
+        answer.writeHead(status, headers);
       }
       case HedgeRace.Step.Drop drop -> attempt.dispatch.cancel();
       case HedgeRace.Step.Continue c -> {}
@@ -279,26 +236,16 @@
     }
   }
 
-  private void writeHead(int status, ImmutableListMultimap<String, String> headers) {
-    response.setStatusCode(status);
-    headers.entries().forEach(h -> response.headers().add(h.getKey(), h.getValue()));
-    boolean bodyless = status == NO_CONTENT || status == NOT_MODIFIED;
-    if (!headers.containsKey("content-length") && !bodyless) {
-      response.setChunked(true);
-    }
-  }
-
   private void answerContinues(Attempt attempt, Buffer data, boolean last) {
     if (attempt != winner || ended) {
       return;
     }
     if (last) {
       finish(new Outcome.Answered());
-      var unused = response.end();
+      answer.end();
       return;
     }
-    int length = data.length();
-    response.write(data).onSuccess(written -> attempt.dispatch.credit(length));
+    answer.write(data, attempt.dispatch);
   }
 
   private void failed(Attempt attempt, Outcome outcome) {
@@ -314,7 +261,8 @@
       return;
     }
     if (attempt == winner) {
-      abortAnswer(outcome);
+      finish(outcome);
+      answer.abort();
       return;
     }
     switch (race.failed(attempt.number, outcome)) {
@@ -362,11 +310,7 @@
   }
 
   private void retryAfter(Duration delay) {
-    services
-        .events()
-        .log(
-            DecisionEvent.of(
-                EventCode.REQUEST_RETRIED, "request", description.id(), "attempt", attemptsMade));
+    events.retried(attemptsMade);
     var unused = services.vertx().setTimer(Math.max(1, delay.toMillis()), t -> route());
   }
 
@@ -374,23 +318,11 @@
     if (ended) {
       return;
     }
-    EventCode code =
-        switch (outcome) {
-          case Outcome.NotRun n -> EventCode.REQUEST_REFUSED;
-          case Outcome.Unknown u -> EventCode.REQUEST_UNKNOWN;
-          case Outcome.Answered a -> EventCode.REQUEST_ROUTED;
-        };
-    services.events().log(DecisionEvent.of(code, "request", description.id(), "outcome", outcome));
+    events.refused(outcome);
     finish(outcome);
     RefusalWriter.write(response, description.id(), outcome);
   }
 
-  /** Cuts the connection, so that the caller sees that the answer is not whole. */
-  private void abortAnswer(Outcome outcome) {
-    finish(outcome);
-    var unused = request.connection().close();
-  }
-
   private void endUnanswered(RefusalCode code) {
     if (ended || winner != null) {
       return;
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -28,7 +28,6 @@
 import org.catkinlift.limits.UpstreamDispatcher;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.HostId;
-import org.catkinlift.model.Outcome;
 import org.catkinlift.model.RefusalCode;
 import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.protocol.RelayHead;
@@ -61,6 +60,7 @@
   private long lastConnection;
   private long nextProbe = FIRST_PROBE;
   private boolean earlierWorkAsked;
+  private boolean closed;
 
   UpstreamWorker(
       Vertx vertx,
@@ -122,6 +122,9 @@
 
   /** Asks the upstream how much it still executes for the previous dispatcher. */
   private void askEarlierWork() {
+    if (closed) {
+      return;
+    }
     long askedNanos = System.nanoTime();
     client
         .request(controlOptions(HttpMethod.GET, "/_upstream/load"))
@@ -160,6 +163,7 @@
   }
 
   void close() {
+    closed = true;
     var unused = client.close();
   }
 
@@ -353,9 +357,8 @@
             });
   }
 
-  /** Ends what is left when the daemon stops. */
+  /** Ends what is left when the daemon stops; what was sent may have run. */
   void abort() {
-    ImmutableList.copyOf(exchanges.values())
-        .forEach(e -> e.refuse(new Outcome.NotRun(RefusalCode.STOPPING, RETRY_AFTER)));
+    ImmutableList.copyOf(exchanges.values()).forEach(e -> e.failed(RefusalCode.STOPPING));
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/retries/RetryRule.java
@@ -10,8 +10,11 @@
 
 /** Decides whether a request is sent again. */
 public final class RetryRule {
-  /** A planned hand-over takes some heartbeats; a loss is longer and is refused. */
-  private static final Duration LONGEST_REROUTE = Duration.ofSeconds(1);
+  /**
+   * A lost dispatcher is replaced within this time. A planned hand-over of a coordinator takes up
+   * to 1.5 s, so a limit of 1 s refused requests in a rolling restart.
+   */
+  private static final Duration LONGEST_REROUTE = Duration.ofSeconds(3);
 
   private static final int MAX_ATTEMPTS = 3;
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/routing/RequestRouter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routing/RequestRouter.java
@@ -22,8 +22,8 @@
 public final class RequestRouter {
   private static final int NO_SLOT = -1;
 
-  /** A slot that moves or whose owner was lost has an owner again within about this time. */
-  private static final Duration LONGEST_WAIT = Duration.ofSeconds(1);
+  /** A slot that moves or whose owner was lost has an owner again within this time. */
+  private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
 
   private final SharedChooser chooser;
 
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/FrameHandler.java
@@ -31,11 +31,6 @@
     this.onClose = onClose;
   }
 
-  /** Returns the link, or null before the peer has introduced itself. */
-  PeerLink link() {
-    return link;
-  }
-
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
     switch (frame.getBodyCase()) {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerTransport.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -40,6 +41,7 @@
   /** The version of the inner protocol; daemons of different versions do not talk. */
   public static final int PROTOCOL_VERSION = 1;
 
+  private static final AttributeKey<PeerLink> LINK = AttributeKey.valueOf("catkinlift.link");
   private static final int THREADS = 2;
   private static final int LENGTH_BYTES = 4;
   private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
@@ -163,17 +165,17 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-        .handler(
-            initializer(
-                channel ->
-                    new FrameHandler(
-                        listener,
-                        new PeerLink(channel, key.peer().id(), numbers.next(), true, onClose),
-                        onClose)))
+        .handler(initializer(channel -> outgoing(channel, key, onClose)))
         .connect(new InetSocketAddress(address.ip(), address.port()))
         .addListener((ChannelFuture connected) -> finishOpen(key, connected, opening));
   }
 
+  private FrameHandler outgoing(Channel channel, LinkKey key, Consumer<PeerLink> onClose) {
+    var link = new PeerLink(channel, key.peer().id(), numbers.next(), true, onClose);
+    channel.attr(LINK).set(link);
+    return new FrameHandler(listener, link, onClose);
+  }
+
   private void finishOpen(
       LinkKey key, ChannelFuture connected, CompletableFuture<PeerLink> opening) {
     if (!connected.isSuccess()) {
@@ -181,7 +183,9 @@
       opening.completeExceptionally(connected.cause());
       return;
     }
-    PeerLink link = connected.channel().pipeline().get(FrameHandler.class).link();
+    // The peer may have closed the connection already, which takes the handlers out of the
+    // pipeline, so the link is not looked up there.
+    PeerLink link = connected.channel().attr(LINK).get();
     link.write(
         Frame.newBuilder()
             .setOpen(
