Use the time-outs that the clients of platform and upstreams declare

Cause: Daemon repeated the 500 ms of both clients. Change: it passes their DEFAULT_TIMEOUT; the values are the same. Conclusion: format, lint and compile pass; no test was run.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -41,8 +41,6 @@
 /** Runs one daemon: its control thread, its traffic threads and its servers. */
 public final class Daemon {
   private static final int TRAFFIC_LOOPS = 2;
-  private static final Duration PLATFORM_TIMEOUT = Duration.ofMillis(500);
-  private static final Duration UPSTREAM_TIMEOUT = Duration.ofMillis(500);
 
   /** The balancer needs a few failed health checks before it stops sending new connections. */
   private static final Duration HEALTH_NOTICE = Duration.ofMillis(500);
@@ -129,12 +127,12 @@
   }
 
   private Future<Void> startControl() {
-    platform = HttpPlatform.create(vertx, settings.platformAddress(), PLATFORM_TIMEOUT);
+    platform = HttpPlatform.create(vertx, settings.platformAddress(), HttpPlatform.DEFAULT_TIMEOUT);
     var ports =
         new DaemonPorts(
             transport,
             platform,
-            UpstreamControlClient.create(vertx, UPSTREAM_TIMEOUT),
+            UpstreamControlClient.create(vertx, UpstreamControlClient.DEFAULT_TIMEOUT),
             workers,
             logger,
             metrics);
