Prove graceful stop and bounded memory with a daemon in its own process

Cause: nothing showed that SIGTERM cuts no request, nor that a large answer passes with bounded memory; both can only be seen from outside the process. RoutingWait added a listener for each 50 ms of a wait, up to 60 a request, which stayed until the next routing state. Change: DaemonProcessTest starts bin/catkinliftd's main class as a process. RoutingWait keeps one listener. The heads of attempts are built in AttemptHeads; the forwarded headers are computed once per request instead of once per attempt.

--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/DaemonProcess.java
@@ -0,0 +1,92 @@
+package org.catkinlift.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.catkinlift.daemon.DaemonMain;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.model.HostDefinition;
+
+/** Runs one daemon in a process of its own, as it runs on an entry host. */
+final class DaemonProcess implements AutoCloseable {
+  private static final int WAIT_SECONDS = 60;
+
+  private final Process process;
+
+  private DaemonProcess(Process process) {
+    this.process = process;
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings the settings
+   * @param directory where the settings and the log are written
+   * @param heapMegabytes the largest heap of the process, and as much for direct buffers
+   */
+  static DaemonProcess start(DaemonSettings settings, Path directory, int heapMegabytes)
+      throws IOException {
+    Path file = directory.resolve("settings.json");
+    Files.writeString(file, json(settings).encode());
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx" + heapMegabytes + "m",
+                "-XX:MaxDirectMemorySize=" + heapMegabytes + "m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                DaemonMain.class.getName(),
+                "--settings",
+                file.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(directory.resolve("daemon.log").toFile())
+            .start();
+    return new DaemonProcess(process);
+  }
+
+  private static JsonObject json(DaemonSettings settings) {
+    var zones = new JsonArray();
+    settings.zones().forEach(z -> zones.add(z.value()));
+    var peers = new JsonArray();
+    settings.peers().forEach(p -> peers.add(json(p)));
+    return new JsonObject()
+        .put("host", settings.host().value())
+        .put("zone", settings.zone().value())
+        .put("cell", settings.cell().value())
+        .put("zones", zones)
+        .put("callerAddress", settings.callerAddress().toString())
+        .put("peerAddress", settings.peerAddress().toString())
+        .put("operatorAddress", settings.operatorAddress().toString())
+        .put("operatorToken", TestSite.TOKEN)
+        .put("platformAddress", settings.platformAddress().toString())
+        .put("peers", peers);
+  }
+
+  private static JsonObject json(HostDefinition peer) {
+    return new JsonObject()
+        .put("host", peer.id().value())
+        .put("zone", peer.zone().value())
+        .put("peerAddress", peer.peerAddress().toString());
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Sends SIGTERM and returns the exit code. */
+  int terminate() throws InterruptedException {
+    process.destroy();
+    if (!process.waitFor(WAIT_SECONDS, TimeUnit.SECONDS)) {
+      throw new IllegalStateException("the daemon did not end within " + WAIT_SECONDS + " s");
+    }
+    return process.exitValue();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/AttemptHeads.java
@@ -0,0 +1,63 @@
+package org.catkinlift.daemon.http;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.RequestDescription;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.protocol.RelayHead;
+
+/** Builds the heads of the attempts of one request; they differ in upstream and time left. */
+final class AttemptHeads {
+  private final RequestDescription description;
+  private final String method;
+  private final String target;
+  private final ImmutableListMultimap<String, String> headers;
+  private final boolean hasBody;
+
+  /**
+   * Creates the builder of one request.
+   *
+   * @param parsed the request as the caller sent it
+   * @param request its method and headers
+   * @param hasBody whether a body follows
+   */
+  AttemptHeads(RequestParser.Parsed.Request parsed, HttpServerRequest request, boolean hasBody) {
+    this.description = parsed.description();
+    this.method = request.method().name();
+    this.target = parsed.target();
+    this.headers = Headers.forwarded(request.headers());
+    this.hasBody = hasBody;
+  }
+
+  /**
+   * Builds the head of one attempt.
+   *
+   * @param upstream the chosen upstream
+   * @param slot the slot of the key, or -1
+   * @param epoch the epoch of the slot's owner
+   * @param remaining the time until the deadline of the request
+   * @return the head
+   */
+  RelayHead next(UpstreamId upstream, int slot, Epoch epoch, Duration remaining) {
+    RequestDescription attempt =
+        RequestDescription.builder()
+            .id(description.id())
+            .service(description.service())
+            .key(description.key())
+            .requestClass(description.requestClass())
+            .deadline(remaining)
+            .build();
+    return RelayHead.builder()
+        .request(attempt)
+        .upstream(upstream)
+        .slot(slot)
+        .epoch(epoch)
+        .method(method)
+        .target(target)
+        .headers(headers)
+        .hasBody(hasBody)
+        .build();
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/EntryExchange.java
@@ -47,7 +47,7 @@
   private final HttpServerRequest request;
   private final HttpServerResponse response;
   private final RequestDescription description;
-  private final String target;
+  private final AttemptHeads heads;
   private final Runnable onEnd;
   private final Context context;
   private final RequestBody body;
@@ -77,10 +77,10 @@
     this.request = request;
     this.response = request.response();
     this.description = parsed.description();
-    this.target = parsed.target();
     this.onEnd = onEnd;
     this.context = services.vertx().getOrCreateContext();
     this.body = new RequestBody(request);
+    this.heads = new AttemptHeads(parsed, request, body.isPresent());
     this.answer = new AnswerWriter(request);
     this.events = new EntryEvents(services.events(), description);
     this.routingWait = new RoutingWait(services, this::route);
@@ -157,7 +157,7 @@
       race.hedged(attempt.number);
     }
     services.chooser().started(upstream, attempt.startedNanos);
-    RelayHead head = head(upstream, slot, epoch);
+    RelayHead head = heads.next(upstream, slot, epoch, remaining());
     events.routed(attempt.number, head, remote);
     var entry = new ContextEntryEnd(context, attempt);
     attempt.dispatch =
@@ -170,27 +170,6 @@
     }
   }
 
-  private RelayHead head(UpstreamId upstream, int slot, Epoch epoch) {
-    RequestDescription remaining =
-        RequestDescription.builder()
-            .id(description.id())
-            .service(description.service())
-            .key(description.key())
-            .requestClass(description.requestClass())
-            .deadline(remaining())
-            .build();
-    return RelayHead.builder()
-        .request(remaining)
-        .upstream(upstream)
-        .slot(slot)
-        .epoch(epoch)
-        .method(request.method().name())
-        .target(target)
-        .headers(Headers.forwarded(request.headers()))
-        .hasBody(body.isPresent())
-        .build();
-  }
-
   private Duration remaining() {
     return description.deadline().minusNanos(System.nanoTime() - receivedNanos);
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/RoutingWait.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/RoutingWait.java
@@ -15,6 +15,9 @@
   private final Context context;
   private final Runnable onChange;
   private long endNanos;
+  private long timer;
+  private boolean waiting;
+  private boolean listening;
 
   /**
    * Creates the wait of one request.
@@ -42,27 +45,33 @@
     if (now >= endNanos) {
       return false;
     }
-    var once = new Once(onChange);
-    services.states().onNextChange(() -> context.runOnContext(v -> once.run()));
+    waiting = true;
+    listen();
     long millis = Duration.ofNanos(endNanos - now).toMillis() + 1;
-    var unused = services.vertx().setTimer(Math.min(millis, MAX_WAIT_MILLIS), t -> once.run());
+    timer = services.vertx().setTimer(Math.min(millis, MAX_WAIT_MILLIS), t -> continueIfWaiting());
     return true;
   }
 
-  /** Runs a task at most once; the first of two triggers counts. */
-  private static final class Once {
-    private final Runnable task;
-    private boolean done;
-
-    private Once(Runnable task) {
-      this.task = task;
+  /** At most one listener is registered, however often the timer ends before a change. */
+  private void listen() {
+    if (listening) {
+      return;
     }
+    listening = true;
+    services.states().onNextChange(() -> context.runOnContext(v -> changed()));
+  }
+
+  private void changed() {
+    listening = false;
+    continueIfWaiting();
+  }
 
-    private void run() {
-      if (!done) {
-        done = true;
-        task.run();
-      }
+  private void continueIfWaiting() {
+    if (!waiting) {
+      return;
     }
+    waiting = false;
+    services.vertx().cancelTimer(timer);
+    onChange.run();
   }
 }
