Send only changed versions in heartbeats and their answers

Cause: each heartbeat and each answer carried the versions of all values, which is 2.9 MB/s for a coordinator at the design size. Change: DigestExchange states what changed since the last message that the receiver is known to have seen. Versions that were stated and not yet pulled are remembered (StatedVersions). The messages in PeerMessageCodecTest also carry a range now.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/control/MeasuredDaemon.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/control/MeasuredDaemon.java
@@ -1,8 +1,9 @@
 package org.catkinlift.bench.control;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.catkinlift.configuration.DisseminationControl;
@@ -10,6 +11,8 @@
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.DigestExchange;
+import org.catkinlift.control.DigestRange;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.VersionStore;
@@ -21,14 +24,14 @@
 
 /** Runs the control parts of one daemon and measures its traffic and processor time. */
 final class MeasuredDaemon implements OwnershipView {
-  private static final PeerMessage.Digest NO_VERSIONS = new PeerMessage.Digest(ImmutableMap.of());
-
   private final ControlNetwork network;
   private final HostDefinition definition;
   private final HostId coordinator;
   private final VersionStore store = new VersionStore();
   private final MembershipControl members;
   private final ImmutableList<ControlPart> parts;
+  private final Map<HostId, DigestExchange> exchanges = new HashMap<>();
+  private final long run;
   private final Traffic sent = new Traffic();
   private final Traffic received = new Traffic();
   private long heartbeats;
@@ -40,6 +43,7 @@
     this.network = network;
     this.definition = definition;
     this.coordinator = coordinator;
+    this.run = new SplittableRandom(definition.id().hashCode()).nextLong();
     var calls = new CallNumbers();
     members =
         MembershipControl.builder().self(definition).seeds(ImmutableSet.of()).calls(calls).build();
@@ -67,26 +71,51 @@
     handle(new ControlEvent.Tick());
   }
 
-  /** Stands in for the coordinator's heartbeats, without leases and versions. */
+  /** Stands in for the coordinator's heartbeats, without leases. */
   void heartbeat() {
     heartbeats++;
-    var heartbeat =
-        new PeerMessage.Heartbeat(
-            definition.cell(), 1, heartbeats, heartbeats - 1, NO_VERSIONS, ImmutableList.of());
-    network.mates(definition).forEach(h -> send(h, heartbeat));
+    network.mates(definition).forEach(h -> send(h, heartbeat(exchange(h))));
+  }
+
+  private PeerMessage heartbeat(DigestExchange exchange) {
+    DigestExchange.Outgoing next = exchange.next(heartbeats);
+    return new PeerMessage.Heartbeat(
+        definition.cell(),
+        1,
+        heartbeats,
+        heartbeats - 1,
+        next.digest(),
+        new DigestRange(0, next.base(), exchange.covered()),
+        ImmutableList.of());
+  }
+
+  private DigestExchange exchange(HostId host) {
+    return exchanges.computeIfAbsent(host, h -> new DigestExchange(store));
   }
 
   void receive(HostId from, PeerMessage message, int bytes) {
     received.count(message, bytes);
     if (message instanceof PeerMessage.Heartbeat h) {
-      var ack =
-          new PeerMessage.HeartbeatAck(
-              h.cell(), h.term(), h.sequence(), NO_VERSIONS, ImmutableList.of());
-      send(from, ack);
+      send(from, answer(h, exchange(from)));
+    }
+    if (message instanceof PeerMessage.HeartbeatAck a) {
+      exchange(from).received(a.range().stream(), a.sequence(), a.range());
     }
     handle(new ControlEvent.PeerMessageReceived(from, message));
   }
 
+  private PeerMessage answer(PeerMessage.Heartbeat heartbeat, DigestExchange exchange) {
+    exchange.received(heartbeat.term(), heartbeat.sequence(), heartbeat.range());
+    DigestExchange.Outgoing next = exchange.next(heartbeat.sequence());
+    return new PeerMessage.HeartbeatAck(
+        heartbeat.cell(),
+        heartbeat.term(),
+        heartbeat.sequence(),
+        next.digest(),
+        new DigestRange(run, next.base(), exchange.covered()),
+        ImmutableList.of());
+  }
+
   void handle(ControlEvent event) {
     long start = System.nanoTime();
     var actions = ImmutableList.<ControlAction>builder();
--- a/catkinlift-decision/src/main/java/org/catkinlift/configuration/DisseminationControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/configuration/DisseminationControl.java
@@ -51,6 +51,7 @@
   private final CellContacts contacts;
   private final PeerSelector selector;
   private final DigestComposer digests;
+  private final StatedVersions stated;
   private final PullQueue pulls = new PullQueue();
   private final ConfirmedTime confirmed = new ConfirmedTime();
   private final ConfigurationLog log = new ConfigurationLog();
@@ -70,6 +71,7 @@
         new PeerSelector(
             members.self().id(), builder.choice, checkNotNull(builder.random, "random"));
     digests = new DigestComposer(store);
+    stated = new StatedVersions(store);
   }
 
   /**
@@ -157,8 +159,8 @@
   private ImmutableList<ControlAction> onMessage(HostId from, PeerMessage message, long nowNanos) {
     return switch (message) {
       case PeerMessage.Digest m -> onDigest(from, m, nowNanos);
-      case PeerMessage.Heartbeat m -> compare(from, m.digest(), nowNanos);
-      case PeerMessage.HeartbeatAck m -> compare(from, m.digest(), nowNanos);
+      case PeerMessage.Heartbeat m -> onChanges(from, m.digest(), nowNanos);
+      case PeerMessage.HeartbeatAck m -> onChanges(from, m.digest(), nowNanos);
       case PeerMessage.Pull m -> onPull(from, m);
       case PeerMessage.PullReply m -> onPullReply(from, m.values(), nowNanos);
       case PeerMessage.Hello m -> onHello(from, m, nowNanos);
@@ -192,11 +194,20 @@
     }
   }
 
+  private ImmutableList<ControlAction> onChanges(HostId from, Digest digest, long nowNanos) {
+    notePeer(digest);
+    return compare(from, stated.note(from, digest), nowNanos);
+  }
+
   private ImmutableList<ControlAction> compare(HostId from, Digest digest, long nowNanos) {
+    notePeer(digest);
+    return pulls.want(from, store.missing(digest), digest, nowNanos);
+  }
+
+  private void notePeer(Digest digest) {
     if (digest.versions().containsKey(Configuration.NAME)) {
       reads.peerAnswered();
     }
-    return pulls.want(from, store.missing(digest), digest, nowNanos);
   }
 
   /** Tells a peer, for example one whose network has healed, which of its versions are old. */
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/configuration/StatedVersions.java
@@ -0,0 +1,44 @@
+package org.catkinlift.configuration;
+
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.catkinlift.control.PeerMessage.Digest;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+
+/**
+ * Remembers the versions that peers stated in heartbeats and answers until this daemon has them.
+ *
+ * <p>Such a digest states each version only until it was seen, so a pull that fails later has to be
+ * repeated from memory.
+ */
+final class StatedVersions {
+  private final VersionStore store;
+  private final Map<HostId, TreeMap<String, Epoch>> lacking = new HashMap<>();
+
+  StatedVersions(VersionStore store) {
+    this.store = store;
+  }
+
+  /** Notes a digest and returns all versions that the peer has stated and this daemon lacks. */
+  Digest note(HostId peer, Digest digest) {
+    lacking.values().forEach(v -> v.entrySet().removeIf(e -> !isLater(e.getKey(), e.getValue())));
+    lacking.values().removeIf(Map::isEmpty);
+    ImmutableMap<String, Epoch> missing =
+        store.missing(digest).stream().collect(toImmutableMap(n -> n, digest.versions()::get));
+    if (!missing.isEmpty()) {
+      lacking.computeIfAbsent(peer, p -> new TreeMap<>()).putAll(missing);
+    }
+    TreeMap<String, Epoch> wanted = lacking.get(peer);
+    return new Digest(wanted == null ? ImmutableMap.of() : ImmutableMap.copyOf(wanted));
+  }
+
+  private boolean isLater(String name, Epoch version) {
+    return store.value(name).filter(v -> !version.isAfter(v.order())).isEmpty();
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/control/PeerMessage.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/PeerMessage.java
@@ -38,7 +38,8 @@
    * @param sequence counts the heartbeats of this term; the answer repeats it
    * @param answered the sequence of the latest heartbeat whose answer from this receiver has
    *     arrived; 0 if none has
-   * @param digest the versions that the coordinator has
+   * @param digest the versions that the coordinator has, as far as {@code range} says
+   * @param range what the digest covers, and which answers the coordinator has seen
    * @param leases the dispatch leases of the receiver; {@code remaining} counts from the moment at
    *     which the receiver sent the answer to heartbeat {@code answered}
    */
@@ -48,8 +49,29 @@
       long sequence,
       long answered,
       Digest digest,
+      DigestRange range,
       ImmutableList<DispatchLease> leases)
-      implements PeerMessage {}
+      implements PeerMessage {
+    /**
+     * Creates a heartbeat whose digest states all versions.
+     *
+     * @param cell the cell
+     * @param term the coordinator's term
+     * @param sequence counts the heartbeats of this term
+     * @param answered the sequence of the latest heartbeat whose answer has arrived
+     * @param digest all versions that the coordinator has
+     * @param leases the dispatch leases of the receiver
+     */
+    public Heartbeat(
+        CellId cell,
+        long term,
+        long sequence,
+        long answered,
+        Digest digest,
+        ImmutableList<DispatchLease> leases) {
+      this(cell, term, sequence, answered, digest, DigestRange.WHOLE, leases);
+    }
+  }
 
   /**
    * A daemon's answer to a heartbeat.
@@ -57,12 +79,32 @@
    * @param cell the cell
    * @param term the term of the heartbeat
    * @param sequence the sequence of the heartbeat
-   * @param digest the versions that the sender has
+   * @param digest the versions that the sender has, as far as {@code range} says
+   * @param range what the digest covers, and which heartbeats the sender has seen
    * @param loads the load of the upstreams that the sender dispatches to
    */
   record HeartbeatAck(
-      CellId cell, long term, long sequence, Digest digest, ImmutableList<UpstreamLoad> loads)
-      implements PeerMessage {}
+      CellId cell,
+      long term,
+      long sequence,
+      Digest digest,
+      DigestRange range,
+      ImmutableList<UpstreamLoad> loads)
+      implements PeerMessage {
+    /**
+     * Creates an answer whose digest states all versions.
+     *
+     * @param cell the cell
+     * @param term the term of the heartbeat
+     * @param sequence the sequence of the heartbeat
+     * @param digest all versions that the sender has
+     * @param loads the load of the upstreams that the sender dispatches to
+     */
+    public HeartbeatAck(
+        CellId cell, long term, long sequence, Digest digest, ImmutableList<UpstreamLoad> loads) {
+      this(cell, term, sequence, digest, DigestRange.WHOLE, loads);
+    }
+  }
 
   /**
    * Asks a voter not to take a role for some time.
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -36,6 +36,7 @@
   private final ForeignTakeovers foreign;
   private final LeaseBounds bounds;
   private final HeldLeases held = new HeldLeases();
+  private final HeartbeatAnswers answers;
   private final Announcer announcer;
   private final RowReadPlan reads = new RowReadPlan();
   private final CellMembers members;
@@ -64,6 +65,7 @@
     this.takeover = new OwnTakeoverRole(context, book);
     this.foreign = new ForeignTakeovers(context, book);
     this.bounds = new LeaseBounds(context, authority, takeover.authority());
+    this.answers = new HeartbeatAnswers(context);
     this.announcer = new Announcer(context);
     this.startedAt = nowNanos;
     this.tickAt = nowNanos;
@@ -212,14 +214,7 @@
     }
     heardCoordinator = Optional.of(from);
     holderKnowsThisRun = answersThisRun && heartbeat.term() >= held.term();
-    out.send(
-        from,
-        new HeartbeatAck(
-            context.cell(),
-            heartbeat.term(),
-            heartbeat.sequence(),
-            context.store().digest(),
-            ownLoads));
+    out.send(from, answers.answer(heartbeat, ownLoads));
   }
 
   void acknowledged(HostId from, HeartbeatAck ack, long nowNanos, Outbox out) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest;
@@ -48,7 +47,7 @@
     this.bounds = bounds;
     this.quiet = quiet;
     this.links = new UpstreamLinks(context.timings(), epochs);
-    this.leases = new DispatchLeases(context.host(), context.timings(), epochs);
+    this.leases = new DispatchLeases(context.host(), context.timings(), epochs, context.store());
     this.unknown = UnknownGrants.until(links, unknownUntil);
   }
 
@@ -209,13 +208,11 @@
 
   private ImmutableList<DispatchLease> sendLeases(
       ImmutableSet<HostId> hosts, long nowNanos, Outbox out) {
-    long sequence = leases.nextSequence();
-    var digest = context.store().digest();
+    leases.nextSequence();
     for (HostId host : hosts) {
       if (!host.equals(context.host())) {
         ImmutableList<DispatchLease> given = give(host, nowNanos);
-        long answered = leases.answered(host);
-        out.send(host, new Heartbeat(context.cell(), term(), sequence, answered, digest, given));
+        out.send(host, leases.heartbeat(context.cell(), term(), host, given));
       }
     }
     return hosts.contains(context.host()) ? give(context.host(), nowNanos) : ImmutableList.of();
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
@@ -14,7 +14,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.ToLongFunction;
+import org.catkinlift.control.DigestExchange;
+import org.catkinlift.control.DigestRange;
+import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
+import org.catkinlift.control.VersionStore;
+import org.catkinlift.model.CellId;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
@@ -31,6 +36,7 @@
   private final HostId self;
   private final OwnershipTimings timings;
   private final EpochIssuer epochs;
+  private final VersionStore store;
   private final Map<UpstreamId, Choice> choices = new TreeMap<>();
   private final Map<HostId, Member> members = new HashMap<>();
   private long sequence;
@@ -42,15 +48,22 @@
     private final Map<UpstreamId, Outstanding> outstanding = new HashMap<>();
     private long answered;
     private long answeredAt = Long.MIN_VALUE / 4;
-    private ImmutableMap<String, Epoch> versions = ImmutableMap.of();
+    private final Map<String, Epoch> versions = new HashMap<>();
+    private final DigestExchange exchange;
+    private long stream;
+
+    private Member(VersionStore store) {
+      exchange = new DigestExchange(store);
+    }
   }
 
   private record Outstanding(long untilNanos, long sequence) {}
 
-  DispatchLeases(HostId self, OwnershipTimings timings, EpochIssuer epochs) {
+  DispatchLeases(HostId self, OwnershipTimings timings, EpochIssuer epochs, VersionStore store) {
     this.self = self;
     this.timings = timings;
     this.epochs = epochs;
+    this.store = store;
   }
 
   /**
@@ -100,8 +113,8 @@
   }
 
   /** Numbers the next round of heartbeats. */
-  long nextSequence() {
-    return ++sequence;
+  void nextSequence() {
+    sequence++;
   }
 
   long answered(HostId host) {
@@ -120,10 +133,28 @@
     }
     member.answered = ack.sequence();
     member.answeredAt = nowNanos;
-    member.versions = ack.digest().versions();
+    noteVersions(member, ack);
     member.outstanding.values().removeIf(o -> o.sequence < ack.sequence());
   }
 
+  /** A restarted daemon has none of the versions that its earlier run named. */
+  private static void noteVersions(Member member, HeartbeatAck ack) {
+    if (ack.range().stream() != member.stream) {
+      member.stream = ack.range().stream();
+      member.versions.clear();
+    }
+    member.versions.putAll(ack.digest().versions());
+    member.exchange.received(member.stream, ack.sequence(), ack.range());
+  }
+
+  /** Composes a heartbeat with the versions that its receiver has not seen yet. */
+  Heartbeat heartbeat(CellId cell, long term, HostId host, ImmutableList<DispatchLease> given) {
+    Member member = member(host);
+    DigestExchange.Outgoing next = member.exchange.next(sequence);
+    var range = new DigestRange(0, next.base(), member.exchange.covered());
+    return new Heartbeat(cell, term, sequence, member.answered, next.digest(), range, given);
+  }
+
   /**
    * Returns the leases to name in a heartbeat and counts them as given.
    *
@@ -202,6 +233,6 @@
   }
 
   private Member member(HostId host) {
-    return members.computeIfAbsent(host, h -> new Member());
+    return members.computeIfAbsent(host, h -> new Member(store));
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/RequestIds.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/RequestIds.java
@@ -1,5 +1,6 @@
 package org.catkinlift.ownership;
 
+import com.google.common.hash.Hashing;
 import org.catkinlift.model.HostId;
 
 /** Names the platform transactions of one run of a daemon's process. */
@@ -15,6 +16,11 @@
     return prefix + next++;
   }
 
+  /** Returns a number that differs between the runs of this daemon and between daemons. */
+  long run() {
+    return Hashing.farmHashFingerprint64().hashUnencodedChars(prefix).asLong();
+  }
+
   /** Tells whether this run made the transaction. */
   boolean isOwn(String requestId) {
     return requestId.startsWith(prefix);
--- a/catkinlift-decision/src/test/java/org/catkinlift/configuration/DisseminationControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/configuration/DisseminationControlTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
 import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.DigestRange;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.RowValue;
 import org.catkinlift.control.fake.FakeDaemon;
@@ -96,6 +97,34 @@
     }
   }
 
+  /** Guards against a member that never gets a version which heartbeats state only once. */
+  @Test
+  void versionOfALostPullReplyIsPulledAgain() {
+    startThreeZones();
+    FakeDaemon member = site.daemon("suva-03");
+    var changed = new PeerMessage.Digest(ImmutableMap.of(Configuration.NAME, Epoch.of(2, 0)));
+    site.cut("suva", true);
+    site.daemon("nadi-01").store().offer(FakeSite.configuration(2));
+    member.deliver(heartbeat(HostId.of("nadi-01"), 1, changed));
+    site.run(Duration.ofSeconds(3));
+    assertThat(member.store().configuration().version()).isEqualTo(1);
+
+    site.platform().down(true);
+    site.cut("suva", false);
+    member.deliver(heartbeat(HostId.of("nadi-01"), 2, new PeerMessage.Digest(ImmutableMap.of())));
+    site.run(Duration.ofMillis(10));
+
+    assertThat(member.store().configuration().version()).isEqualTo(2);
+  }
+
+  private static ControlEvent heartbeat(HostId from, long sequence, PeerMessage.Digest digest) {
+    var range = new DigestRange(0, sequence - 1, 0);
+    return new ControlEvent.PeerMessageReceived(
+        from,
+        new PeerMessage.Heartbeat(
+            CellId.of("nadi"), 1, sequence, 0, digest, range, ImmutableList.of()));
+  }
+
   /** Guards against a reversion when a zone that was cut off offers what it had. */
   @Test
   void oldVersionOfAHealedPeerIsNotTakenOver() {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.catkinlift.control.DigestRange;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.DispatchLease;
@@ -118,6 +119,9 @@
         .setSequence(heartbeat.sequence())
         .setAnswered(heartbeat.answered())
         .setDigest(encodeDigest(heartbeat.digest()))
+        .setStream(heartbeat.range().stream())
+        .setBaseDistance(heartbeat.sequence() - heartbeat.range().base())
+        .setCoveredDistance(heartbeat.answered() - heartbeat.range().covered())
         .addAllLeases(heartbeat.leases().stream().map(PeerMessageCodec::encodeLease).toList())
         .build();
   }
@@ -129,6 +133,10 @@
         frame.getSequence(),
         frame.getAnswered(),
         decodeDigest(frame.getDigest()),
+        new DigestRange(
+            frame.getStream(),
+            frame.getSequence() - frame.getBaseDistance(),
+            frame.getAnswered() - frame.getCoveredDistance()),
         frame.getLeasesList().stream()
             .map(PeerMessageCodec::decodeLease)
             .collect(toImmutableList()));
@@ -157,6 +165,9 @@
         .setTerm(ack.term())
         .setSequence(ack.sequence())
         .setDigest(encodeDigest(ack.digest()))
+        .setStream(ack.range().stream())
+        .setBaseDistance(ack.sequence() - ack.range().base())
+        .setCoveredDistance(ack.sequence() - ack.range().covered())
         .addAllLoads(ack.loads().stream().map(PeerMessageCodec::encodeLoad).toList())
         .build();
   }
@@ -167,6 +178,10 @@
         frame.getTerm(),
         frame.getSequence(),
         decodeDigest(frame.getDigest()),
+        new DigestRange(
+            frame.getStream(),
+            frame.getSequence() - frame.getBaseDistance(),
+            frame.getSequence() - frame.getCoveredDistance()),
         frame.getLoadsList().stream().map(PeerMessageCodec::decodeLoad).collect(toImmutableList()));
   }
 
--- a/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
+++ b/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.catkinlift.control.DigestRange;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
@@ -59,12 +60,14 @@
             12,
             11,
             DIGEST,
+            new DigestRange(0, 10, 9),
             ImmutableList.of(new DispatchLease(UPSTREAM, HOST, EPOCH, Duration.ofMillis(900)))),
         new PeerMessage.HeartbeatAck(
             CELL,
             7,
             12,
             new PeerMessage.Digest(ImmutableMap.of()),
+            new DigestRange(-5, 0, 13),
             ImmutableList.of(
                 new PeerMessage.UpstreamLoad(
                     UPSTREAM,
