Require an imbalance to exceed the noise, and finish a rebalance

A cell whose true imbalance was 1.04 was measured as 1.1018 once, which moved 3 slots. Where the budget of a step ended, a rebalance also stopped just under 1.10, where noise starts the next one.

Change: LoadAverage states the standard error of each average. A rebalance starts only if an upstream exceeds 1.10 times the mean by two standard errors, and SlotBalancer then goes on in each interval until 1.05.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/PlacementModel.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/PlacementModel.java
@@ -27,6 +27,7 @@
 import org.catkinlift.placement.LoadAverage;
 import org.catkinlift.placement.PlacementInput;
 import org.catkinlift.placement.PlacementPlanner;
+import org.catkinlift.placement.SlotBalancer;
 import org.catkinlift.placement.SlotMove;
 import org.catkinlift.routing.KeyHasher;
 
@@ -49,6 +50,7 @@
   private static final class Cell {
     private final TreeMap<Integer, Optional<UpstreamId>> owners = new TreeMap<>();
     private final Map<Integer, Double> loads = new HashMap<>();
+    private final SlotBalancer balancer = new SlotBalancer();
     private final LoadAverage averages = new LoadAverage();
     private final Map<Integer, Long> movedAt = new HashMap<>();
     private ImmutableMap<UpstreamId, Double> capacities = ImmutableMap.of();
@@ -119,8 +121,7 @@
         cells.forEach(this::report);
       }
       for (Cell cell : cells) {
-        int budget = PlacementPlanner.budget(cell.owners.size());
-        List<SlotMove> due = PlacementPlanner.balance(input(cell), budget);
+        List<SlotMove> due = cell.balancer.next(input(cell));
         apply(cell, due);
         moves += due.size();
       }
@@ -145,6 +146,7 @@
                 toImmutableSortedMap(
                     Comparator.naturalOrder(), Map.Entry::getKey, Map.Entry::getValue)),
         cell.averages.values(),
+        cell.averages.squaredErrors(),
         cell.capacities,
         cell.movedAt.entrySet().stream()
             .filter(e -> nowNanos - e.getValue() < Duration.ofMinutes(2).toNanos())
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -18,7 +18,7 @@
 import org.catkinlift.placement.HotKeys;
 import org.catkinlift.placement.LoadAverage;
 import org.catkinlift.placement.PlacementInput;
-import org.catkinlift.placement.PlacementPlanner;
+import org.catkinlift.placement.SlotBalancer;
 import org.catkinlift.placement.SlotMove;
 
 /** Keeps the load of one service's units and decides when an imbalance is worth moves. */
@@ -29,6 +29,7 @@
 
   private final UnitTable table;
   private final LoadAverage averages = new LoadAverage();
+  private final SlotBalancer balancer = new SlotBalancer();
   private final EffectiveCapacity capacity = new EffectiveCapacity();
   private final Map<String, Double> keyLoads = new HashMap<>();
   private final Map<UpstreamId, UpstreamLoad> latest = new HashMap<>();
@@ -79,6 +80,7 @@
         units.stream()
             .collect(toImmutableSortedMap(Comparator.naturalOrder(), u -> u, table::owner)),
         averages.values(),
+        averages.squaredErrors(),
         capacities,
         pinned);
   }
@@ -91,9 +93,7 @@
       return ImmutableList.of();
     }
     balancedAt = nowNanos;
-    ImmutableList<SlotMove> moves =
-        PlacementPlanner.balance(
-            input(units, capacities, nowNanos), PlacementPlanner.budget(units.size()));
+    ImmutableList<SlotMove> moves = balancer.next(input(units, capacities, nowNanos));
     moves.forEach(m -> movedAt.put(m.slot(), nowNanos));
     return moves;
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadAverage.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadAverage.java
@@ -18,7 +18,19 @@
 
   private final Map<Integer, Average> averages = new HashMap<>();
 
-  private record Average(double value, long atNanos) {}
+  /**
+   * The state of one slot.
+   *
+   * @param value the average
+   * @param variance the variance of the reports around the average
+   * @param weightSquares the sum of the squared weights of the reports in the average
+   * @param atNanos the time of the latest report
+   */
+  private record Average(double value, double variance, double weightSquares, long atNanos) {
+    double squaredError() {
+      return variance * weightSquares;
+    }
+  }
 
   /** Creates an average without any report. */
   public LoadAverage() {}
@@ -32,13 +44,19 @@
    */
   public void add(int slot, double load, long nowNanos) {
     Average before = averages.get(slot);
-    averages.put(slot, before == null ? new Average(load, nowNanos) : next(before, load, nowNanos));
+    averages.put(
+        slot, before == null ? new Average(load, 0, 1, nowNanos) : next(before, load, nowNanos));
   }
 
   private static Average next(Average before, double load, long nowNanos) {
     double halfLives = (double) (nowNanos - before.atNanos) / HALF_LIFE.toNanos();
     double keep = Math.pow(0.5, halfLives);
-    return new Average(before.value * keep + load * (1 - keep), nowNanos);
+    double distance = load - before.value;
+    return new Average(
+        before.value + distance * (1 - keep),
+        keep * (before.variance + (1 - keep) * distance * distance),
+        keep * keep * before.weightSquares + (1 - keep) * (1 - keep),
+        nowNanos);
   }
 
   /**
@@ -50,4 +68,14 @@
     return averages.entrySet().stream()
         .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().value));
   }
+
+  /**
+   * Returns how far the averages may be off because the reports vary.
+   *
+   * @return the squared standard error of the average by slot index or number of an override
+   */
+  public ImmutableMap<Integer, Double> squaredErrors() {
+    return averages.entrySet().stream()
+        .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().squaredError()));
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
@@ -3,6 +3,7 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -45,6 +46,26 @@
     return Imbalance.of(sums, input.capacities());
   }
 
+  /** Tells whether an upstream surely exceeds a multiple of the mean, given the noise of loads. */
+  boolean isSurelyAbove(double limit, double standardErrors) {
+    double mean = sum(sums.values()) / sum(input.capacities().values());
+    return sums.keySet().stream()
+        .anyMatch(u -> relative(u) - standardErrors * relativeError(u) > limit * mean);
+  }
+
+  private double relativeError(UpstreamId upstream) {
+    double squares =
+        owners.entrySet().stream()
+            .filter(e -> e.getValue().filter(upstream::equals).isPresent())
+            .mapToDouble(e -> input.squaredErrors().getOrDefault(e.getKey(), 0.0))
+            .sum();
+    return Math.sqrt(squares) / capacity(upstream);
+  }
+
+  private static double sum(Collection<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).sum();
+  }
+
   UpstreamId mostLoaded() {
     return sums.keySet().stream().max(Comparator.comparingDouble(this::relative)).orElseThrow();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementInput.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementInput.java
@@ -11,11 +11,31 @@
  *
  * @param owners the present owner of each slot; empty for a slot without one
  * @param loads the load of each slot; a slot without an entry has none
+ * @param squaredErrors the squared standard error of the load of each slot; a slot without an entry
+ *     has none
  * @param capacities the capacity of each upstream that may own slots; all positive
  * @param pinned the slots that must not be moved for balance, as they were moved lately
  */
 public record PlacementInput(
     ImmutableSortedMap<Integer, Optional<UpstreamId>> owners,
     ImmutableMap<Integer, Double> loads,
+    ImmutableMap<Integer, Double> squaredErrors,
     ImmutableMap<UpstreamId, Double> capacities,
-    ImmutableSet<Integer> pinned) {}
+    ImmutableSet<Integer> pinned) {
+
+  /**
+   * Creates an input whose loads are exact.
+   *
+   * @param owners the present owner of each slot; empty for a slot without one
+   * @param loads the load of each slot; a slot without an entry has none
+   * @param capacities the capacity of each upstream that may own slots; all positive
+   * @param pinned the slots that must not be moved for balance, as they were moved lately
+   */
+  public PlacementInput(
+      ImmutableSortedMap<Integer, Optional<UpstreamId>> owners,
+      ImmutableMap<Integer, Double> loads,
+      ImmutableMap<UpstreamId, Double> capacities,
+      ImmutableSet<Integer> pinned) {
+    this(owners, loads, ImmutableMap.of(), capacities, pinned);
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementPlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementPlanner.java
@@ -18,6 +18,15 @@
   /** Maximum over mean above which slots move for balance. */
   public static final double MOVE_ABOVE = 1.10;
 
+  /**
+   * The standard errors by which the load of an upstream must surpass {@link #MOVE_ABOVE}.
+   *
+   * <p>An upstream that serves one heavy key has a standard error of 1.7 % of the mean when reports
+   * vary by 30 %, so three errors reach from {@link #MOVE_UNTIL} to {@link #MOVE_ABOVE} and noise
+   * alone caused moves. With two errors more, five lie between.
+   */
+  public static final double NOISE_ERRORS = 2;
+
   /** Maximum over mean under which no further slot moves. */
   public static final double MOVE_UNTIL = 1.05;
 
@@ -49,16 +58,32 @@
    *
    * @param input the present state
    * @param budget the most slots that may move
-   * @return the moves; empty while maximum over mean is at most {@link #MOVE_ABOVE}
+   * @return the moves; empty while no upstream surely exceeds {@link #MOVE_ABOVE} of the mean
    */
   public static ImmutableList<SlotMove> balance(PlacementInput input, int budget) {
     if (input.capacities().isEmpty()) {
       return ImmutableList.of();
     }
     var sums = new LoadSums(input);
-    if (sums.imbalance() <= MOVE_ABOVE) {
-      return ImmutableList.of();
-    }
+    return sums.isSurelyAbove(MOVE_ABOVE, NOISE_ERRORS)
+        ? movesUntilBalanced(sums, budget)
+        : ImmutableList.of();
+  }
+
+  /**
+   * Plans the next moves against an imbalance for which an earlier budget was too small.
+   *
+   * @param input the present state
+   * @param budget the most slots that may move
+   * @return the moves; empty once maximum over mean is at most {@link #MOVE_UNTIL}
+   */
+  public static ImmutableList<SlotMove> proceed(PlacementInput input, int budget) {
+    return input.capacities().isEmpty()
+        ? ImmutableList.of()
+        : movesUntilBalanced(new LoadSums(input), budget);
+  }
+
+  private static ImmutableList<SlotMove> movesUntilBalanced(LoadSums sums, int budget) {
     var moves = ImmutableList.<SlotMove>builder();
     for (int i = 0; i < budget && sums.imbalance() > MOVE_UNTIL; i++) {
       Optional<SlotMove> move = bestMove(sums);
--- a/catkinlift-decision/src/test/java/org/catkinlift/placement/PlacementPlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/placement/PlacementPlannerTest.java
@@ -76,4 +76,25 @@
     var moves = PlacementPlanner.balance(even(ImmutableMap.of(0, 100.0), ALL), 20);
     assertThat(moves.stream().noneMatch(m -> m.slot() == 0)).isTrue();
   }
+
+  /**
+   * Guards against moves that noise causes: a load that is uncertain must exceed the limit more.
+   */
+  @Test
+  void anImbalanceWithinTheNoiseMovesNothing() {
+    PlacementInput exact = even(ImmutableMap.of(0, 4.0), ALL);
+    assertThat(PlacementPlanner.balance(exact, 10)).isNotEmpty();
+    assertThat(PlacementPlanner.balance(uncertain(exact, 0.2), 10)).isNotEmpty();
+    assertThat(PlacementPlanner.balance(uncertain(exact, 0.5), 10)).isEmpty();
+  }
+
+  /** The heavy slot 0 gets a standard error. */
+  private static PlacementInput uncertain(PlacementInput exact, double error) {
+    return new PlacementInput(
+        exact.owners(),
+        exact.loads(),
+        ImmutableMap.of(0, error * error),
+        exact.capacities(),
+        exact.pinned());
+  }
 }
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/placement/SlotBalancerTest.java
@@ -0,0 +1,62 @@
+package org.catkinlift.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.catkinlift.model.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+final class SlotBalancerTest {
+  private static final UpstreamId A = UpstreamId.of("a");
+  private static final UpstreamId B = UpstreamId.of("b");
+  private static final int ON_A = 60;
+  private static final int ON_B = 40;
+
+  /** Guards against a rebalance that stops between the two limits because a budget was used up. */
+  @Test
+  void aRebalanceGoesOnUntilTheLowerLimit() {
+    var balancer = new SlotBalancer();
+    var owners = new TreeMap<Integer, Optional<UpstreamId>>();
+    for (int slot = 0; slot < ON_A + ON_B; slot++) {
+      owners.put(slot, Optional.of(slot < ON_A ? A : B));
+    }
+    int steps = 0;
+    while (true) {
+      var moves = balancer.next(input(owners));
+      if (moves.isEmpty()) {
+        break;
+      }
+      assertThat(moves.size()).isAtMost(PlacementPlanner.budget(owners.size()));
+      moves.forEach(m -> owners.put(m.slot(), Optional.of(m.to())));
+      steps++;
+    }
+    long left = owners.values().stream().filter(o -> o.equals(Optional.of(A))).count();
+    assertThat(steps).isGreaterThan(1);
+    assertThat(left / 50.0).isAtMost(PlacementPlanner.MOVE_UNTIL);
+  }
+
+  /** Guards against a rebalance that never ends: afterwards the upper limit counts again. */
+  @Test
+  void anImbalanceBetweenTheLimitsStartsNothing() {
+    var owners = new TreeMap<Integer, Optional<UpstreamId>>();
+    for (int slot = 0; slot < ON_A + ON_B; slot++) {
+      owners.put(slot, Optional.of(slot < 54 ? A : B));
+    }
+    assertThat(new SlotBalancer().next(input(owners))).isEmpty();
+  }
+
+  private static PlacementInput input(Map<Integer, Optional<UpstreamId>> owners) {
+    var loads = ImmutableMap.<Integer, Double>builder();
+    owners.keySet().forEach(s -> loads.put(s, 1.0));
+    return new PlacementInput(
+        ImmutableSortedMap.copyOf(owners),
+        loads.buildOrThrow(),
+        ImmutableMap.of(A, 4.0, B, 4.0),
+        ImmutableSet.of());
+  }
+}
