Balance load between cells by moving the homes of slots

Cause: load was balanced inside each cell only.

Change: coordinators publish CellLoad through the version store; the protocol and the JSON codec carry it. Slot counts decide only until load is reported, because they would undo moves by load. A slot without reports counts as a mean slot, so that slots that arrive at once are spread. Slots that wait to leave stay if the receiver is cut off. PlacementModel models the balance between cells.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/PlacementModel.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/PlacementModel.java
@@ -18,9 +18,12 @@
 import java.util.stream.IntStream;
 import org.catkinlift.bench.Site;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.placement.CellBalanceInput;
+import org.catkinlift.placement.CellBalancePlanner;
 import org.catkinlift.placement.HomeMapPlanner;
 import org.catkinlift.placement.HotKeys;
 import org.catkinlift.placement.Imbalance;
@@ -39,12 +42,15 @@
   private static final double NOISE = 0.3;
   private static final int REPORTS_PER_INTERVAL = 30;
   private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration INTERVAL = REPORT_INTERVAL.multipliedBy(REPORTS_PER_INTERVAL);
 
   private final SplittableRandom random;
   private final Map<String, Double> keys = new HashMap<>();
   private final ImmutableMap<UpstreamId, Double> capacities;
   private final List<Cell> cells = new ArrayList<>();
+  private final Map<Integer, Integer> hotKeySlots = new HashMap<>();
   private long nowNanos;
+  private long homesChangedAt;
 
   /** The units of one cell: slots and, above the slot count, keys placed apart. */
   private static final class Cell {
@@ -53,7 +59,12 @@
     private final SlotBalancer balancer = new SlotBalancer();
     private final LoadAverage averages = new LoadAverage();
     private final Map<Integer, Long> movedAt = new HashMap<>();
+    private final CellId id;
     private ImmutableMap<UpstreamId, Double> capacities = ImmutableMap.of();
+
+    private Cell(CellId id) {
+      this.id = id;
+    }
   }
 
   /**
@@ -86,7 +97,7 @@
     HomeMap homes =
         HomeMapPlanner.create(ServiceName.of("orders"), SLOTS, ImmutableMap.copyOf(weights));
     for (CellId id : weights.keySet()) {
-      var cell = new Cell();
+      var cell = new Cell(id);
       cell.capacities =
           capacities.entrySet().stream()
               .filter(e -> cellOf(e.getKey()).equals(id))
@@ -102,6 +113,7 @@
       int slot = KeyHasher.slotOf(key, SLOTS);
       Cell cell = cells.stream().filter(c -> c.owners.containsKey(slot)).findFirst().orElseThrow();
       int own = HotKeys.isHot(keys.get(key), fairShare) ? unit++ : slot;
+      hotKeySlots.put(own, slot);
       cell.owners.putIfAbsent(own, Optional.empty());
       cell.loads.merge(own, keys.get(key), Double::sum);
     }
@@ -120,6 +132,7 @@
         nowNanos += REPORT_INTERVAL.toNanos();
         cells.forEach(this::report);
       }
+      moves += balanceCells();
       for (Cell cell : cells) {
         List<SlotMove> due = cell.balancer.next(input(cell));
         apply(cell, due);
@@ -129,6 +142,62 @@
     return moves;
   }
 
+  /** All cells plan from the same loads; after a move one interval passes without another. */
+  private int balanceCells() {
+    boolean settled = nowNanos - homesChangedAt > INTERVAL.toNanos();
+    if (!settled) {
+      return 0;
+    }
+    ImmutableMap<CellId, CellLoad.Measured> loads =
+        cells.stream().collect(toImmutableMap(c -> c.id, this::measured));
+    var moves = new TreeMap<Integer, CellId>();
+    for (Cell cell : cells) {
+      var input = new CellBalanceInput(cell.id, loads, slotLoads(cell));
+      moves.putAll(CellBalancePlanner.plan(input, PlacementPlanner.budget(SLOTS)));
+    }
+    moves.forEach(this::moveHome);
+    cells.forEach(c -> apply(c, PlacementPlanner.rescue(input(c))));
+    homesChangedAt = moves.isEmpty() ? homesChangedAt : nowNanos;
+    return moves.size();
+  }
+
+  private CellLoad.Measured measured(Cell cell) {
+    double capacity = cell.capacities.values().stream().mapToDouble(c -> c).sum();
+    double load = sum(cell.averages.values(), cell);
+    double error = Math.sqrt(sum(cell.averages.squaredErrors(), cell));
+    return new CellLoad.Measured(1, load, error, capacity);
+  }
+
+  private static double sum(ImmutableMap<Integer, Double> values, Cell cell) {
+    return cell.owners.keySet().stream().mapToDouble(u -> values.getOrDefault(u, 0.0)).sum();
+  }
+
+  private ImmutableMap<Integer, Double> slotLoads(Cell cell) {
+    ImmutableMap<Integer, Double> averages = cell.averages.values();
+    var loads = new TreeMap<Integer, Double>();
+    cell.owners
+        .keySet()
+        .forEach(u -> loads.merge(slotOf(u), averages.getOrDefault(u, 0.0), Double::sum));
+    return ImmutableMap.copyOf(loads);
+  }
+
+  private int slotOf(int unit) {
+    return hotKeySlots.getOrDefault(unit, unit);
+  }
+
+  /** Takes a slot and its hot keys to another cell, where they have neither owner nor average. */
+  private void moveHome(int slot, CellId to) {
+    Cell from = cells.stream().filter(c -> c.owners.containsKey(slot)).findFirst().orElseThrow();
+    Cell next = cells.stream().filter(c -> c.id.equals(to)).findFirst().orElseThrow();
+    for (int unit : ImmutableSet.copyOf(from.owners.keySet())) {
+      if (slotOf(unit) == slot) {
+        from.owners.remove(unit);
+        next.owners.put(unit, Optional.empty());
+        next.loads.put(unit, from.loads.getOrDefault(unit, 0.0));
+      }
+    }
+  }
+
   private void report(Cell cell) {
     cell.owners
         .keySet()
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.catkinlift.control.RowValue;
 import org.catkinlift.model.Assignment;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.HomeMap;
@@ -148,6 +149,7 @@
       case HomeMap v -> new RowValue.HomeRow(v);
       case Assignment v -> new RowValue.AssignmentRow(v);
       case DispatcherMap v -> throw JsonFields.unknownKind("row", kind);
+      case CellLoad v -> throw JsonFields.unknownKind("row", kind);
     };
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/VersionedCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/VersionedCodec.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.HomeMap;
@@ -24,6 +25,7 @@
   private static final String HOMES = "homes";
   private static final String ASSIGNMENT = "assignment";
   private static final String DISPATCHERS = "dispatchers";
+  private static final String CELL_LOAD = "cellLoad";
 
   private VersionedCodec() {}
 
@@ -33,6 +35,7 @@
       case HomeMap v -> encodeHomes(v);
       case Assignment v -> encodeAssignment(v);
       case DispatcherMap v -> encodeDispatchers(v);
+      case CellLoad v -> encodeCellLoad(v);
     };
   }
 
@@ -43,6 +46,7 @@
       case HOMES -> decodeHomes(node);
       case ASSIGNMENT -> decodeAssignment(node);
       case DISPATCHERS -> decodeDispatchers(node);
+      case CELL_LOAD -> decodeCellLoad(node);
       default -> throw JsonFields.unknownKind("value", kind);
     };
   }
@@ -113,6 +117,28 @@
     return new DispatcherMap(cell(node), JsonFields.epoch(node, "version"), hosts);
   }
 
+  private static ObjectNode encodeCellLoad(CellLoad value) {
+    ObjectNode node =
+        kind(CELL_LOAD).put("service", value.service().value()).put("cell", value.cell().value());
+    node.set("version", JsonFields.epoch(value.version()));
+    return node.put("homeVersion", value.measured().homeVersion())
+        .put("load", value.measured().load())
+        .put("error", value.measured().error())
+        .put("capacity", value.measured().capacity());
+  }
+
+  private static CellLoad decodeCellLoad(JsonNode node) {
+    return new CellLoad(
+        service(node),
+        cell(node),
+        JsonFields.epoch(node, "version"),
+        new CellLoad.Measured(
+            JsonFields.number(node, "homeVersion"),
+            JsonFields.required(node, "load").asDouble(),
+            JsonFields.required(node, "error").asDouble(),
+            JsonFields.required(node, "capacity").asDouble()));
+  }
+
   private static ServiceName service(JsonNode node) {
     return ServiceName.of(JsonFields.text(node, "service"));
   }
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
@@ -15,6 +15,7 @@
 import org.catkinlift.control.RowValue;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatcherMap;
@@ -122,6 +123,14 @@
         .isEqualTo(map);
   }
 
+  @Test
+  void keepsCellLoads() {
+    var load = new CellLoad(DESK, SUVA, Epoch.of(1, 2), new CellLoad.Measured(9, 31.5, 0.25, 40));
+
+    assertThat(RowCodec.decodeVersioned(RowCodec.parse(RowCodec.encode(load).toString())))
+        .isEqualTo(load);
+  }
+
   @Test
   void writesOneRunForNeighbouringSlotsOfOneOwner() {
     var homes = new HomeMap(DESK, 1, ImmutableList.copyOf(Collections.nCopies(1 << 20, SUVA)));
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -41,6 +41,8 @@
   DISPATCHER_ASSIGNED(3006, Severity.INFO, "dispatcher assigned"),
   /** A key was placed apart from its slot. */
   KEY_OVERRIDDEN(3007, Severity.INFO, "hot key placed apart"),
+  /** A slot leaves an overloaded cell for another one. */
+  HOME_MOVED(3008, Severity.INFO, "slot gets another home cell"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/model/Versioned.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/Versioned.java
@@ -6,7 +6,8 @@
  * <p>Each value is written by one owner: the platform's conditional writes or the coordinator of a
  * cell order its versions.
  */
-public sealed interface Versioned permits Configuration, HomeMap, Assignment, DispatcherMap {
+public sealed interface Versioned
+    permits Configuration, HomeMap, Assignment, DispatcherMap, CellLoad {
 
   /**
    * Returns the name, the same as that of the platform row which keeps the value.
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -13,13 +13,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import java.util.stream.IntStream;
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.PlatformRequest.Row;
 import org.catkinlift.control.RowValue.HomeRow;
+import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.placement.CellBalanceInput;
+import org.catkinlift.placement.CellBalancePlanner;
 import org.catkinlift.placement.HomeMapPlanner;
 import org.catkinlift.placement.PlacementPlanner;
 
@@ -36,13 +40,27 @@
   private final CellContext context;
   private final ServiceDefinition service;
   private final RowWriter writer;
+  private final CellLoads cellLoads;
+  private final LongFunction<ImmutableMap<Integer, Double>> slotLoads;
   private final Map<Integer, CellId> leaving = new TreeMap<>();
   private final Map<CellId, Long> lostSince = new HashMap<>();
   private Optional<Row> row = Optional.empty();
   private boolean recovered;
   private long plannedAt = Long.MIN_VALUE / 4;
 
-  HomeMoves(CellContext context, ServiceDefinition service) {
+  /**
+   * Creates the moves of one service.
+   *
+   * @param cellLoads the load of all cells
+   * @param slotLoads gives the load of each slot of this cell that may leave at a time
+   */
+  HomeMoves(
+      CellContext context,
+      ServiceDefinition service,
+      CellLoads cellLoads,
+      LongFunction<ImmutableMap<Integer, Double>> slotLoads) {
+    this.cellLoads = cellLoads;
+    this.slotLoads = slotLoads;
     this.context = context;
     this.service = service;
     this.writer = new RowWriter("home/" + service.name(), context.ids());
@@ -111,16 +129,19 @@
       return;
     }
     ImmutableMap<CellId, Double> weights = weights(nowNanos);
+    cellLoads.observe(configuredCells(), nowNanos);
     if (weights.isEmpty()) {
       return;
     }
+    // A cell that was cut off since the choice takes nothing over.
+    leaving.values().retainAll(weights.keySet());
     if (row.isEmpty()) {
       HomeMap first = HomeMapPlanner.create(service.name(), slotCount, weights);
       writer.write(0, new HomeRow(first), nowNanos, out);
       return;
     }
     if (leaving.isEmpty()) {
-      chooseLeaving(weights, nowNanos);
+      chooseLeaving(weights, nowNanos, out);
     }
   }
 
@@ -133,7 +154,7 @@
         .isPresent();
   }
 
-  private void chooseLeaving(ImmutableMap<CellId, Double> weights, long nowNanos) {
+  private void chooseLeaving(ImmutableMap<CellId, Double> weights, long nowNanos, Outbox out) {
     boolean due = nowNanos - plannedAt >= INTERVAL.toNanos();
     if (!due && weights.containsKey(context.cell())) {
       return;
@@ -141,11 +162,44 @@
     plannedAt = due ? nowNanos : plannedAt;
     HomeMap present = written().orElseThrow();
     int budget = due ? PlacementPlanner.budget(present.homes().size()) : 0;
-    HomeMap next = HomeMapPlanner.change(present, weights, budget);
+    boolean byLoad = cellLoads.areReported(configuredCells());
+    HomeMap next = HomeMapPlanner.change(present, weights, byLoad ? 0 : budget);
     IntStream.range(0, present.homes().size())
         .filter(slot -> present.homes().get(slot).equals(context.cell()))
         .filter(slot -> !next.homes().get(slot).equals(context.cell()))
         .forEach(slot -> leaving.put(slot, next.homes().get(slot)));
+    if (byLoad && due && leaving.isEmpty()) {
+      relieve(present, weights.keySet(), budget, nowNanos, out);
+    }
+  }
+
+  /** Gives slots to other cells if this one is overloaded and the load of every cell is known. */
+  private void relieve(
+      HomeMap present, ImmutableSet<CellId> live, int budget, long nowNanos, Outbox out) {
+    ImmutableSet<CellId> cells = configuredCells();
+    boolean complete = live.equals(cells) && cells.containsAll(present.homes());
+    if (!complete || !cells.contains(context.cell())) {
+      return;
+    }
+    cellLoads
+        .fresh(cells, present.version(), nowNanos)
+        .map(loads -> new CellBalanceInput(context.cell(), loads, slotLoads.apply(nowNanos)))
+        .map(input -> CellBalancePlanner.plan(input, budget))
+        .ifPresent(
+            moves -> {
+              leaving.putAll(moves);
+              moves.forEach((slot, to) -> logRelief(slot, to, out));
+            });
+  }
+
+  private void logRelief(int slot, CellId to, Outbox out) {
+    out.log(
+        EventCode.HOME_MOVED,
+        ImmutableMap.of(
+            "service", service.name().value(),
+            "slot", Integer.toString(slot),
+            "to", to.value(),
+            "reason", "load of the cell above " + CellBalancePlanner.MOVE_ABOVE));
   }
 
   /** Writes the new home of the slots that are released, and of slots of lost cells. */
@@ -195,12 +249,26 @@
 
   /** The capacity of each cell that admits work and, unless it is this one, has a live daemon. */
   private ImmutableMap<CellId, Double> weights(long nowNanos) {
+    Map<CellId, Double> weights = configuredWeights();
+    weights.keySet().removeIf(c -> !isAlive(c, nowNanos));
+    return ImmutableMap.copyOf(weights);
+  }
+
+  private Map<CellId, Double> configuredWeights() {
     Map<CellId, Double> weights = new TreeMap<>();
     service.upstreams().stream()
         .filter(context.store().configuration()::admits)
         .forEach(u -> weights.merge(u.cell(), (double) u.concurrencyLimit(), Double::sum));
-    weights.keySet().removeIf(c -> !isAlive(c, nowNanos));
-    return ImmutableMap.copyOf(weights);
+    return weights;
+  }
+
+  /** The configured capacity of this cell. */
+  double ownCapacity() {
+    return configuredWeights().getOrDefault(context.cell(), 0.0);
+  }
+
+  private ImmutableSet<CellId> configuredCells() {
+    return ImmutableSet.copyOf(configuredWeights().keySet());
   }
 
   /** Before the first home map every configured cell counts, because daemons may still start. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -24,6 +24,7 @@
 import org.catkinlift.model.ServiceKind;
 import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.placement.LoadAverage;
 import org.catkinlift.placement.PlacementPlanner;
 
 /**
@@ -46,10 +47,12 @@
   private final HomeMoves homes;
   private final QuietTime quiet;
   private final UnitLoads loads;
+  private final CellLoads cellLoads;
   private final Set<UpstreamId> touched = new HashSet<>();
   private boolean loaded;
   private boolean changed;
   private long homeVersion;
+  private long homeSince;
   private Epoch published = Epoch.NONE;
 
   SlotControl(
@@ -68,8 +71,9 @@
     this.quiet = quiet;
     this.table = new UnitTable(slotCount);
     this.writer = new AssignmentWriter(rowName(), context.ids());
-    this.homes = new HomeMoves(context, service);
     this.loads = new UnitLoads(table);
+    this.cellLoads = new CellLoads(context, service.name());
+    this.homes = new HomeMoves(context, service, cellLoads, loads::slotLoads);
   }
 
   private String rowName() {
@@ -145,7 +149,8 @@
       load();
     }
     homes.plan(slotCount, nowNanos, out);
-    followHomeMap();
+    followHomeMap(nowNanos);
+    publishLoad(nowNanos);
     if (quiet.isOver(nowNanos)) {
       startReleases(nowNanos, out);
       endReleases(nowNanos, out);
@@ -176,12 +181,25 @@
     loaded = true;
   }
 
-  private void followHomeMap() {
+  /** A report under a new home map waits until the averages of the slots that came are known. */
+  private void publishLoad(long nowNanos) {
+    boolean settled = nowNanos - homeSince >= LoadAverage.HALF_LIFE.toNanos();
+    long measuredUnder = settled ? homeVersion : 0;
+    if (!cellLoads.isDue(measuredUnder, nowNanos)) {
+      return;
+    }
+    loads
+        .measured(capacities(nowNanos).keySet(), measuredUnder, homes.ownCapacity(), nowNanos)
+        .ifPresent(m -> cellLoads.publish(m, epochs.next(), nowNanos));
+  }
+
+  private void followHomeMap(long nowNanos) {
     Optional<HomeMap> map = context.store().homeMap(service.name());
     if (map.isEmpty() || map.get().version() == homeVersion) {
       return;
     }
     homeVersion = map.get().version();
+    homeSince = nowNanos;
     ImmutableSet<Integer> own =
         IntStream.range(0, slotCount)
             .filter(s -> map.get().homes().get(s).equals(context.cell()))
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -11,8 +11,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.placement.HotKeys;
@@ -25,6 +27,10 @@
 final class UnitLoads {
   private static final Duration INTERVAL = Duration.ofSeconds(30);
   private static final Duration PINNED_AFTER_MOVE = Duration.ofMinutes(2);
+
+  /** Dispatchers report with each heartbeat, so a longer silence means that a load is unknown. */
+  private static final Duration REPORT_LIMIT = Duration.ofSeconds(5);
+
   private static final long NEVER = Long.MIN_VALUE / 4;
 
   private final UnitTable table;
@@ -34,6 +40,7 @@
   private final Map<String, Double> keyLoads = new HashMap<>();
   private final Map<UpstreamId, UpstreamLoad> latest = new HashMap<>();
   private final Map<UpstreamId, Double> reportedTotals = new HashMap<>();
+  private final Map<UpstreamId, Long> reportedAt = new HashMap<>();
   private final Map<Integer, Long> movedAt = new HashMap<>();
   private long firstReportAt = Long.MAX_VALUE;
   private long balancedAt = NEVER;
@@ -45,6 +52,7 @@
   void reported(UpstreamLoad load, long nowNanos) {
     firstReportAt = Math.min(firstReportAt, nowNanos);
     latest.put(load.upstream(), load);
+    reportedAt.put(load.upstream(), nowNanos);
     for (int unit : table.owned(load.upstream()::equals)) {
       averages.add(unit, loadOf(unit, load), nowNanos);
     }
@@ -71,18 +79,58 @@
 
   PlacementInput input(
       Set<Integer> units, ImmutableMap<UpstreamId, Double> capacities, long nowNanos) {
-    ImmutableSet<Integer> pinned =
-        movedAt.entrySet().stream()
-            .filter(e -> nowNanos - e.getValue() < PINNED_AFTER_MOVE.toNanos())
-            .map(Map.Entry::getKey)
-            .collect(toImmutableSet());
     return new PlacementInput(
         units.stream()
             .collect(toImmutableSortedMap(Comparator.naturalOrder(), u -> u, table::owner)),
         averages.values(),
         averages.squaredErrors(),
         capacities,
-        pinned);
+        pinned(nowNanos));
+  }
+
+  private ImmutableSet<Integer> pinned(long nowNanos) {
+    return movedAt.entrySet().stream()
+        .filter(e -> nowNanos - e.getValue() < PINNED_AFTER_MOVE.toNanos())
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
+  }
+
+  /**
+   * Returns the load of all units; empty while it is not known.
+   *
+   * @param upstreams the upstreams that serve now, each of which must have reported lately
+   * @param capacity the configured capacity of the cell, so that a lost upstream moves no homes
+   */
+  Optional<CellLoad.Measured> measured(
+      Set<UpstreamId> upstreams, long homeVersion, double capacity, long nowNanos) {
+    boolean reporting =
+        !upstreams.isEmpty()
+            && upstreams.stream()
+                .allMatch(
+                    u -> nowNanos - reportedAt.getOrDefault(u, NEVER) <= REPORT_LIMIT.toNanos());
+    if (!reporting || !isKnown(nowNanos)) {
+      return Optional.empty();
+    }
+    double load = sum(averages.values());
+    double error = Math.sqrt(sum(averages.squaredErrors()));
+    return Optional.of(new CellLoad.Measured(homeVersion, load, error, capacity));
+  }
+
+  private double sum(ImmutableMap<Integer, Double> values) {
+    return table.units().stream().mapToDouble(u -> values.getOrDefault(u, 0.0)).sum();
+  }
+
+  /** Returns the load of each slot with its overrides, without slots that were moved lately. */
+  ImmutableMap<Integer, Double> slotLoads(long nowNanos) {
+    ImmutableMap<Integer, Double> values = averages.values();
+    Map<Integer, Double> loads = new HashMap<>();
+    table.owned(u -> true).stream()
+        .forEach(u -> loads.merge(table.slotOf(u), values.getOrDefault(u, 0.0), Double::sum));
+    pinned(nowNanos).stream()
+        .filter(table.units()::contains)
+        .map(table::slotOf)
+        .forEach(loads::remove);
+    return ImmutableMap.copyOf(loads);
   }
 
   /** Returns the moves that are due; none before the averages cover a half-life. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
@@ -29,7 +29,12 @@
     this.owners = new TreeMap<>(input.owners());
     double total = input.loads().values().stream().mapToDouble(Double::doubleValue).sum();
     double idle = total > 0 ? total / Math.max(1, owners.size()) * IDLE_SHARE : 1;
-    owners.keySet().forEach(s -> loads.put(s, Math.max(idle, input.loads().getOrDefault(s, 0.0))));
+    // A slot without any report, as one that came from another cell, counts as a mean slot. If it
+    // counted as idle, all slots that come at once would get the same upstream.
+    double unknown = input.loads().values().stream().mapToDouble(v -> v).average().orElse(0);
+    owners
+        .keySet()
+        .forEach(s -> loads.put(s, Math.max(idle, input.loads().getOrDefault(s, unknown))));
     input.capacities().keySet().forEach(u -> sums.put(u, 0.0));
     owners.forEach((slot, owner) -> owner.ifPresent(u -> add(u, loadOf(slot))));
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementInput.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/PlacementInput.java
@@ -10,7 +10,7 @@
  * What a placement of slots is planned from.
  *
  * @param owners the present owner of each slot; empty for a slot without one
- * @param loads the load of each slot; a slot without an entry has none
+ * @param loads the load of each slot; a slot without an entry counts as a mean slot
  * @param squaredErrors the squared standard error of the load of each slot; a slot without an entry
  *     has none
  * @param capacities the capacity of each upstream that may own slots; all positive
@@ -27,7 +27,7 @@
    * Creates an input whose loads are exact.
    *
    * @param owners the present owner of each slot; empty for a slot without one
-   * @param loads the load of each slot; a slot without an entry has none
+   * @param loads the load of each slot; a slot without an entry counts as a mean slot
    * @param capacities the capacity of each upstream that may own slots; all positive
    * @param pinned the slots that must not be moved for balance, as they were moved lately
    */
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/VersionedCodec.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/VersionedCodec.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.HomeMap;
@@ -19,6 +20,7 @@
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.Versioned;
 import org.catkinlift.protocol.generated.AssignmentProto;
+import org.catkinlift.protocol.generated.CellLoadProto;
 import org.catkinlift.protocol.generated.DispatcherMapProto;
 import org.catkinlift.protocol.generated.HomeMapProto;
 import org.catkinlift.protocol.generated.OverrideProto;
@@ -36,6 +38,7 @@
       case HomeMap h -> builder.setHomeMap(encodeHomes(h)).build();
       case Assignment a -> builder.setAssignment(encodeAssignment(a)).build();
       case DispatcherMap d -> builder.setDispatcherMap(encodeDispatchers(d)).build();
+      case CellLoad l -> builder.setCellLoad(encodeCellLoad(l)).build();
     };
   }
 
@@ -45,6 +48,7 @@
       case HOME_MAP -> decodeHomes(proto.getHomeMap());
       case ASSIGNMENT -> decodeAssignment(proto.getAssignment());
       case DISPATCHER_MAP -> decodeDispatchers(proto.getDispatcherMap());
+      case CELL_LOAD -> decodeCellLoad(proto.getCellLoad());
       case VALUE_NOT_SET ->
           throw new ProtocolException(
               ProtocolException.Code.MALFORMED_FRAME, "versioned value of unknown type");
@@ -171,6 +175,27 @@
         dispatchers.buildOrThrow());
   }
 
+  private static CellLoadProto encodeCellLoad(CellLoad load) {
+    return CellLoadProto.newBuilder()
+        .setService(load.service().value())
+        .setCell(load.cell().value())
+        .setVersion(ModelCodec.encode(load.version()))
+        .setHomeVersion(load.measured().homeVersion())
+        .setLoad(load.measured().load())
+        .setError(load.measured().error())
+        .setCapacity(load.measured().capacity())
+        .build();
+  }
+
+  private static CellLoad decodeCellLoad(CellLoadProto proto) {
+    return new CellLoad(
+        ServiceName.of(proto.getService()),
+        CellId.of(proto.getCell()),
+        ModelCodec.decode(proto.getVersion()),
+        new CellLoad.Measured(
+            proto.getHomeVersion(), proto.getLoad(), proto.getError(), proto.getCapacity()));
+  }
+
   /** Numbers the upstreams of an assignment from 1, in order of appearance. */
   private static final class OwnerIndexes {
     private final Map<UpstreamId, Integer> indexes = new HashMap<>();
--- a/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
+++ b/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
@@ -13,6 +13,7 @@
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
@@ -79,7 +80,7 @@
         DIGEST,
         new PeerMessage.Pull(ImmutableList.of("config/head")),
         new PeerMessage.PullReply(
-            ImmutableList.of(configuration(), homes(), assignment(), dispatchers())),
+            ImmutableList.of(configuration(), homes(), assignment(), dispatchers(), cellLoad())),
         new PeerMessage.Leaving(HOST));
   }
 
@@ -137,6 +138,10 @@
     return new DispatcherMap(CELL, EPOCH, ImmutableMap.of(UPSTREAM, HOST));
   }
 
+  private static CellLoad cellLoad() {
+    return new CellLoad(SERVICE, CELL, EPOCH, new CellLoad.Measured(9, 31.5, 0.25, 40));
+  }
+
   @ParameterizedTest
   @MethodSource("messages")
   void decodesWhatItEncoded(PeerMessage message) {
