--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -43,6 +43,8 @@
   KEY_OVERRIDDEN(3007, Severity.INFO, "hot key placed apart"),
   /** A slot leaves an overloaded cell for another one. */
   HOME_MOVED(3008, Severity.INFO, "slot gets another home cell"),
+  /** A key that was placed apart has cooled down. */
+  KEY_RETURNED(3009, Severity.INFO, "cooled key returned to its slot"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -48,6 +48,7 @@
   private final QuietTime quiet;
   private final UnitLoads loads;
   private final CellLoads cellLoads;
+  private final KeyReturns keyReturns;
   private final Set<UpstreamId> touched = new HashSet<>();
   private boolean loaded;
   private boolean changed;
@@ -72,6 +73,7 @@
     this.table = new UnitTable(slotCount);
     this.writer = new AssignmentWriter(rowName(), context.ids());
     this.loads = new UnitLoads(table);
+    this.keyReturns = new KeyReturns(table, loads);
     this.cellLoads = new CellLoads(context, service.name());
     this.homes = new HomeMoves(context, service, cellLoads, loads::slotLoads);
   }
@@ -154,10 +156,12 @@
     if (quiet.isOver(nowNanos)) {
       startReleases(nowNanos, out);
       endReleases(nowNanos, out);
+      endKeyReturns(out);
       homes.write(table.free(), nowNanos, out);
       assignFree(nowNanos, out);
       if (mayMove) {
         overrideHotKeys(nowNanos, out);
+        startKeyReturns(nowNanos);
         balance(nowNanos, out);
       }
     }
@@ -323,6 +327,19 @@
     }
   }
 
+  private void startKeyReturns(long nowNanos) {
+    keyReturns
+        .start(capacities(nowNanos).size(), nowNanos)
+        .forEach(unit -> startRelease(unit, nowNanos));
+  }
+
+  private void endKeyReturns(Outbox out) {
+    for (String key : keyReturns.finish()) {
+      changed = true;
+      out.log(EventCode.KEY_RETURNED, "service", service.name(), "key", key);
+    }
+  }
+
   private void balance(long nowNanos, Outbox out) {
     Set<Integer> owned = table.owned(u -> true);
     for (var move : loads.balance(owned, capacities(nowNanos), nowNanos)) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -26,6 +26,10 @@
 /** Keeps the load of one service's units and decides when an imbalance is worth moves. */
 final class UnitLoads {
   private static final Duration INTERVAL = Duration.ofSeconds(30);
+
+  /** Long against a half-life, so that a key whose load comes in bursts does not move each time. */
+  static final Duration COOL_AFTER = Duration.ofMinutes(5);
+
   private static final Duration PINNED_AFTER_MOVE = Duration.ofMinutes(2);
 
   /** Dispatchers report with each heartbeat, so a longer silence means that a load is unknown. */
@@ -40,6 +44,7 @@
   private final Map<String, Double> keyLoads = new HashMap<>();
   private final Map<UpstreamId, UpstreamLoad> latest = new HashMap<>();
   private final Map<UpstreamId, Double> reportedTotals = new HashMap<>();
+  private final Map<String, Long> coolSince = new HashMap<>();
   private final Map<UpstreamId, Long> reportedAt = new HashMap<>();
   private final Map<Integer, Long> movedAt = new HashMap<>();
   private long firstReportAt = Long.MAX_VALUE;
@@ -104,10 +109,7 @@
   Optional<CellLoad.Measured> measured(
       Set<UpstreamId> upstreams, long homeVersion, double capacity, long nowNanos) {
     boolean reporting =
-        !upstreams.isEmpty()
-            && upstreams.stream()
-                .allMatch(
-                    u -> nowNanos - reportedAt.getOrDefault(u, NEVER) <= REPORT_LIMIT.toNanos());
+        !upstreams.isEmpty() && upstreams.stream().allMatch(u -> reportsNow(u, nowNanos));
     if (!reporting || !isKnown(nowNanos)) {
       return Optional.empty();
     }
@@ -176,4 +178,45 @@
     keyLoads.clear();
     return hot;
   }
+
+  /**
+   * Returns the overrides whose key has been cool, by the reports of its owner, for long enough.
+   */
+  ImmutableSet<Integer> cooled(int upstreams, long nowNanos) {
+    if (upstreams == 0 || !isKnown(nowNanos)) {
+      return ImmutableSet.of();
+    }
+    double fairShare =
+        reportedTotals.values().stream().mapToDouble(Double::doubleValue).sum() / upstreams;
+    ImmutableMap<String, Integer> overrides = table.overrides();
+    coolSince.keySet().retainAll(overrides.keySet());
+    ImmutableMap<Integer, Double> values = averages.values();
+    overrides.forEach(
+        (key, unit) -> {
+          if (isReported(unit, nowNanos) && HotKeys.isCool(values.get(unit), fairShare)) {
+            coolSince.putIfAbsent(key, nowNanos);
+          } else {
+            coolSince.remove(key);
+          }
+        });
+    return coolSince.entrySet().stream()
+        .filter(e -> nowNanos - e.getValue() >= COOL_AFTER.toNanos())
+        .map(e -> overrides.get(e.getKey()))
+        .collect(toImmutableSet());
+  }
+
+  private boolean isReported(int unit, long nowNanos) {
+    return averages.isKnown(unit)
+        && table.owner(unit).filter(u -> reportsNow(u, nowNanos)).isPresent();
+  }
+
+  private boolean reportsNow(UpstreamId upstream, long nowNanos) {
+    return nowNanos - reportedAt.getOrDefault(upstream, NEVER) <= REPORT_LIMIT.toNanos();
+  }
+
+  /** Forgets the load of an override that is removed. */
+  void forget(int unit) {
+    averages.remove(unit);
+    movedAt.remove(unit);
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
@@ -166,6 +166,16 @@
     owners.put(slot, SlotOwner.of(owner, slotEpoch));
   }
 
+  /** Removes a key that nobody owns apart from its slot any more, and returns it. */
+  String removeOverride(int unit) {
+    owners.remove(unit);
+    return overrides.inverse().remove(unit);
+  }
+
+  ImmutableMap<String, Integer> overrides() {
+    return ImmutableMap.copyOf(overrides);
+  }
+
   Optional<Integer> unitOf(String key) {
     return Optional.ofNullable(overrides.get(key));
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/HotKeys.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/HotKeys.java
@@ -21,6 +21,12 @@
   /** The share of an upstream's fair share above which a key is placed apart. */
   public static final double OVERRIDE_SHARE = 0.2;
 
+  /**
+   * The share of an upstream's fair share under which a key that is placed apart is cool; half of
+   * {@link #OVERRIDE_SHARE}, so that noise does not place a key apart and back in turn.
+   */
+  public static final double COOL_SHARE = 0.1;
+
   /** The most keys of one site that are placed apart. */
   public static final int MAX_OVERRIDES = 300;
 
@@ -89,4 +95,15 @@
   public static boolean isHot(double load, double fairShare) {
     return load > OVERRIDE_SHARE * fairShare;
   }
+
+  /**
+   * Tells whether a key that is placed apart is light enough to return to its slot.
+   *
+   * @param load the key's work per second
+   * @param fairShare the work per second of a service divided by its upstreams
+   * @return true if it is
+   */
+  public static boolean isCool(double load, double fairShare) {
+    return load <= COOL_SHARE * fairShare;
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadAverage.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadAverage.java
@@ -48,6 +48,25 @@
         slot, before == null ? new Average(load, 0, 1, nowNanos) : next(before, load, nowNanos));
   }
 
+  /**
+   * Tells whether a slot was reported.
+   *
+   * @param slot the slot index or the number of an override
+   * @return true if it has an average
+   */
+  public boolean isKnown(int slot) {
+    return averages.containsKey(slot);
+  }
+
+  /**
+   * Removes a slot.
+   *
+   * @param slot the slot index or the number of an override
+   */
+  public void remove(int slot) {
+    averages.remove(slot);
+  }
+
   private static Average next(Average before, double load, long nowNanos) {
     double halfLives = (double) (nowNanos - before.atNanos) / HALF_LIFE.toNanos();
     double keep = Math.pow(0.5, halfLives);
