--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
@@ -3,6 +3,7 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -28,7 +29,12 @@
     this.owners = new TreeMap<>(input.owners());
     double total = input.loads().values().stream().mapToDouble(Double::doubleValue).sum();
     double idle = total > 0 ? total / Math.max(1, owners.size()) * IDLE_SHARE : 1;
-    owners.keySet().forEach(s -> loads.put(s, Math.max(idle, input.loads().getOrDefault(s, 0.0))));
+    // A slot without any report, as one that came from another cell, counts as a mean slot. If it
+    // counted as idle, all slots that come at once would get the same upstream.
+    double unknown = input.loads().values().stream().mapToDouble(v -> v).average().orElse(0);
+    owners
+        .keySet()
+        .forEach(s -> loads.put(s, Math.max(idle, input.loads().getOrDefault(s, unknown))));
     input.capacities().keySet().forEach(u -> sums.put(u, 0.0));
     owners.forEach((slot, owner) -> owner.ifPresent(u -> add(u, loadOf(slot))));
   }
@@ -45,6 +51,26 @@
     return Imbalance.of(sums, input.capacities());
   }
 
+  /** Tells whether an upstream surely exceeds a multiple of the mean, given the noise of loads. */
+  boolean isSurelyAbove(double limit, double standardErrors) {
+    double mean = sum(sums.values()) / sum(input.capacities().values());
+    return sums.keySet().stream()
+        .anyMatch(u -> relative(u) - standardErrors * relativeError(u) > limit * mean);
+  }
+
+  private double relativeError(UpstreamId upstream) {
+    double squares =
+        owners.entrySet().stream()
+            .filter(e -> e.getValue().filter(upstream::equals).isPresent())
+            .mapToDouble(e -> input.squaredErrors().getOrDefault(e.getKey(), 0.0))
+            .sum();
+    return Math.sqrt(squares) / capacity(upstream);
+  }
+
+  private static double sum(Collection<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).sum();
+  }
+
   UpstreamId mostLoaded() {
     return sums.keySet().stream().max(Comparator.comparingDouble(this::relative)).orElseThrow();
   }
