Show the recent decisions about a key in explain answers

Cause: explain named the owner of a key but not what was decided about it. The list of decisions in the reply was always empty.

The control loop feeds it. KeyDecisions selects those about the service, slot, override, owner and home cell of a key, newest first. The log line 3004 now names the service, because a slot number alone is ambiguous.

Figures: 0 decisions per explain reply before; at most 50 now.

--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
@@ -247,6 +247,16 @@
     assertThat(text()).contains("\"decisions\" : [ \"why\" ]");
   }
 
+  /** Guards against an explanation whose reasons are lost on the way to the operator. */
+  @Test
+  void printsTheDecisionsAboutAKey() {
+    replies.add(
+        new OperatorReply.Facts(
+            ImmutableMap.of("owner", "desk-01"), ImmutableList.of("second", "first")));
+    assertThat(run("explain order-desk o-17")).isEqualTo(ExitCode.DONE);
+    assertThat(text()).isEqualTo("owner  desk-01\ndecision: second\ndecision: first\n");
+  }
+
   /** Guards against a failure that looks like success. */
   @Test
   void failsWhenTheDaemonFails() throws Exception {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -18,6 +18,8 @@
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.VersionStore;
 import org.catkinlift.daemon.RoutingStateHolder;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.DecisionLog;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceDefinition;
@@ -43,6 +45,7 @@
   private final MembershipView members;
   private final OwnershipView ownership;
   private final CallNumbers calls;
+  private final DecisionLog decisions;
   private final RoutingStateHolder states;
   private final ControlPorts ports;
   private final BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener;
@@ -60,6 +63,7 @@
     this.members = parts.membership();
     this.ownership = parts.ownership();
     this.calls = parts.calls();
+    this.decisions = parts.decisions();
     this.states = states;
     this.ports = ports;
     this.leaseListener = leaseListener;
@@ -174,11 +178,16 @@
       case ControlAction.ReplyToOperator reply ->
           Optional.ofNullable(operators.remove(reply.call()))
               .ifPresent(promise -> promise.complete(reply.reply()));
-      case ControlAction.Log log -> ports.log(log.event());
+      case ControlAction.Log log -> log(log.event());
       case ControlAction.DutiesHandedOver done -> handedOver.tryComplete();
     }
   }
 
+  private void log(DecisionEvent event) {
+    decisions.record(event, timers.nowNanos());
+    ports.log(event);
+  }
+
   private void callUpstream(ControlAction.CallUpstream call) {
     Optional<NetworkAddress> address = addressOf(call.upstream());
     if (address.isEmpty()) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlParts.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlParts.java
@@ -9,6 +9,7 @@
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.VersionStore;
+import org.catkinlift.events.DecisionLog;
 import org.catkinlift.membership.MembershipControl;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.ownership.CellControl;
@@ -22,13 +23,15 @@
  * @param ownership shows the coordinator role and the dispatch leases
  * @param store keeps the values that spread among daemons
  * @param calls numbers calls to the platform, to upstreams and of operators
+ * @param decisions keeps the decisions that the parts log, for operators
  */
 public record ControlParts(
     ImmutableList<ControlPart> all,
     MembershipView membership,
     OwnershipView ownership,
     VersionStore store,
-    CallNumbers calls) {
+    CallNumbers calls,
+    DecisionLog decisions) {
 
   /**
    * Creates the parts of a daemon.
@@ -42,6 +45,7 @@
       HostDefinition self, ImmutableSet<HostDefinition> seeds, SplittableRandom random) {
     var store = new VersionStore();
     var calls = new CallNumbers();
+    var decisions = new DecisionLog();
     MembershipControl membership =
         MembershipControl.builder().self(self).seeds(seeds).calls(calls).build();
     CellControl cell =
@@ -67,8 +71,14 @@
             .ownership(cell)
             .calls(calls)
             .age(dissemination)
+            .decisions(decisions)
             .build();
     return new ControlParts(
-        ImmutableList.of(membership, cell, dissemination, plans), membership, cell, store, calls);
+        ImmutableList.of(membership, cell, dissemination, plans),
+        membership,
+        cell,
+        store,
+        calls,
+        decisions);
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionEvent.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionEvent.java
@@ -12,6 +12,41 @@
   /** The name of the field that holds the request id; the sampling of request events uses it. */
   public static final String REQUEST_FIELD = "request";
 
+  /** The name of the field that holds the service of a placement decision. */
+  public static final String SERVICE_FIELD = "service";
+
+  /** The name of the field that holds what was placed: a slot or a key with an override. */
+  public static final String UNIT_FIELD = "unit";
+
+  /** The name of the field that holds the key of a new override. */
+  public static final String KEY_FIELD = "key";
+
+  /** The name of the field that holds the upstream of a dispatcher or grant. */
+  public static final String UPSTREAM_FIELD = "upstream";
+
+  /** The name of the field that holds the cell of a coordinator role. */
+  public static final String CELL_FIELD = "cell";
+
+  /**
+   * Returns the value of {@link #UNIT_FIELD} for a slot.
+   *
+   * @param slot the slot
+   * @return the value
+   */
+  public static String slotUnit(int slot) {
+    return "slot " + slot;
+  }
+
+  /**
+   * Returns the value of {@link #UNIT_FIELD} for a key with an override.
+   *
+   * @param key the key
+   * @return the value
+   */
+  public static String keyUnit(String key) {
+    return "key " + key;
+  }
+
   /**
    * Returns an event with one field.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -17,6 +17,7 @@
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.RowValue.CellRow;
 import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
@@ -347,7 +348,8 @@
         Optional.of(
             new Coordinator(context, authority().term(), bounds, quiet, unknownUntil(nowNanos)));
     takenAt = nowNanos;
-    out.log(EventCode.ROLE_TAKEN, "cell", context.cell(), "term", authority().term());
+    out.log(
+        EventCode.ROLE_TAKEN, DecisionEvent.CELL_FIELD, context.cell(), "term", authority().term());
     roundAt = nowNanos;
     coordinator.ifPresent(c -> round(c, nowNanos, out));
   }
@@ -362,7 +364,7 @@
   private void loseRole(Coordinator former, Outbox out) {
     coordinator = Optional.empty();
     held.clear();
-    out.log(EventCode.ROLE_LOST, "cell", context.cell(), "term", former.term());
+    out.log(EventCode.ROLE_LOST, DecisionEvent.CELL_FIELD, context.cell(), "term", former.term());
   }
 
   /** Waits until a successor knows all that is in force, then gives the role up. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -15,6 +15,7 @@
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest;
 import org.catkinlift.control.UpstreamRequest;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.DispatcherMap;
@@ -201,9 +202,12 @@
       out.log(
           EventCode.DISPATCHER_ASSIGNED,
           ImmutableMap.of(
-              "upstream", upstream.value(),
-              "dispatcher", host.value(),
-              "reason", "rendezvous hash over " + hosts.size() + " daemons"));
+              DecisionEvent.UPSTREAM_FIELD,
+              upstream.value(),
+              "dispatcher",
+              host.value(),
+              "reason",
+              "rendezvous hash over " + hosts.size() + " daemons"));
     }
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Epoch;
@@ -246,7 +247,7 @@
               UnitTable.Release now = noteStopped(unit, release, nowNanos);
               if (isOver(unit, now, nowNanos)) {
                 table.endRelease(unit);
-                out.log(EventCode.SLOT_RELEASED, "unit", unitName(unit), "from", release.from());
+                logReleased(unit, release.from(), out);
               }
             });
   }
@@ -301,7 +302,12 @@
       table.addOverride(key, epochs.next(), epochs.next());
       table.unitOf(key).flatMap(table::owner).ifPresent(touched::add);
       changed = true;
-      out.log(EventCode.KEY_OVERRIDDEN, "service", service.name(), "key", key);
+      out.log(
+          EventCode.KEY_OVERRIDDEN,
+          DecisionEvent.SERVICE_FIELD,
+          service.name(),
+          DecisionEvent.KEY_FIELD,
+          key);
     }
   }
 
@@ -318,14 +324,33 @@
     out.log(
         EventCode.SLOT_ASSIGNED,
         ImmutableMap.of(
-            "service", service.name().value(),
-            "unit", unitName(unit),
-            "to", to.value(),
-            "reason", reason));
+            DecisionEvent.SERVICE_FIELD,
+            service.name().value(),
+            DecisionEvent.UNIT_FIELD,
+            unitName(unit),
+            "to",
+            to.value(),
+            "reason",
+            reason));
+  }
+
+  private void logReleased(int unit, UpstreamId from, Outbox out) {
+    out.log(
+        EventCode.SLOT_RELEASED,
+        ImmutableMap.of(
+            DecisionEvent.SERVICE_FIELD,
+            service.name().value(),
+            DecisionEvent.UNIT_FIELD,
+            unitName(unit),
+            "from",
+            from.value()));
   }
 
   private String unitName(int unit) {
-    return table.keyOf(unit).map(k -> "key " + k).orElseGet(() -> "slot " + unit);
+    return table
+        .keyOf(unit)
+        .map(DecisionEvent::keyUnit)
+        .orElseGet(() -> DecisionEvent.slotUnit(unit));
   }
 
   private void publish(long nowNanos, Outbox out) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamLinks.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamLinks.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -88,7 +89,10 @@
       out.log(
           EventCode.GRANT_REFUSED,
           ImmutableMap.of(
-              "upstream", upstream.value(), "reason", "upstream has seen " + outdated.newest()));
+              DecisionEvent.UPSTREAM_FIELD,
+              upstream.value(),
+              "reason",
+              "upstream has seen " + outdated.newest()));
     }
     if (release == null) {
       return Optional.empty();
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/KeyDecisions.java
@@ -0,0 +1,74 @@
+package org.catkinlift.plans;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.base.Joiner;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.DecisionLog;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * Selects and formats the recent decisions that concern one key: those about its slot, its
+ * override, its owner and the coordinator role of its home cell.
+ *
+ * @param service the service
+ * @param key the key
+ * @param slot its slot
+ * @param homeCell the home cell of the slot, by name
+ * @param owner the present owner, if there is one
+ */
+record KeyDecisions(
+    ServiceName service, String key, int slot, String homeCell, Optional<UpstreamId> owner) {
+  /** Enough for the moves of one slot in the time that decisions are kept, which are few. */
+  static final int MAX_SHOWN = 50;
+
+  private static final Joiner.MapJoiner FIELDS = Joiner.on(", ").withKeyValueSeparator(' ');
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Returns the decisions, newest first. */
+  ImmutableList<String> of(DecisionLog log, long nowNanos) {
+    return log.newestFirst(this::isConcerned, MAX_SHOWN, nowNanos).stream()
+        .map(d -> format(d, nowNanos))
+        .collect(toImmutableList());
+  }
+
+  private boolean isConcerned(DecisionEvent event) {
+    ImmutableMap<String, String> fields = event.fields();
+    return isPlacement(fields) || isOfOwner(fields) || isOfHomeCell(fields);
+  }
+
+  private boolean isPlacement(ImmutableMap<String, String> fields) {
+    String unit = fields.get(DecisionEvent.UNIT_FIELD);
+    return service.value().equals(fields.get(DecisionEvent.SERVICE_FIELD))
+        && (DecisionEvent.slotUnit(slot).equals(unit)
+            || DecisionEvent.keyUnit(key).equals(unit)
+            || key.equals(fields.get(DecisionEvent.KEY_FIELD)));
+  }
+
+  private boolean isOfOwner(ImmutableMap<String, String> fields) {
+    return owner.map(o -> o.value().equals(fields.get(DecisionEvent.UPSTREAM_FIELD))).orElse(false);
+  }
+
+  private boolean isOfHomeCell(ImmutableMap<String, String> fields) {
+    return homeCell.equals(fields.get(DecisionEvent.CELL_FIELD));
+  }
+
+  private static String format(DecisionLog.Decision decision, long nowNanos) {
+    DecisionEvent event = decision.event();
+    double seconds =
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - decision.atNanos()) / MILLIS_PER_SECOND;
+    return String.format(
+        Locale.ROOT,
+        "%.1f s ago: %d %s: %s",
+        seconds,
+        event.code().number(),
+        event.code().text(),
+        FIELDS.join(event.fields()));
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
@@ -16,6 +16,7 @@
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.PlatformRequest;
 import org.catkinlift.control.VersionStore;
+import org.catkinlift.events.DecisionLog;
 
 /**
  * Answers operators on any daemon: makes, shows and confirms plans and explains the present state.
@@ -37,7 +38,12 @@
     confirmation = new PlanConfirmation(store, members, calls);
     queries = new PlanQueries(calls);
     facts =
-        new StatusFacts(store, members, checkNotNull(builder.ownership, "ownership"), builder.age);
+        new StatusFacts(
+            store,
+            members,
+            checkNotNull(builder.ownership, "ownership"),
+            builder.age,
+            checkNotNull(builder.decisions, "decisions"));
   }
 
   /**
@@ -91,7 +97,8 @@
       case OperatorRequest.ShowPlan r -> queries.show(call, r.plan());
       case OperatorRequest.ListPlans r -> queries.list(call);
       case OperatorRequest.ShowStatus r -> answer(call, facts.status(nowNanos));
-      case OperatorRequest.ExplainKey r -> answer(call, facts.explain(r.service(), r.key()));
+      case OperatorRequest.ExplainKey r ->
+          answer(call, facts.explain(r.service(), r.key(), nowNanos));
     };
   }
 
@@ -105,6 +112,7 @@
     private MembershipView members;
     private OwnershipView ownership;
     private CallNumbers calls;
+    private DecisionLog decisions = new DecisionLog();
     private ConfigurationAge age = nowNanos -> Optional.empty();
 
     private Builder() {}
@@ -157,6 +165,18 @@
       return this;
     }
 
+    /**
+     * Sets the log of the decisions of this daemon, which explain answers show; empty by default.
+     *
+     * @param decisions the log, which the owner of the control thread feeds
+     * @return this builder
+     */
+    @CanIgnoreReturnValue
+    public Builder decisions(DecisionLog decisions) {
+      this.decisions = decisions;
+      return this;
+    }
+
     /**
      * Sets the view of the configuration's age, which the status shows; unknown by default.
      *
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/StatusFacts.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/StatusFacts.java
@@ -9,6 +9,7 @@
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.VersionStore;
+import org.catkinlift.events.DecisionLog;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
@@ -29,13 +30,19 @@
   private final MembershipView members;
   private final OwnershipView ownership;
   private final ConfigurationAge age;
+  private final DecisionLog decisions;
 
   StatusFacts(
-      VersionStore store, MembershipView members, OwnershipView ownership, ConfigurationAge age) {
+      VersionStore store,
+      MembershipView members,
+      OwnershipView ownership,
+      ConfigurationAge age,
+      DecisionLog decisions) {
     this.store = store;
     this.members = members;
     this.ownership = ownership;
     this.age = age;
+    this.decisions = decisions;
   }
 
   OperatorReply status(long nowNanos) {
@@ -68,24 +75,24 @@
     return text.isEmpty() ? NONE : text;
   }
 
-  OperatorReply explain(ServiceName service, String key) {
+  OperatorReply explain(ServiceName service, String key, long nowNanos) {
     ServiceDefinition definition = store.configuration().services().get(service);
     if (definition == null) {
       return new OperatorReply.Failed(
           OperatorReply.Reason.NOT_FOUND, "service " + service + " does not exist");
     }
-    return new OperatorReply.Facts(
-        switch (definition.kind()) {
-          case ServiceKind.Shared s ->
+    return switch (definition.kind()) {
+      case ServiceKind.Shared s ->
+          new OperatorReply.Facts(
               ImmutableMap.of(
-                  "service", service.value(), "owner", "any upstream; keys have no owner");
-          case ServiceKind.Keyed k -> ownerFacts(service, key, k.slotCount());
-        },
-        ImmutableList.of());
+                  "service", service.value(), "owner", "any upstream; keys have no owner"),
+              ImmutableList.of());
+      case ServiceKind.Keyed k ->
+          explain(service, key, KeyHasher.slotOf(key, k.slotCount()), nowNanos);
+    };
   }
 
-  private ImmutableMap<String, String> ownerFacts(ServiceName service, String key, int slotCount) {
-    int slot = KeyHasher.slotOf(key, slotCount);
+  private OperatorReply explain(ServiceName service, String key, int slot, long nowNanos) {
     Optional<Assignment> assignment =
         store.assignments(service).stream()
             .filter(a -> a.overrides().containsKey(key) || a.slots().containsKey(slot))
@@ -94,13 +101,15 @@
     var facts = ImmutableMap.<String, String>builder();
     facts.put("service", service.value());
     facts.put("slot", Integer.toString(slot));
-    facts.put("home cell", homeCell(service, slot));
+    String homeCell = homeCell(service, slot);
+    facts.put("home cell", homeCell);
     facts.put("owner", owner.owner().map(UpstreamId::value).orElse(NONE));
     facts.put("epoch", owner.epoch().toString());
     facts.put("placed apart from its slot", Boolean.toString(hasOverride(assignment, key)));
     facts.put("assignment version", assignment.map(a -> a.version().toString()).orElse(NONE));
     facts.put("dispatcher", owner.owner().flatMap(this::dispatcher).orElse(NONE));
-    return facts.buildOrThrow();
+    var concerned = new KeyDecisions(service, key, slot, homeCell, owner.owner());
+    return new OperatorReply.Facts(facts.buildOrThrow(), concerned.of(decisions, nowNanos));
   }
 
   private static SlotOwner owner(Assignment assignment, String key, int slot) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/control/fake/FakeDaemon.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/control/fake/FakeDaemon.java
@@ -17,6 +17,7 @@
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.VersionStore;
 import org.catkinlift.events.DecisionEvent;
+import org.catkinlift.events.DecisionLog;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.membership.MembershipControl;
 import org.catkinlift.model.DispatchLease;
@@ -35,6 +36,7 @@
   private final MembershipControl members;
   private final DisseminationControl dissemination;
   private final ImmutableList<ControlPart> parts;
+  private final DecisionLog decisions = new DecisionLog();
   private final List<DecisionEvent> log = new ArrayList<>();
   private final List<OperatorReply> replies = new ArrayList<>();
   private final ArrayDeque<ControlEvent> held = new ArrayDeque<>();
@@ -64,6 +66,7 @@
             .ownership(this)
             .calls(calls)
             .age(dissemination)
+            .decisions(decisions)
             .build();
     parts = ImmutableList.of(members, dissemination, plans);
   }
@@ -115,7 +118,7 @@
     switch (action) {
       case ControlAction.SendToPeer a -> site.send(id(), a.to(), a.message());
       case ControlAction.CallPlatform a -> site.callPlatform(this, a);
-      case ControlAction.Log a -> log.add(a.event());
+      case ControlAction.Log a -> log(a.event());
       case ControlAction.ReplyToOperator a -> replies.add(a.reply());
       case ControlAction.CallUpstream a -> throw new AssertionError("unexpected " + a);
       case ControlAction.RoutingChanged a -> {}
@@ -123,6 +126,12 @@
     }
   }
 
+  /** Takes an event as if a control part of this daemon had emitted it. */
+  public void log(DecisionEvent event) {
+    log.add(event);
+    decisions.record(event, site.nowNanos());
+  }
+
   public void pause() {
     paused = true;
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
@@ -7,16 +7,24 @@
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Iterables;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.Optional;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.RowValue;
+import org.catkinlift.control.VersionStore;
 import org.catkinlift.control.fake.FakeSite;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.PlanId;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
+import org.catkinlift.routing.KeyHasher;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -218,4 +226,66 @@
             site.ask("nadi-01", new OperatorRequest.ExplainKey(ServiceName.of("desk"), "o-17"));
     assertThat(explain.facts()).containsEntry("owner", "none");
   }
+
+  /** Guards against an explanation without reasons, or with those of other keys and services. */
+  @Test
+  void explainShowsTheDecisionsOfTheKeyNewestFirst() {
+    confirm("suva-01", make("suva-01", CREATE));
+    site.run(IN_FORCE);
+    int slot = KeyHasher.slotOf("o-17", 64);
+    decide(EventCode.ROLE_TAKEN, "cell", "labasa");
+    decide(EventCode.SLOT_ASSIGNED, "service", "desk", "unit", "slot " + slot, "to", "first");
+    decide(EventCode.SLOT_ASSIGNED, "service", "files", "unit", "slot " + slot, "to", "other");
+    decide(EventCode.SLOT_ASSIGNED, "service", "desk", "unit", "slot " + (slot + 1), "to", "next");
+    decide(EventCode.KEY_OVERRIDDEN, "service", "desk", "key", "o-17");
+    decide(EventCode.KEY_OVERRIDDEN, "service", "desk", "key", "o-18");
+    site.run(Duration.ofSeconds(2));
+    decide(EventCode.SLOT_RELEASED, "service", "desk", "unit", "key o-17", "from", "first");
+
+    assertThat(explain("o-17").decisions())
+        .containsExactly(
+            "0.0 s ago: 3004 slot released: service desk, unit key o-17, from first",
+            "2.0 s ago: 3007 hot key placed apart: service desk, key o-17",
+            "2.0 s ago: 3003 slot assigned: service desk, unit slot " + slot + ", to first")
+        .inOrder();
+  }
+
+  private OperatorReply.Facts explain(String key) {
+    var request = new OperatorRequest.ExplainKey(ServiceName.of("desk"), key);
+    return (OperatorReply.Facts) site.ask("suva-01", request);
+  }
+
+  private void decide(EventCode code, String... fields) {
+    var map = ImmutableMap.<String, String>builder();
+    for (int i = 0; i < fields.length; i += 2) {
+      map.put(fields[i], fields[i + 1]);
+    }
+    site.daemon("suva-01").log(new DecisionEvent(code, map.buildOrThrow()));
+  }
+
+  /** Guards against leaving out why the owner of a key or its home cell changed hands. */
+  @Test
+  void explainShowsTheDecisionsAboutTheOwnerAndTheHomeCell() {
+    confirm("suva-01", make("suva-01", CREATE));
+    site.run(IN_FORCE);
+    ServiceName desk = ServiceName.of("desk");
+    CellId cell = CellId.of("suva");
+    int slot = KeyHasher.slotOf("o-17", 64);
+    var owner = new SlotOwner(Optional.of(UpstreamId.of("desk-suva-1")), Epoch.of(1, 1));
+    VersionStore store = site.daemon("suva-01").store();
+    store.offer(new HomeMap(desk, 1, ImmutableList.copyOf(Collections.nCopies(64, cell))));
+    store.offer(
+        new Assignment(
+            desk, cell, Epoch.of(1, 2), ImmutableSortedMap.of(slot, owner), ImmutableMap.of()));
+    decide(EventCode.ROLE_TAKEN, "cell", "suva", "term", "1");
+    decide(EventCode.ROLE_TAKEN, "cell", "nadi", "term", "2");
+    decide(EventCode.GRANT_REFUSED, "upstream", "desk-suva-1", "reason", "outdated");
+    decide(EventCode.DISPATCHER_ASSIGNED, "upstream", "desk-suva-2", "dispatcher", "suva-02");
+
+    assertThat(explain("o-17").decisions())
+        .containsExactly(
+            "0.0 s ago: 3005 grant refused: upstream desk-suva-1, reason outdated",
+            "0.0 s ago: 3001 coordinator role taken: cell suva, term 1")
+        .inOrder();
+  }
 }
