Refuse a plan only if what it rests on has changed

Cause: a plan named the versions of all assignments of its services, and a confirmation was refused when any of them differed. Moves of single slots thus made confirmations fail.

Change: a confirmation compares the configuration version and plans the intent again from the present assignments, loads and hosts. It is refused if that plan would be, and names what changed. Only a changed configuration marks the plan as a conflict for good. The transaction no longer depends on assignment versions. Plan ids include the refusals, so that a refused plan is not hidden by an earlier one. Plans are also refused if an availability zone would exceed its own limit, as upstreams were already.

--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/CapacityPrediction.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/CapacityPrediction.java
@@ -63,7 +63,8 @@
           "service %s needs %.1f requests in flight, and the remaining upstreams bear %d"
               .formatted(service.name(), need(), capacity));
     }
-    return overloaded();
+    ImmutableList<String> upstreams = overloadedUpstreams();
+    return upstreams.isEmpty() ? overloadedZones() : upstreams;
   }
 
   /** Returns a refusal if the last availability zone of the service would go out. */
@@ -74,7 +75,7 @@
         : ImmutableList.of();
   }
 
-  private ImmutableList<String> overloaded() {
+  private ImmutableList<String> overloadedUpstreams() {
     return staying().stream()
         .filter(u -> expected(u) > u.concurrencyLimit() && expected(u) > load(u))
         .map(
@@ -84,6 +85,20 @@
         .collect(toImmutableList());
   }
 
+  /** A zone limit may be lower than what the upstreams of the availability zone bear together. */
+  private ImmutableList<String> overloadedZones() {
+    var present = new TreeMap<String, Double>();
+    present().forEach(u -> present.merge("zone/" + u.zone(), load(u), Double::sum));
+    return zoneLoads().stream()
+        .filter(l -> l.expected() > l.limit())
+        .filter(l -> l.expected() > present.getOrDefault(l.subject(), 0.0))
+        .map(
+            l ->
+                "%s would have %.1f requests in flight, and it bears %d"
+                    .formatted(l.subject(), l.expected(), l.limit()))
+        .collect(toImmutableList());
+  }
+
   private double expected(UpstreamDefinition upstream) {
     int slots = slotsAfter.values().stream().mapToInt(Integer::intValue).sum();
     if (slots > 0) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanBuilder.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanBuilder.java
@@ -78,8 +78,9 @@
       }
     }
     ImmutableMap<String, Epoch> versions = assignmentVersions(services);
+    ImmutableList<String> reasons = refusals.build();
     return new Plan(
-        PlanIds.of(intent, basis.configuration().version(), versions),
+        PlanIds.of(intent, basis.configuration().version(), versions, reasons),
         intent,
         basis.configuration().version(),
         versions,
@@ -87,7 +88,7 @@
         moves.build(),
         loads.build(),
         duration(services, moves.build()),
-        refusals.build());
+        reasons);
   }
 
   /** Returns the services that are defined anew or of which other upstreams get work. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConditions.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConditions.java
@@ -5,74 +5,129 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
+import java.util.Locale;
 import java.util.stream.Stream;
 import org.catkinlift.control.PlatformRequest.Row;
 import org.catkinlift.control.RowValue;
+import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Configuration;
-import org.catkinlift.model.Epoch;
-import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.ServiceName;
 
-/** Compares a plan with the rows that it was made from. */
+/**
+ * Compares a plan with what holds now.
+ *
+ * <p>A plan still holds if the configuration is the one that it was made from and its intent,
+ * planned again from the present assignments, loads and hosts, would not be refused. Moves of
+ * single slots go on all the time and do not matter by themselves.
+ */
 final class PlanConditions {
+  /** An operator needs to see what is short, not each of hundreds of upstreams. */
+  private static final int MAX_NAMED_LOADS = 5;
+
   private PlanConditions() {}
 
-  /** Returns the prefixes of the rows to read: the configuration and the plan's assignments. */
+  /**
+   * What has changed since a plan was made.
+   *
+   * @param phrases the changes; empty if the plan still holds
+   * @param isFinal whether the plan can never be confirmed again; configuration versions only grow,
+   *     while loads and hosts may become again what they were
+   */
+  record Changes(ImmutableList<String> phrases, boolean isFinal) {
+    boolean isEmpty() {
+      return phrases.isEmpty();
+    }
+  }
+
+  /** Returns the prefixes of the rows to read: the configuration and the affected assignments. */
   static ImmutableList<String> prefixes(Plan plan) {
+    Stream<String> services =
+        Stream.concat(
+            plan.assignmentVersions().keySet().stream().map(a -> a.substring(0, a.indexOf('/'))),
+            plan.moves().stream().map(Plan.Move::service).map(ServiceName::value));
     return Stream.concat(
             Stream.of(Configuration.NAME),
-            plan.assignmentVersions().keySet().stream()
-                .map(a -> PlanRows.ASSIGNMENTS + a.substring(0, a.indexOf('/') + 1))
-                .distinct())
+            services.distinct().map(s -> PlanRows.ASSIGNMENTS + s + "/"))
+        .collect(toImmutableList());
+  }
+
+  /** Returns the assignments among the rows. */
+  static ImmutableList<Assignment> assignments(ImmutableList<Row> rows) {
+    return rows.stream()
+        .map(Row::value)
+        .flatMap(
+            v -> v instanceof RowValue.AssignmentRow a ? Stream.of(a.assignment()) : Stream.empty())
         .collect(toImmutableList());
   }
 
-  /** Returns what has changed since the plan was made; empty if nothing has. */
-  static ImmutableList<String> changes(
-      Plan plan, ImmutableList<Row> rows, ImmutableSet<HostDefinition> hosts) {
-    var changes = ImmutableList.<String>builder();
-    Configuration present = PlanRows.configuration(rows);
+  /**
+   * Returns what has changed since the plan was made.
+   *
+   * @param plan the plan
+   * @param now what a plan would be made from now
+   */
+  static Changes changes(Plan plan, PlanBasis now) {
+    Configuration present = now.configuration();
     if (present.version() != plan.configurationVersion()) {
-      changes.add(
-          "the configuration is at version %d, and the plan was made from version %d"
-              .formatted(present.version(), plan.configurationVersion()));
-      changes.addAll(changesOfOthers(plan, present, hosts));
+      return new Changes(configurationChanges(plan, now), true);
     }
-    plan.assignmentVersions()
-        .forEach(
-            (name, version) -> {
-              Epoch now = assignmentVersion(rows, PlanRows.ASSIGNMENTS + name);
-              if (!now.equals(version)) {
-                changes.add(
-                    "assignment %s is at version %s, and the plan was made from version %s"
-                        .formatted(name, now, version));
-              }
-            });
-    return changes.build();
+    Plan again = PlanBuilder.plan(plan.intent(), now);
+    if (again.refusals().isEmpty()) {
+      return new Changes(ImmutableList.of(), false);
+    }
+    return new Changes(
+        ImmutableList.<String>builder()
+            .addAll(again.refusals())
+            .addAll(loadChanges(plan, again))
+            .build(),
+        false);
+  }
+
+  private static ImmutableList<String> configurationChanges(Plan plan, PlanBasis now) {
+    String versions =
+        "the configuration is at version %d, and the plan was made from version %d"
+            .formatted(now.configuration().version(), plan.configurationVersion());
+    return ImmutableList.<String>builder().add(versions).addAll(changesOfOthers(plan, now)).build();
   }
 
   /** Applies the plan's intent to the present configuration; what still differs is not its own. */
-  private static ImmutableList<String> changesOfOthers(
-      Plan plan, Configuration present, ImmutableSet<HostDefinition> hosts) {
-    ConfigurationChange again = ConfigurationChange.of(plan.intent(), present, hosts);
+  private static ImmutableList<String> changesOfOthers(Plan plan, PlanBasis now) {
+    ConfigurationChange again =
+        ConfigurationChange.of(plan.intent(), now.configuration(), now.hosts());
     return again.refusals().isEmpty()
         ? ConfigurationDiff.describe(plan.result(), again.result())
         : again.refusals();
   }
 
-  private static Epoch assignmentVersion(ImmutableList<Row> rows, String name) {
-    return PlanRows.find(rows, name)
-        .map(Row::value)
-        .filter(RowValue.AssignmentRow.class::isInstance)
-        .map(v -> ((RowValue.AssignmentRow) v).assignment().version())
-        .orElse(Epoch.NONE);
+  private static ImmutableList<String> loadChanges(Plan plan, Plan again) {
+    ImmutableMap<String, Plan.Load> before =
+        plan.loads().stream()
+            .collect(toImmutableMap(Plan.Load::subject, load -> load, (first, second) -> first));
+    return again.loads().stream()
+        .filter(l -> l.expected() > l.limit())
+        .filter(l -> before.containsKey(l.subject()))
+        .limit(MAX_NAMED_LOADS)
+        .map(l -> loadChange(before.get(l.subject()), l))
+        .collect(toImmutableList());
+  }
+
+  private static String loadChange(Plan.Load before, Plan.Load now) {
+    return String.format(
+        Locale.ROOT,
+        "%s was expected to have %.1f requests in flight when the plan was made, and %.1f now",
+        now.subject(),
+        before.expected(),
+        now.expected());
   }
 
-  /** Returns the row versions under which the plan may be confirmed. */
+  /**
+   * Returns the row versions under which the plan may be confirmed.
+   *
+   * <p>Assignments are not among them: they are written while single slots move, and a confirmation
+   * that depended on them could fail for as long as an imbalance lasts.
+   */
   static ImmutableMap<String, Long> of(Plan plan, ImmutableList<Row> rows) {
-    return Stream.concat(
-            Stream.of(Configuration.NAME, PlanRows.nameOf(plan.id())),
-            plan.assignmentVersions().keySet().stream().map(a -> PlanRows.ASSIGNMENTS + a))
+    return Stream.of(Configuration.NAME, PlanRows.nameOf(plan.id()))
         .collect(toImmutableMap(name -> name, name -> versionOf(rows, name)));
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConfirmation.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConfirmation.java
@@ -26,12 +26,12 @@
 import org.catkinlift.model.PlanId;
 
 /**
- * Puts a plan's configuration into force if nothing that the plan was made from has changed.
+ * Puts a plan's configuration into force if nothing that the plan rests on has changed.
  *
- * <p>One transaction writes the configuration and the plan's state, under the versions of all rows
- * that were read and compared with the plan. If its answer is lost, the rows are read again: the
- * plan's state tells whether the transaction took effect. Repeating a confirmation is therefore
- * safe at any time.
+ * <p>One transaction writes the configuration and the plan's state, under the versions of the
+ * configuration and plan that were read. If its answer is lost, the rows are read again: the plan's
+ * state tells whether the transaction took effect. Repeating a confirmation is therefore safe at
+ * any time.
  */
 final class PlanConfirmation {
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
@@ -67,13 +67,16 @@
   private final VersionStore store;
   private final MembershipView members;
   private final CallNumbers calls;
+  private final PresentLoads loads;
   private final Map<Long, Step> steps = new HashMap<>();
   private final List<Waiting> waiting = new ArrayList<>();
 
-  PlanConfirmation(VersionStore store, MembershipView members, CallNumbers calls) {
+  PlanConfirmation(
+      VersionStore store, MembershipView members, CallNumbers calls, PresentLoads loads) {
     this.store = store;
     this.members = members;
     this.calls = calls;
+    this.loads = loads;
   }
 
   ImmutableList<ControlAction> start(long operator, PlanId plan) {
@@ -106,9 +109,10 @@
     Optional<ImmutableList<Row>> rows = PlanRows.rows(reply);
     return switch (step) {
       case Step.ReadPlan s ->
-          rows.map(r -> planRead(s.attempt(), r)).orElseGet(() -> retry(s.attempt(), nowNanos));
+          rows.map(r -> planRead(s.attempt(), r, nowNanos))
+              .orElseGet(() -> retry(s.attempt(), nowNanos));
       case Step.ReadBasis s ->
-          rows.map(r -> basisRead(s, r)).orElseGet(() -> retry(s.attempt(), nowNanos));
+          rows.map(r -> basisRead(s, r, nowNanos)).orElseGet(() -> retry(s.attempt(), nowNanos));
       case Step.Write s when reply instanceof Reply.Applied ->
           confirmed(s.attempt(), s.plan().plan());
       case Step.Write s when reply instanceof Reply.Conflict -> readAgain(s.attempt(), nowNanos);
@@ -128,12 +132,17 @@
     }
     String detail =
         attempt.sent()
-            ? "plan " + attempt.plan() + " may have been confirmed; confirming it again is safe"
+            ? mayBeConfirmed(attempt)
             : "plan " + attempt.plan() + " was not confirmed; confirm it again later";
     return failed(attempt, OperatorReply.Reason.PLATFORM_UNREACHABLE, detail);
   }
 
-  private ImmutableList<ControlAction> planRead(Attempt attempt, ImmutableList<Row> rows) {
+  private static String mayBeConfirmed(Attempt attempt) {
+    return "plan " + attempt.plan() + " may have been confirmed; confirming it again is safe";
+  }
+
+  private ImmutableList<ControlAction> planRead(
+      Attempt attempt, ImmutableList<Row> rows, long nowNanos) {
     Optional<PlanRecord> plan = PlanRows.plan(rows, attempt.plan());
     if (plan.isEmpty()) {
       return failed(
@@ -146,40 +155,48 @@
               attempt,
               OperatorReply.Reason.CONFLICT,
               "plan " + attempt.plan() + " had a conflict; state the intent again");
-      case OPEN -> open(attempt, plan.get(), rows);
+      case OPEN -> open(attempt, plan.get(), rows, nowNanos);
     };
   }
 
   private ImmutableList<ControlAction> open(
-      Attempt attempt, PlanRecord record, ImmutableList<Row> rows) {
+      Attempt attempt, PlanRecord record, ImmutableList<Row> rows, long nowNanos) {
     if (!record.plan().refusals().isEmpty()) {
       return failed(
           attempt, OperatorReply.Reason.REFUSED, String.join("; ", record.plan().refusals()));
     }
-    return readNext(attempt, record, rows, PlanConditions.prefixes(record.plan()));
+    var step = new Step.ReadBasis(attempt, record, rows, PlanConditions.prefixes(record.plan()));
+    return readNext(step, nowNanos);
   }
 
-  private ImmutableList<ControlAction> readNext(
-      Attempt attempt, PlanRecord record, ImmutableList<Row> rows, ImmutableList<String> rest) {
+  private ImmutableList<ControlAction> readNext(Step.ReadBasis step, long nowNanos) {
+    ImmutableList<String> rest = step.rest();
     if (rest.isEmpty()) {
-      return compare(attempt, record, rows);
+      return compare(step, nowNanos);
     }
-    var step = new Step.ReadBasis(attempt, record, rows, rest.subList(1, rest.size()));
-    return ImmutableList.of(call(step, new PlatformRequest.ReadRows(rest.get(0))));
+    var next =
+        new Step.ReadBasis(step.attempt(), step.plan(), step.rows(), rest.subList(1, rest.size()));
+    return ImmutableList.of(call(next, new PlatformRequest.ReadRows(rest.get(0))));
   }
 
-  private ImmutableList<ControlAction> basisRead(Step.ReadBasis step, ImmutableList<Row> read) {
+  private ImmutableList<ControlAction> basisRead(
+      Step.ReadBasis step, ImmutableList<Row> read, long nowNanos) {
     var rows = ImmutableList.<Row>builder().addAll(step.rows()).addAll(read).build();
-    return readNext(step.attempt(), step.plan(), rows, step.rest());
+    return readNext(new Step.ReadBasis(step.attempt(), step.plan(), rows, step.rest()), nowNanos);
   }
 
-  private ImmutableList<ControlAction> compare(
-      Attempt attempt, PlanRecord record, ImmutableList<Row> rows) {
-    Plan plan = record.plan();
-    ImmutableList<String> changes = PlanConditions.changes(plan, rows, members.known());
+  private ImmutableList<ControlAction> compare(Step.ReadBasis step, long nowNanos) {
+    Configuration present = PlanRows.configuration(step.rows());
+    var now =
+        new PlanBasis(
+            present,
+            PlanConditions.assignments(step.rows()),
+            loads.of(present, nowNanos),
+            members.known());
+    PlanConditions.Changes changes = PlanConditions.changes(step.plan().plan(), now);
     return changes.isEmpty()
-        ? write(attempt, record, rows)
-        : conflict(attempt, plan, rows, changes);
+        ? write(step.attempt(), step.plan(), step.rows())
+        : conflict(step, changes);
   }
 
   private ImmutableList<ControlAction> write(
@@ -199,24 +216,33 @@
   }
 
   private ImmutableList<ControlAction> conflict(
-      Attempt attempt, Plan plan, ImmutableList<Row> rows, ImmutableList<String> changes) {
-    String row = PlanRows.nameOf(plan.id());
-    var mark =
-        new PlatformRequest.Transact(
-            "conflict-" + plan.id(),
-            ImmutableMap.of(row, PlanConditions.versionOf(rows, row)),
-            ImmutableMap.of(
-                row, new RowValue.PlanRow(new PlanRecord(plan, PlanRecord.State.CONFLICT))));
-    String detail = String.join("; ", changes);
-    return ImmutableList.<ControlAction>builder()
-        .add(new CallPlatform(calls.next(), mark))
+      Step.ReadBasis step, PlanConditions.Changes changes) {
+    Plan plan = step.plan().plan();
+    String changed = String.join("; ", changes.phrases());
+    // A write under way cannot take effect under another configuration version, but under this one.
+    boolean isUnknown = step.attempt().sent() && !changes.isFinal();
+    String detail = isUnknown ? changed + "; " + mayBeConfirmed(step.attempt()) : changed;
+    var actions = ImmutableList.<ControlAction>builder();
+    if (changes.isFinal()) {
+      actions.add(new CallPlatform(calls.next(), mark(plan, step.rows())));
+    }
+    return actions
         .add(
             new Log(
-                DecisionEvent.of(EventCode.PLAN_CONFLICT, "plan", plan.id(), "changed", detail)))
-        .addAll(failed(attempt, OperatorReply.Reason.CONFLICT, detail))
+                DecisionEvent.of(EventCode.PLAN_CONFLICT, "plan", plan.id(), "changed", changed)))
+        .addAll(failed(step.attempt(), OperatorReply.Reason.CONFLICT, detail))
         .build();
   }
 
+  private static PlatformRequest mark(Plan plan, ImmutableList<Row> rows) {
+    String row = PlanRows.nameOf(plan.id());
+    return new PlatformRequest.Transact(
+        "conflict-" + plan.id(),
+        ImmutableMap.of(row, PlanConditions.versionOf(rows, row)),
+        ImmutableMap.of(
+            row, new RowValue.PlanRow(new PlanRecord(plan, PlanRecord.State.CONFLICT))));
+  }
+
   private ImmutableList<ControlAction> confirmed(Attempt attempt, Plan plan) {
     var actions = ImmutableList.<ControlAction>builder();
     if (attempt.sent()) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
@@ -35,7 +35,7 @@
     MembershipView members = checkNotNull(builder.members, "members");
     CallNumbers calls = checkNotNull(builder.calls, "calls");
     making = new PlanMaking(store, members, calls, loads);
-    confirmation = new PlanConfirmation(store, members, calls);
+    confirmation = new PlanConfirmation(store, members, calls, loads);
     queries = new PlanQueries(calls);
     facts =
         new StatusFacts(
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
@@ -37,8 +37,8 @@
     /**
      * Reads the assignments that the plan depends on, one service after the other.
      *
-     * <p>A plan is made from what the platform has, because a confirmation is compared with that.
-     * Later assignments in memory are not written yet.
+     * <p>A plan is made from what the platform has, as a confirmation on another daemon is. This
+     * daemon may lack assignments of other cells or have some that are not written yet.
      */
     record ReadAssignments(
         long operator,
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanRecord.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanRecord.java
@@ -14,7 +14,7 @@
     OPEN,
     /** Confirmed; the resulting configuration is accepted. */
     CONFIRMED,
-    /** Can no longer be confirmed because something it was made from has changed. */
+    /** Can no longer be confirmed because the configuration it was made from has changed. */
     CONFLICT
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanBuilderTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanBuilderTest.java
@@ -94,6 +94,34 @@
         "service desk needs 18.0 requests in flight, and the remaining upstreams bear 16");
   }
 
+  /** Guards against a drain that sends an availability zone more than its own limit allows. */
+  @Test
+  void drainThatExceedsAZoneLimitIsRefused() {
+    var limited =
+        new ServiceDefinition(DESK, SERVICE.kind(), SERVICE.zones(), SERVICE.upstreams(), 6);
+    Configuration configuration =
+        CONFIGURATION.toBuilder().services(ImmutableMap.of(DESK, limited)).build();
+    Intent drain = new Intent.DrainZone(ZoneName.of("nadi"));
+    assertThat(PlanBuilder.plan(drain, uneven(configuration, 1)).refusals()).isEmpty();
+    assertRefused(
+        PlanBuilder.plan(drain, uneven(configuration, 1.75)),
+        "zone/suva would have 6.6 requests in flight, and it bears 6");
+  }
+
+  /** Suva has 40 slots, nadi and lautoka have 12 each. */
+  private static PlanBasis uneven(Configuration configuration, double load) {
+    PlanBasis even = basis(configuration, load);
+    var slots = new ImmutableSortedMap.Builder<Integer, SlotOwner>(Integer::compare);
+    for (int slot = 0; slot < 64; slot++) {
+      int index = slot < 24 ? 2 + slot % 4 : slot % 2;
+      UpstreamId owner = SERVICE.upstreams().get(index).id();
+      slots.put(slot, SlotOwner.of(owner, Epoch.of(1, slot)));
+    }
+    var assignment =
+        new Assignment(DESK, CellId.of("suva"), Epoch.of(1, 64), slots.build(), ImmutableMap.of());
+    return new PlanBasis(configuration, ImmutableList.of(assignment), even.loads(), HOSTS);
+  }
+
   /** Guards against a site without any availability zone. */
   @Test
   void lastZoneCannotGoOut() {
