Bound the list of plans and add pages

Cause: plans listed every plan ever made, each with a whole configuration.

Change: GET /v1/plans takes limit (1 to 100, default 100) and before (the plan after which the page starts), and the reply says whether there are older plans.

Conclusion: the reply is bounded. The read of the rows from the platform is not, as the platform has no paged reads.

--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/DaemonCommands.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/DaemonCommands.java
@@ -4,9 +4,11 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ModelException;
@@ -87,11 +89,23 @@
     }
   }
 
-  @Parameters(commandDescription = "list all plans")
+  @Parameters(commandDescription = "list plans, newest first")
   private static final class Plans implements Command {
+    @Parameter(names = "--limit", description = "at most this many plans (1 to 100)")
+    private int limit = OperatorRequest.ListPlans.MAX_LIMIT;
+
+    @Parameter(names = "--before", description = "only plans after this one in the list")
+    private String before;
+
     @Override
     public CliTask task() {
-      return new CliTask.Ask(new OperatorRequest.ListPlans());
+      if (limit < 1 || limit > OperatorRequest.ListPlans.MAX_LIMIT) {
+        throw new ParameterException(
+            "--limit must be from 1 to " + OperatorRequest.ListPlans.MAX_LIMIT);
+      }
+      Optional<PlanId> plan =
+          Optional.ofNullable(before).map(b -> name(ImmutableList.of(b), PlanId::of));
+      return new CliTask.Ask(new OperatorRequest.ListPlans(limit, plan));
     }
   }
 
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/ReplyPrinter.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/ReplyPrinter.java
@@ -1,9 +1,11 @@
 package org.catkinlift.cli;
 
+import com.google.common.collect.Iterables;
 import java.io.PrintStream;
 import org.catkinlift.daemon.ExitCode;
 import org.catkinlift.daemon.json.StrictJson;
 import org.catkinlift.daemon.operator.OperatorCodec;
+import org.catkinlift.model.PlanId;
 import org.catkinlift.plans.OperatorReply;
 
 /** Prints replies of a daemon. */
@@ -35,12 +37,20 @@
   private void printText(OperatorReply reply) {
     switch (reply) {
       case OperatorReply.PlanShown r -> out.print(PlanText.format(r.plan()));
-      case OperatorReply.PlansListed r -> r.plans().forEach(p -> out.println(PlanText.line(p)));
+      case OperatorReply.PlansListed r -> printPlans(r);
       case OperatorReply.Facts r -> printFacts(r);
       case OperatorReply.Failed r -> err.println("error: " + r.detail());
     }
   }
 
+  private void printPlans(OperatorReply.PlansListed reply) {
+    reply.plans().forEach(p -> out.println(PlanText.line(p)));
+    if (reply.hasMore()) {
+      PlanId last = Iterables.getLast(reply.plans()).plan().id();
+      err.println("there are older plans: catkinlift plans --before " + last);
+    }
+  }
+
   private void printFacts(OperatorReply.Facts reply) {
     int width = reply.facts().keySet().stream().mapToInt(String::length).max().orElse(0);
     reply.facts().forEach((name, value) -> out.println(name + pad(name, width) + "  " + value));
--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
@@ -142,7 +142,10 @@
     var expected =
         ImmutableMap.<String, OperatorRequest>builder()
             .put("status", new OperatorRequest.ShowStatus())
-            .put("plans", new OperatorRequest.ListPlans())
+            .put("plans", OperatorRequest.ListPlans.newest())
+            .put(
+                "plans --limit 2 --before p-1",
+                new OperatorRequest.ListPlans(2, Optional.of(PlanId.of("p-1"))))
             .put("show p-1", new OperatorRequest.ShowPlan(PlanId.of("p-1")))
             .put("confirm p-1", new OperatorRequest.ConfirmPlan(PlanId.of("p-1")))
             .put("explain s k&1", new OperatorRequest.ExplainKey(ServiceName.of("s"), "k&1"))
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCalls.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCalls.java
@@ -1,14 +1,16 @@
 package org.catkinlift.daemon.operator;
 
 import com.google.common.base.Splitter;
-import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
+import com.google.common.primitives.Ints;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonObjectReader;
+import org.catkinlift.daemon.json.JsonValue;
+import org.catkinlift.daemon.json.JsonValues;
 import org.catkinlift.daemon.json.StrictJson;
 import org.catkinlift.model.ModelException;
 import org.catkinlift.model.PlanId;
@@ -25,7 +27,11 @@
   private static final String METRICS = "/metrics";
   private static final String CONFIRM = "confirm";
   private static final String NAME_RULE = "1 to 64 lower-case letters, digits, dots or hyphens";
-  private static final ImmutableSet<String> EXPLAIN_KEYS = ImmutableSet.of("service", "key");
+  private static final JsonValue<Integer> LIMIT =
+      JsonValues.parsed(
+          "integer from 1 to " + OperatorRequest.ListPlans.MAX_LIMIT, OperatorCalls::limitOf);
+  private static final JsonValue<PlanId> PLAN = JsonValues.name(PlanId::of);
+  private static final JsonValue<String> ANY_TEXT = JsonValues.parsed("string", Optional::of);
 
   private OperatorCalls() {}
 
@@ -41,7 +47,12 @@
           new OperatorCall(POST, PLANS, StrictJson.print(IntentCodec.encode(r.intent())));
       case OperatorRequest.ConfirmPlan r -> post(PLANS + '/' + r.plan() + '/' + CONFIRM);
       case OperatorRequest.ShowPlan r -> get(PLANS + '/' + r.plan());
-      case OperatorRequest.ListPlans r -> get(PLANS);
+      case OperatorRequest.ListPlans r -> {
+        var uri = new QueryStringEncoder(PLANS);
+        uri.addParam("limit", Integer.toString(r.limit()));
+        r.before().ifPresent(p -> uri.addParam("before", p.value()));
+        yield get(uri.toString());
+      }
       case OperatorRequest.ShowStatus r -> get(STATUS);
       case OperatorRequest.ExplainKey r -> {
         var uri = new QueryStringEncoder(EXPLAIN);
@@ -62,7 +73,7 @@
     QueryStringDecoder uri = new QueryStringDecoder(call.uri());
     String path = uri.rawPath();
     if (path.equals(PLANS)) {
-      return decodePlans(call);
+      return decodePlans(call, uri);
     }
     if (path.startsWith(PLANS + '/')) {
       return decodePlan(call, Splitter.on('/').splitToList(path.substring(PLANS.length() + 1)));
@@ -75,9 +86,9 @@
     };
   }
 
-  private static DecodedCall decodePlans(OperatorCall call) {
+  private static DecodedCall decodePlans(OperatorCall call, QueryStringDecoder uri) {
     if (call.method().equals(GET)) {
-      return new DecodedCall.Request(new OperatorRequest.ListPlans());
+      return decodeList(uri);
     }
     if (!call.method().equals(POST)) {
       return new DecodedCall.WrongMethod(GET + ", " + POST);
@@ -107,45 +118,36 @@
         isConfirm ? new OperatorRequest.ConfirmPlan(plan) : new OperatorRequest.ShowPlan(plan));
   }
 
+  private static DecodedCall decodeList(QueryStringDecoder uri) {
+    return decodeQuery(uri, OperatorCalls::readList);
+  }
+
+  private static Optional<OperatorRequest> readList(JsonObjectReader query) {
+    int limit = query.optional("limit", LIMIT).orElse(OperatorRequest.ListPlans.MAX_LIMIT);
+    return Optional.of(new OperatorRequest.ListPlans(limit, query.optional("before", PLAN)));
+  }
+
+  private static Optional<Integer> limitOf(String text) {
+    return Optional.ofNullable(Ints.tryParse(text))
+        .filter(n -> n >= 1 && n <= OperatorRequest.ListPlans.MAX_LIMIT);
+  }
+
   private static DecodedCall decodeExplain(QueryStringDecoder uri) {
-    Map<String, List<String>> query;
-    try {
-      query = uri.parameters();
-    } catch (IllegalArgumentException e) {
-      // The decoder refuses incomplete percent escapes.
-      var errors = new JsonErrors();
-      errors.add("query", uri.rawQuery(), "query with complete percent escapes");
-      return new DecodedCall.Malformed(errors.list());
-    }
-    var errors = new JsonErrors();
-    for (String key : Sets.difference(query.keySet(), EXPLAIN_KEYS)) {
-      errors.addHidden(key, "one of the keys service, key");
-    }
-    Optional<String> service = single(query, "service", errors);
-    Optional<String> key = single(query, "key", errors);
-    if (!errors.isEmpty()) {
-      return new DecodedCall.Malformed(errors.list());
-    }
-    try {
-      var name = ServiceName.of(service.orElseThrow());
-      return new DecodedCall.Request(new OperatorRequest.ExplainKey(name, key.orElseThrow()));
-    } catch (ModelException e) {
-      return malformed("service", service.orElseThrow());
-    }
+    return decodeQuery(uri, OperatorCalls::readExplain);
   }
 
-  private static Optional<String> single(
-      Map<String, List<String>> query, String key, JsonErrors errors) {
-    List<String> values = query.getOrDefault(key, List.of());
-    if (values.isEmpty()) {
-      errors.addMissing(key, "one value");
-      return Optional.empty();
-    }
-    if (values.size() > 1) {
-      errors.add(key, values.get(1), "one value");
-      return Optional.empty();
-    }
-    return Optional.of(values.get(0));
+  private static Optional<OperatorRequest> readExplain(JsonObjectReader query) {
+    Optional<ServiceName> service = query.required("service", JsonValues.name(ServiceName::of));
+    Optional<String> key = query.required("key", ANY_TEXT);
+    return service.flatMap(s -> key.map(k -> new OperatorRequest.ExplainKey(s, k)));
+  }
+
+  private static DecodedCall decodeQuery(
+      QueryStringDecoder uri, Function<JsonObjectReader, Optional<OperatorRequest>> reader) {
+    var errors = new JsonErrors();
+    return QueryReader.read(uri, reader, errors)
+        .<DecodedCall>map(DecodedCall.Request::new)
+        .orElseGet(() -> new DecodedCall.Malformed(errors.list()));
   }
 
   private static DecodedCall onlyGet(OperatorCall call, DecodedCall decoded) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCodec.java
@@ -42,7 +42,7 @@
               "plan",
               o -> o.required("plan", PlanCodec.VALUE).map(OperatorReply.PlanShown::new),
               "plans",
-              o -> o.required("plans", PLANS).map(OperatorReply.PlansListed::new),
+              OperatorCodec::readPlans,
               "facts",
               OperatorCodec::readFacts,
               "failed",
@@ -104,7 +104,7 @@
         ObjectNode node = type("plans");
         ArrayNode plans = node.putArray("plans");
         r.plans().forEach(p -> plans.add(PlanCodec.encode(p)));
-        yield node;
+        yield node.put("hasMore", r.hasMore());
       }
       case OperatorReply.Facts r -> {
         ObjectNode node = type("facts");
@@ -147,6 +147,15 @@
     return reader.flatMap(r -> r.apply(object));
   }
 
+  private static Optional<OperatorReply> readPlans(JsonObjectReader object) {
+    Optional<ImmutableList<PlanRecord>> plans = object.required("plans", PLANS);
+    Optional<Boolean> hasMore = object.required("hasMore", JsonValues.bool());
+    if (plans.isEmpty() || hasMore.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new OperatorReply.PlansListed(plans.get(), hasMore.get()));
+  }
+
   private static Optional<OperatorReply> readFacts(JsonObjectReader object) {
     Optional<ImmutableMap<String, String>> facts = object.required("facts", FACTS);
     Optional<ImmutableList<String>> decisions = object.required("decisions", DECISIONS);
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorCodecTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorCodecTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.catkinlift.daemon.json.JsonErrors;
 import org.catkinlift.daemon.json.StrictJson;
 import org.catkinlift.model.PlanId;
@@ -36,7 +37,8 @@
     requests.add(
         new OperatorRequest.ConfirmPlan(PlanId.of("p-1")),
         new OperatorRequest.ShowPlan(PlanId.of("p-1")),
-        new OperatorRequest.ListPlans(),
+        OperatorRequest.ListPlans.newest(),
+        new OperatorRequest.ListPlans(1, Optional.of(PlanId.of("p-1"))),
         new OperatorRequest.ShowStatus(),
         new OperatorRequest.ExplainKey(ServiceName.of("order-desk"), "a b/c?&=%é+"));
     for (OperatorRequest request : requests.build()) {
@@ -59,7 +61,7 @@
     }
     var plan = SamplePlans.plan(SamplePlans.INTENTS.get(1), PlanRecord.State.OPEN);
     replies.add(
-        new OperatorReply.PlansListed(ImmutableList.of(plan)),
+        new OperatorReply.PlansListed(ImmutableList.of(plan), true),
         new OperatorReply.Facts(ImmutableMap.of("b", "", "a", "2"), ImmutableList.of("d")));
     for (OperatorReply reply : replies.build()) {
       String text = StrictJson.print(OperatorCodec.encode(reply));
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -156,6 +156,10 @@
       value = {
         "POST, /v1/plans, {\"intent\":\"drain-zone\"}, 400, \"path\":\"zone\"",
         "GET, /v1/plans/P_1, , 400, \"path\":\"plan\"",
+        "GET, /v1/plans?limit=101, , 400, integer from 1 to 100",
+        "GET, /v1/plans?limit=1&limit=2, , 400, \"path\":\"limit\"",
+        "GET, /v1/plans?before=P_1, , 400, \"path\":\"before\"",
+        "GET, /v1/plans?after=p-1, , 400, \"path\":\"after\"",
         "GET, /v1/explain?service=s, , 400, \"path\":\"key\"",
         "GET, /v1/explain?service=s&key=a&key=b, , 400, \"path\":\"key\"",
         "GET, /v1/explain?service=s&key=k&x=1, , 400, \"path\":\"x\"",
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorReply.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorReply.java
@@ -14,11 +14,12 @@
   record PlanShown(PlanRecord plan) implements OperatorReply {}
 
   /**
-   * All plans.
+   * Some plans.
    *
    * @param plans the plans, newest first
+   * @param hasMore whether there are older ones, which can be asked for with the last one's id
    */
-  record PlansListed(ImmutableList<PlanRecord> plans) implements OperatorReply {}
+  record PlansListed(ImmutableList<PlanRecord> plans, boolean hasMore) implements OperatorReply {}
 
   /**
    * Facts by name: the answer to status and explain requests.
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorRequest.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/OperatorRequest.java
@@ -1,5 +1,8 @@
 package org.catkinlift.plans;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Optional;
 import org.catkinlift.model.PlanId;
 import org.catkinlift.model.ServiceName;
 
@@ -27,8 +30,30 @@
    */
   record ShowPlan(PlanId plan) implements OperatorRequest {}
 
-  /** Asks for all plans. */
-  record ListPlans() implements OperatorRequest {}
+  /**
+   * Asks for plans, newest first.
+   *
+   * @param limit the greatest number of plans in the reply, from 1 to {@link #MAX_LIMIT}
+   * @param before the plan after which the reply starts; from the newest plan if empty
+   */
+  record ListPlans(int limit, Optional<PlanId> before) implements OperatorRequest {
+    /** Each plan holds a whole configuration, so that a longer reply may take megabytes. */
+    public static final int MAX_LIMIT = 100;
+
+    /** Checks the limit. */
+    public ListPlans {
+      checkArgument(limit >= 1 && limit <= MAX_LIMIT, "limit %s", limit);
+    }
+
+    /**
+     * Returns the request for the newest plans, as many as a reply may have.
+     *
+     * @return the request
+     */
+    public static ListPlans newest() {
+      return new ListPlans(MAX_LIMIT, Optional.empty());
+    }
+  }
 
   /** Asks for the state of this daemon and its cell. */
   record ShowStatus() implements OperatorRequest {}
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanControl.java
@@ -95,7 +95,7 @@
       case OperatorRequest.MakePlan r -> making.start(call, r.intent());
       case OperatorRequest.ConfirmPlan r -> confirmation.start(call, r.plan());
       case OperatorRequest.ShowPlan r -> queries.show(call, r.plan());
-      case OperatorRequest.ListPlans r -> queries.list(call);
+      case OperatorRequest.ListPlans r -> queries.list(call, r);
       case OperatorRequest.ShowStatus r -> answer(call, facts.status(nowNanos));
       case OperatorRequest.ExplainKey r ->
           answer(call, facts.explain(r.service(), r.key(), nowNanos));
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanQueries.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanQueries.java
@@ -1,6 +1,7 @@
 package org.catkinlift.plans;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -29,7 +30,7 @@
 
     record One(long operator, PlanId plan) implements Question {}
 
-    record All(long operator) implements Question {}
+    record Page(long operator, OperatorRequest.ListPlans request) implements Question {}
   }
 
   private final CallNumbers calls;
@@ -43,8 +44,8 @@
     return ask(new Question.One(operator, plan), PlanRows.nameOf(plan));
   }
 
-  ImmutableList<ControlAction> list(long operator) {
-    return ask(new Question.All(operator), PlanRows.PLANS);
+  ImmutableList<ControlAction> list(long operator, OperatorRequest.ListPlans request) {
+    return ask(new Question.Page(operator, request), PlanRows.PLANS);
   }
 
   private ImmutableList<ControlAction> ask(Question question, String prefix) {
@@ -71,7 +72,7 @@
     }
     return switch (question) {
       case Question.One q -> one(q.plan(), rows.get());
-      case Question.All q -> new OperatorReply.PlansListed(all(rows.get()));
+      case Question.Page q -> page(q.request(), all(rows.get()));
     };
   }
 
@@ -83,6 +84,21 @@
             OperatorReply.Reason.NOT_FOUND, "plan " + plan + " does not exist");
   }
 
+  private static OperatorReply page(
+      OperatorRequest.ListPlans request, ImmutableList<PlanRecord> plans) {
+    int start = 0;
+    if (request.before().isPresent()) {
+      PlanId before = request.before().get();
+      start = 1 + Iterables.indexOf(plans, p -> p.plan().id().equals(before));
+      if (start == 0) {
+        return new OperatorReply.Failed(
+            OperatorReply.Reason.NOT_FOUND, "plan " + before + " does not exist");
+      }
+    }
+    int end = Math.min(plans.size(), start + request.limit());
+    return new OperatorReply.PlansListed(plans.subList(start, end), end < plans.size());
+  }
+
   private static ImmutableList<PlanRecord> all(ImmutableList<Row> rows) {
     return rows.stream()
         .map(Row::value)
--- a/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/plans/PlanControlTest.java
@@ -4,11 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Iterables;
 import java.time.Duration;
 import java.util.Collections;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.RowValue;
@@ -239,10 +241,50 @@
     site.platform().loseAnswersOfWrites(1);
     PlanId plan = make("suva-01", CREATE);
     assertThat(make("nadi-01", CREATE)).isEqualTo(plan);
-    var plans = (OperatorReply.PlansListed) site.ask("nadi-01", new OperatorRequest.ListPlans());
+    var plans = (OperatorReply.PlansListed) site.ask("nadi-01", OperatorRequest.ListPlans.newest());
     assertThat(plans.plans()).hasSize(1);
   }
 
+  /** Guards against a reply that grows with all plans ever made, and pages that skip or repeat. */
+  @Test
+  void listsPlansByPagesNewestFirst() {
+    int count = OperatorRequest.ListPlans.MAX_LIMIT + 5;
+    ImmutableList<PlanId> ids =
+        IntStream.rangeClosed(1, count)
+            .mapToObj(this::putPlan)
+            .collect(ImmutableList.toImmutableList());
+    var newest = OperatorRequest.ListPlans.newest();
+    var first = (OperatorReply.PlansListed) site.ask("suva-01", newest);
+    assertThat(first.plans()).hasSize(newest.limit());
+    assertThat(first.plans().get(0).plan().configurationVersion()).isEqualTo(count);
+    assertThat(first.hasMore()).isTrue();
+
+    var next = new OperatorRequest.ListPlans(5, Optional.of(ids.get(5)));
+    var second = (OperatorReply.PlansListed) site.ask("suva-01", next);
+    assertThat(second.plans().stream().map(p -> p.plan().configurationVersion()))
+        .containsExactly(5L, 4L, 3L, 2L, 1L)
+        .inOrder();
+    assertThat(second.hasMore()).isFalse();
+
+    var unknown = new OperatorRequest.ListPlans(5, Optional.of(PlanId.of("p-0")));
+    assertThat(failure(site.ask("suva-01", unknown)).reason())
+        .isEqualTo(OperatorReply.Reason.NOT_FOUND);
+  }
+
+  private PlanId putPlan(int version) {
+    Plan plan =
+        PlanBuilder.plan(
+            CREATE,
+            new PlanBasis(
+                FakeSite.configuration(version),
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                ImmutableSet.of()));
+    var record = new PlanRecord(plan, PlanRecord.State.OPEN);
+    site.platform().put("plan/" + plan.id(), new RowValue.PlanRow(record));
+    return plan.id();
+  }
+
   /** Guards against confirmations that seem to work, or plans that vanish, in an outage. */
   @Test
   void unreachablePlatformIsAClearErrorAndTheConfirmationCanBeRepeated() {
