Set the metrics of authority, configuration, relays and left upstreams

Cause: DaemonMetrics declared authority, configurationSeen, upstreamLeft and requestRelayed, but nothing called them. The endpoint showed authority 0 and configuration version 0 for ever, and series of upstreams never ended.

Change: the control loop reports authority, configuration version and age with each tick. RelayClient reports each request that it has sent, and UpstreamWorkers each upstream that they release. configurationSeen takes the age that the dissemination knows instead of assuming 0.

Tests: MetricsTest starts two daemons and reads their metrics endpoints. DaemonMetricsTest expects an age of 3.0 s instead of 2.5 s, because the configuration was confirmed 0.5 s before the test begins. CliTest also checks the hint to older plans.

--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/CliTest.java
@@ -241,6 +241,15 @@
             """);
   }
 
+  /** Guards against a list that looks complete though there are older plans. */
+  @Test
+  void saysHowToListOlderPlans() {
+    var plans = ImmutableList.of(plan(PlanRecord.State.OPEN, "nadi is full"));
+    replies.add(new OperatorReply.PlansListed(plans, true));
+    assertThat(run("plans --limit 1")).isEqualTo(ExitCode.DONE);
+    assertThat(errors()).isEqualTo("there are older plans: catkinlift plans --before p-1\n");
+  }
+
   /** Guards against JSON output that scripts cannot read. */
   @Test
   void printsJson() {
--- /dev/null
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/MetricsTest.java
@@ -0,0 +1,74 @@
+package org.catkinlift.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.catkinlift.model.HostId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against metrics that the daemon declares and never sets. */
+final class MetricsTest {
+  private static final HostId FIRST = HostId.of("suva-1");
+  private static final HostId SECOND = HostId.of("suva-2");
+  private static final int UPSTREAMS = 4;
+  private static final int POLLS = 300;
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+
+  /** Returns the sum of a metric over all its series at one daemon. */
+  private static double sum(TestSite site, HostId daemon, String metric) {
+    return site.metrics(daemon).stream()
+        .filter(l -> l.startsWith(metric))
+        .mapToDouble(l -> Double.parseDouble(l.substring(l.lastIndexOf(' ') + 1)))
+        .sum();
+  }
+
+  private static long upstreams(TestSite site, HostId daemon) {
+    return site.metrics(daemon).stream()
+        .filter(l -> l.startsWith("catkinlift_upstream_queued{"))
+        .count();
+  }
+
+  private static void await(TestSite site, BooleanSupplier condition) {
+    for (int i = 0; i < POLLS && !condition.getAsBoolean(); i++) {
+      TestSite.await(site.delay(POLL_INTERVAL));
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  @Test
+  void endpointShowsAuthorityConfigurationRelaysAndUpstreams() throws Exception {
+    try (TestSite site = TestSite.start("suva")) {
+      site.awaitServing();
+
+      await(site, () -> authority(site, FIRST) + authority(site, SECOND) == 1);
+      for (HostId host : new HostId[] {FIRST, SECOND}) {
+        await(site, () -> sum(site, host, "catkinlift_configuration_version ") == 1);
+      }
+      await(site, () -> relaysOfBoth(site) > 0);
+
+      TestSite.await(site.stopDaemon(SECOND));
+      await(site, () -> upstreams(site, FIRST) == UPSTREAMS);
+      site.startDaemon(SECOND);
+      await(
+          site,
+          () ->
+              upstreams(site, SECOND) > 0
+                  && upstreams(site, FIRST) + upstreams(site, SECOND) == UPSTREAMS);
+    }
+  }
+
+  private static double authority(TestSite site, HostId daemon) {
+    return sum(site, daemon, "catkinlift_authority ");
+  }
+
+  /** Asks both daemons for the same keys; at most one of them is the dispatcher of each. */
+  private static double relaysOfBoth(TestSite site) {
+    site.awaitServing();
+    return relays(site, FIRST) + relays(site, SECOND);
+  }
+
+  private static double relays(TestSite site, HostId daemon) {
+    return sum(site, daemon, "catkinlift_relays_total{");
+  }
+}
--- a/catkinlift-cli/src/test/java/org/catkinlift/cli/TestSite.java
+++ b/catkinlift-cli/src/test/java/org/catkinlift/cli/TestSite.java
@@ -180,8 +180,18 @@
     return send(daemon, HttpRequest.newBuilder().GET(), path);
   }
 
+  /** Reads the metrics endpoint of a daemon. */
+  ImmutableList<String> metrics(HostId daemon) {
+    URI uri = URI.create("http://" + settings.get(daemon).operatorAddress() + "/metrics");
+    var request = HttpRequest.newBuilder().GET().header("Authorization", "Bearer " + TOKEN);
+    return send(request, uri).body().lines().collect(toImmutableList());
+  }
+
   HttpResponse<String> send(HostId daemon, HttpRequest.Builder request, String path) {
-    URI uri = URI.create("http://" + settings.get(daemon).callerAddress() + path);
+    return send(request, URI.create("http://" + settings.get(daemon).callerAddress() + path));
+  }
+
+  private HttpResponse<String> send(HttpRequest.Builder request, URI uri) {
     try {
       return client.send(
           request.uri(uri).timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -51,7 +51,7 @@
   private final MetricRegistry registry = new MetricRegistry();
   private final DaemonMetrics metrics = new DaemonMetrics(registry, System::nanoTime);
   private final RoutingStateHolder states;
-  private final RelayClient relays = new RelayClient();
+  private final RelayClient relays = new RelayClient(metrics::requestRelayed);
   private final SplittableRandom random = new SplittableRandom();
 
   private ImmutableList<TrafficLoop> loops = ImmutableList.of();
@@ -99,7 +99,8 @@
             logger::log,
             new AtomicLong(),
             this::requestEnded,
-            this::loadsReported);
+            this::loadsReported,
+            metrics::upstreamLeft);
     loops =
         IntStream.range(0, TRAFFIC_LOOPS)
             .mapToObj(i -> new TrafficLoop(shared, random.split()))
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/DaemonPorts.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/DaemonPorts.java
@@ -1,6 +1,8 @@
 package org.catkinlift.daemon;
 
 import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.Optional;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.PlatformRequest;
 import org.catkinlift.control.UpstreamRequest;
@@ -25,7 +27,7 @@
  * @param upstreams reaches upstreams
  * @param workers learn the instances of upstreams
  * @param logger writes log lines
- * @param metrics counts calls to the platform
+ * @param metrics counts calls to the platform and shows the control state
  */
 record DaemonPorts(
     PeerTransport transport,
@@ -58,6 +60,13 @@
     workers.instanceSeen(upstream, instance);
   }
 
+  @Override
+  public void stateSeen(
+      boolean hasAuthority, long configurationVersion, Optional<Duration> configurationAge) {
+    metrics.authority(hasAuthority);
+    metrics.configurationSeen(configurationVersion, configurationAge);
+  }
+
   @Override
   public void log(DecisionEvent event) {
     logger.log(event);
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import org.catkinlift.configuration.ConfigurationAge;
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
@@ -46,6 +47,7 @@
   private final OwnershipView ownership;
   private final CallNumbers calls;
   private final DecisionLog decisions;
+  private final ConfigurationAge age;
   private final RoutingStateHolder states;
   private final ControlPorts ports;
   private final BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener;
@@ -64,6 +66,7 @@
     this.ownership = parts.ownership();
     this.calls = parts.calls();
     this.decisions = parts.decisions();
+    this.age = parts.age();
     this.states = states;
     this.ports = ports;
     this.leaseListener = leaseListener;
@@ -152,6 +155,7 @@
     handle(new ControlEvent.Tick());
     long now = timers.nowNanos();
     leaseListener.accept(ownership.heldLeases(now), now);
+    ports.stateSeen(ownership.hasAuthority(now), store.configuration().version(), age.age(now));
   }
 
   private void handle(ControlEvent event) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlParts.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlParts.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.SplittableRandom;
+import org.catkinlift.configuration.ConfigurationAge;
 import org.catkinlift.configuration.DisseminationControl;
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlPart;
@@ -24,6 +25,7 @@
  * @param store keeps the values that spread among daemons
  * @param calls numbers calls to the platform, to upstreams and of operators
  * @param decisions keeps the decisions that the parts log, for operators
+ * @param age shows when the configuration in force was last known to be the newest
  */
 public record ControlParts(
     ImmutableList<ControlPart> all,
@@ -31,7 +33,8 @@
     OwnershipView ownership,
     VersionStore store,
     CallNumbers calls,
-    DecisionLog decisions) {
+    DecisionLog decisions,
+    ConfigurationAge age) {
 
   /**
    * Creates the parts of a daemon.
@@ -79,6 +82,7 @@
         cell,
         store,
         calls,
-        decisions);
+        decisions,
+        dissemination);
   }
 }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlPorts.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlPorts.java
@@ -1,6 +1,8 @@
 package org.catkinlift.daemon.control;
 
 import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.Optional;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.PlatformRequest;
 import org.catkinlift.control.UpstreamRequest;
@@ -45,6 +47,16 @@
    */
   void instanceSeen(UpstreamId upstream, String instance);
 
+  /**
+   * Takes what the metrics show of the control state; called with each tick.
+   *
+   * @param hasAuthority whether this daemon has the authority of its cell
+   * @param configurationVersion the version of the configuration in force
+   * @param configurationAge the time since it was last known to be the newest, if it ever was
+   */
+  void stateSeen(
+      boolean hasAuthority, long configurationVersion, Optional<Duration> configurationAge);
+
   /**
    * Writes a log line.
    *
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
@@ -16,6 +16,7 @@
 import org.catkinlift.daemon.relay.RelayClient;
 import org.catkinlift.daemon.settings.DaemonSettings;
 import org.catkinlift.daemon.upstream.UpstreamWorkers;
+import org.catkinlift.model.UpstreamId;
 import org.catkinlift.routing.RequestRouter;
 import org.catkinlift.routing.SharedChooser;
 
@@ -39,6 +40,7 @@
    * @param attempts numbers the attempts of the daemon
    * @param observer learns how requests ended
    * @param loads takes the loads of upstreams
+   * @param upstreamLeft takes each upstream that the daemon no longer dispatches to
    */
   public record Shared(
       DaemonSettings settings,
@@ -47,7 +49,8 @@
       EventSink events,
       AtomicLong attempts,
       Consumer<RequestEnd> observer,
-      Consumer<ImmutableList<UpstreamLoad>> loads) {}
+      Consumer<ImmutableList<UpstreamLoad>> loads,
+      Consumer<UpstreamId> upstreamLeft) {}
 
   /**
    * Creates the loop; it starts when it is deployed.
@@ -65,7 +68,12 @@
     loop = context;
     workers =
         new UpstreamWorkers(
-            vertx, shared.settings(), shared.states(), shared.events(), shared.attempts());
+            vertx,
+            shared.settings(),
+            shared.states(),
+            shared.events(),
+            shared.attempts(),
+            shared.upstreamLeft());
     vertx.setPeriodic(LOAD_REPORT_MILLIS, t -> shared.loads().accept(workers.loads()));
     return Future.succeededFuture();
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/metrics/DaemonMetrics.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/metrics/DaemonMetrics.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import org.catkinlift.model.Outcome;
@@ -126,13 +127,15 @@
   }
 
   /**
-   * Sets the configuration in force and restarts its age.
+   * Sets the configuration in force.
    *
-   * @param version its version, which is known to be the newest at this moment
+   * @param version its version
+   * @param age the time since it was last known to be the newest; if empty, the age goes on to
+   *     count from the start of the daemon
    */
-  public void configurationSeen(long version) {
+  public void configurationSeen(long version, Optional<Duration> age) {
     configurationVersion = version;
-    configurationSeenNanos = nanoClock.getAsLong();
+    age.ifPresent(a -> configurationSeenNanos = nanoClock.getAsLong() - a.toNanos());
   }
 
   /**
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/RelayClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/relay/RelayClient.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.Outcome;
 import org.catkinlift.model.RefusalCode;
+import org.catkinlift.model.ServiceName;
 import org.catkinlift.protocol.PeerLink;
 import org.catkinlift.protocol.PeerTransport;
 import org.catkinlift.protocol.RelayFrame;
@@ -21,11 +23,21 @@
 
   private final AtomicLong lastStream = new AtomicLong();
   private final Map<Long, OpenStream> streams = new ConcurrentHashMap<>();
+  private final Consumer<ServiceName> onRelayed;
   private volatile PeerTransport transport;
 
   /** An open stream and the link that carries it. */
   private record OpenStream(EntryEnd entry, PeerLink link) {}
 
+  /**
+   * Creates a client.
+   *
+   * @param onRelayed takes the service of each attempt that was sent; called on any thread
+   */
+  public RelayClient(Consumer<ServiceName> onRelayed) {
+    this.onRelayed = onRelayed;
+  }
+
   /**
    * Sets the transport; called once, before the first attempt.
    *
@@ -59,6 +71,7 @@
                   }
                   streams.put(stream, new OpenStream(entry, link));
                   link.send(new RelayFrame.Request(stream, head));
+                  onRelayed.accept(head.request().service());
                   end.connected(link);
                   if (!link.isOpen()) {
                     linkClosed(link);
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.daemon.EventSink;
 import org.catkinlift.daemon.RoutingStateHolder;
@@ -41,6 +42,7 @@
   private final RoutingStateHolder states;
   private final EventSink events;
   private final AtomicLong attempts;
+  private final Consumer<UpstreamId> onLeft;
   private final Map<UpstreamId, UpstreamWorker> workers = new TreeMap<>();
   private final List<Promise<Void>> drained = new ArrayList<>();
   private final long timer;
@@ -53,19 +55,23 @@
    * @param states shows the definitions of upstreams
    * @param events takes log events
    * @param attempts numbers the attempts of the daemon
+   * @param onLeft takes each upstream that is no longer dispatched from here and has no running
+   *     request; called on the event loop
    */
   public UpstreamWorkers(
       Vertx vertx,
       DaemonSettings settings,
       RoutingStateHolder states,
       EventSink events,
-      AtomicLong attempts) {
+      AtomicLong attempts,
+      Consumer<UpstreamId> onLeft) {
     this.vertx = vertx;
     this.context = vertx.getOrCreateContext();
     this.settings = settings;
     this.states = states;
     this.events = events;
     this.attempts = attempts;
+    this.onLeft = onLeft;
     this.timer = vertx.setPeriodic(TICK_INTERVAL.toMillis(), t -> tick());
   }
 
@@ -164,6 +170,7 @@
     if (worker.isIdle()) {
       workers.remove(worker.upstream().id(), worker);
       worker.close();
+      onLeft.accept(worker.upstream().id());
     }
   }
 
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/control/ControlLoopTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/control/ControlLoopTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Future;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.catkinlift.control.CallNumbers;
@@ -77,7 +78,13 @@
             .decisions(decisions)
             .build();
     return new ControlParts(
-        ImmutableList.of(new Assigning(), plans), membership, ownership, store, calls, decisions);
+        ImmutableList.of(new Assigning(), plans),
+        membership,
+        ownership,
+        store,
+        calls,
+        decisions,
+        n -> Optional.empty());
   }
 
   /** Guards against decisions that are logged but missing in the explanation of a key. */
@@ -144,6 +151,9 @@
     @Override
     public void instanceSeen(UpstreamId upstream, String instance) {}
 
+    @Override
+    public void stateSeen(boolean hasAuthority, long version, Optional<Duration> age) {}
+
     @Override
     public void log(DecisionEvent event) {}
   }
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/metrics/DaemonMetricsTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/metrics/DaemonMetricsTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.catkinlift.daemon.DocTables;
 import org.catkinlift.daemon.metrics.DaemonMetrics.PlatformResult;
@@ -40,7 +41,8 @@
     metrics.requestRetried(DESK);
     metrics.upstreamLoad(UPSTREAM, 3, 4);
     metrics.authority(true);
-    metrics.configurationSeen(7);
+    metrics.configurationSeen(7, Optional.of(Duration.ofMillis(500)));
+    metrics.configurationSeen(7, Optional.empty());
     metrics.platformCalled("read", PlatformResult.FAILED);
     nanos.set(2_500_000_000L);
     assertThat(lines())
@@ -55,7 +57,7 @@
             "catkinlift_upstream_in_flight{upstream=\"desk-01\"} 4",
             "catkinlift_authority 1",
             "catkinlift_configuration_version 7",
-            "catkinlift_configuration_age_seconds 2.5",
+            "catkinlift_configuration_age_seconds 3.0",
             "catkinlift_platform_calls_total{call=\"read\",result=\"failed\"} 1");
   }
 
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorServerTest.java
@@ -19,6 +19,7 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.catkinlift.daemon.metrics.DaemonMetrics;
@@ -48,7 +49,7 @@
   @BeforeEach
   void start() throws Exception {
     var registry = new MetricRegistry();
-    new DaemonMetrics(registry, System::nanoTime).configurationSeen(7);
+    new DaemonMetrics(registry, System::nanoTime).configurationSeen(7, Optional.empty());
     port = freePort();
     server = new OperatorServer(vertx, settings(), registry, this::ask, isServing::get);
     server.start().toCompletionStage().toCompletableFuture().get();
