Use one set of JSON codecs for the operator API and platform rows

Cause: daemon.operator and daemon.platform each had an IntentCodec, a PlanCodec, a ServiceCodec and a codec of the configuration, so that each new field had to be added twice.

Change: the codecs are in daemon.json and take a JsonFormat, Api or Row. FormatRules holds the differences: names of keys, forms of epochs, addresses and durations, defaults and ranges for people, and keys of later versions, which rows may have. A service that is named twice in a configuration is an error in both formats; the API kept the last one before.

The exception classes of daemon.operator, daemon.platform and daemon.upstream stay: docs/design.md section 2 wants one per layer, with its own codes.

OperatorCodecTest only names the moved codec.

--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/PlanText.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/PlanText.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
-import org.catkinlift.daemon.operator.PlanCodec;
+import org.catkinlift.daemon.json.PlanCodec;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.plans.Intent;
 import org.catkinlift.plans.Plan;
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/ServiceFile.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/ServiceFile.java
@@ -7,12 +7,15 @@
 import java.nio.file.Path;
 import org.catkinlift.daemon.json.JsonError;
 import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonFormat;
+import org.catkinlift.daemon.json.ServiceCodec;
 import org.catkinlift.daemon.operator.OperatorCodec;
-import org.catkinlift.daemon.operator.ServiceCodec;
 import org.catkinlift.model.ServiceDefinition;
 
 /** Reads the file of {@code plan put-service}. */
 final class ServiceFile {
+  private static final ServiceCodec SERVICE = new ServiceCodec(new JsonFormat.Api());
+
   private ServiceFile() {}
 
   /**
@@ -24,7 +27,7 @@
    */
   static ServiceDefinition read(Path file) {
     var errors = new JsonErrors();
-    return OperatorCodec.decode(text(file), ServiceCodec.VALUE, errors)
+    return OperatorCodec.decode(text(file), SERVICE.value(), errors)
         .orElseThrow(
             () ->
                 new CliException(
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/ConfigurationCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/ConfigurationCodec.java
@@ -1,16 +1,13 @@
-package org.catkinlift.daemon.operator;
+package org.catkinlift.daemon.json;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashMap;
 import java.util.Optional;
 import java.util.function.Function;
-import org.catkinlift.daemon.json.JsonObjectReader;
-import org.catkinlift.daemon.json.JsonValue;
-import org.catkinlift.daemon.json.JsonValues;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceDefinition;
@@ -20,13 +17,29 @@
 
 /** Translates configurations to and from JSON. */
 public final class ConfigurationCodec {
-  /** Reads a configuration. */
-  public static final JsonValue<Configuration> VALUE = JsonValues.object(ConfigurationCodec::read);
+  private static final String KIND = "configuration";
 
-  private static final JsonValue<ImmutableList<ServiceDefinition>> SERVICES =
-      JsonValues.list(ServiceCodec.VALUE, "array of services");
+  private final FormatRules rules;
+  private final ServiceCodec services;
 
-  private ConfigurationCodec() {}
+  /**
+   * Creates a codec.
+   *
+   * @param format the form of the JSON
+   */
+  public ConfigurationCodec(JsonFormat format) {
+    this.rules = new FormatRules(format);
+    this.services = new ServiceCodec(format);
+  }
+
+  /**
+   * Reads a configuration.
+   *
+   * @return the kind of value
+   */
+  public JsonValue<Configuration> value() {
+    return JsonValues.object(this::read);
+  }
 
   /**
    * Encodes a configuration.
@@ -34,11 +47,11 @@
    * @param configuration the configuration
    * @return the JSON object
    */
-  public static ObjectNode encode(Configuration configuration) {
-    ObjectNode node = JsonNodeFactory.instance.objectNode();
+  public ObjectNode encode(Configuration configuration) {
+    ObjectNode node = rules.object(KIND);
     node.put("version", configuration.version());
-    ArrayNode services = node.putArray("services");
-    configuration.services().values().forEach(s -> services.add(ServiceCodec.encode(s)));
+    ArrayNode array = node.putArray("services");
+    configuration.services().values().forEach(s -> array.add(services.encode(s)));
     putNames(node, "drainedZones", configuration.drainedZones());
     putNames(node, "lostZones", configuration.lostZones());
     putNames(node, "retiringUpstreams", configuration.retiringUpstreams());
@@ -51,12 +64,14 @@
     names.forEach(name -> array.add(name.toString()));
   }
 
-  private static Optional<Configuration> read(JsonObjectReader object) {
+  private Optional<Configuration> read(JsonObjectReader object) {
+    rules.allowLaterKeys(object);
     Optional<Long> version = object.required("version", JsonValues.longInteger(0));
-    Optional<ImmutableList<ServiceDefinition>> services = object.required("services", SERVICES);
+    Optional<ImmutableList<ServiceDefinition>> read =
+        object.required("services", JsonValues.list(services.value(), "array of services"));
     var builder =
         Configuration.builder()
-            .services(byName(services.orElse(ImmutableList.of())))
+            .services(byName(object, read.orElse(ImmutableList.of())))
             .drainedZones(names(object, "drainedZones", ZoneName::of))
             .lostZones(names(object, "lostZones", ZoneName::of))
             .retiringUpstreams(names(object, "retiringUpstreams", UpstreamId::of))
@@ -65,10 +80,16 @@
   }
 
   private static ImmutableMap<ServiceName, ServiceDefinition> byName(
-      ImmutableList<ServiceDefinition> services) {
-    var byName = ImmutableMap.<ServiceName, ServiceDefinition>builder();
-    services.forEach(s -> byName.put(s.name(), s));
-    return byName.buildKeepingLast();
+      JsonObjectReader object, ImmutableList<ServiceDefinition> services) {
+    var byName = new LinkedHashMap<ServiceName, ServiceDefinition>();
+    for (ServiceDefinition service : services) {
+      if (byName.put(service.name(), service) != null) {
+        object
+            .errors()
+            .add(object.pathOf("services"), service.name(), "services with different names");
+      }
+    }
+    return ImmutableMap.copyOf(byName);
   }
 
   private static <T> ImmutableSet<T> names(
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/FormatRules.java
@@ -0,0 +1,183 @@
+package org.catkinlift.daemon.json;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.NetworkAddress;
+
+/** Holds all differences between the forms, so that the codecs have none of their own. */
+final class FormatRules {
+  private static final Duration MAX_MILLIS = Duration.ofMillis(Long.MAX_VALUE);
+  private static final JsonValue<Integer> ANY_INTEGER =
+      JsonValues.integer(Integer.MIN_VALUE, Integer.MAX_VALUE);
+  private static final JsonValue<Epoch> EPOCH_TEXT =
+      JsonValues.parsed("string TERM.COUNTER", FormatRules::parseEpoch);
+  private static final JsonValue<ImmutableList<Long>> EPOCH_ARRAY =
+      JsonValues.list(JsonValues.longInteger(0), "array of term and counter");
+
+  private final JsonFormat format;
+
+  FormatRules(JsonFormat format) {
+    this.format = format;
+  }
+
+  /** Returns the key that names the variant of a service kind or rule. */
+  String variantKey() {
+    return pick("type", "kind");
+  }
+
+  /** Returns the key that names the variant of an intent. */
+  String intentKey() {
+    return pick("intent", "kind");
+  }
+
+  /** Returns the key of the definition in an intent to put a service. */
+  String definitionKey() {
+    return pick("service", "definition");
+  }
+
+  /** Returns the key of the expected duration of a plan. */
+  String durationKey() {
+    return pick("expectedDurationMs", "expectedMillis");
+  }
+
+  /** Returns the key of a duration in milliseconds. */
+  String millisKey(String name) {
+    return name + pick("Ms", "Millis");
+  }
+
+  private String pick(String api, String row) {
+    return switch (format) {
+      case JsonFormat.Api a -> api;
+      case JsonFormat.Row r -> row;
+    };
+  }
+
+  /** Begins an object; rows name the kind of object. */
+  ObjectNode object(String kind) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    return switch (format) {
+      case JsonFormat.Api a -> node;
+      case JsonFormat.Row r -> node.put("kind", kind);
+    };
+  }
+
+  /** Accepts keys that this version does not know where the form allows them. */
+  void allowLaterKeys(JsonObjectReader object) {
+    switch (format) {
+      case JsonFormat.Api a -> {}
+      case JsonFormat.Row r -> object.ignoreRest();
+    }
+  }
+
+  /** Reads a key that has a default for people; in rows its absence is an error. */
+  <T> Optional<T> optionalForPeople(JsonObjectReader object, String key, JsonValue<T> value) {
+    return switch (format) {
+      case JsonFormat.Api a -> object.optional(key, value);
+      case JsonFormat.Row r -> object.required(key, value);
+    };
+  }
+
+  /** Reads an integer whose range binds people; rows were checked before they were written. */
+  JsonValue<Integer> integer(int min, int max) {
+    return switch (format) {
+      case JsonFormat.Api a -> JsonValues.integer(min, max);
+      case JsonFormat.Row r -> ANY_INTEGER;
+    };
+  }
+
+  JsonValue<Integer> powerOfTwo(int max) {
+    return switch (format) {
+      case JsonFormat.Api a -> JsonValues.powerOfTwo(max);
+      case JsonFormat.Row r -> ANY_INTEGER;
+    };
+  }
+
+  JsonValue<Duration> millis(Duration min, Duration max) {
+    return switch (format) {
+      case JsonFormat.Api a -> JsonValues.millis(min, max);
+      case JsonFormat.Row r -> JsonValues.millis(Duration.ZERO, MAX_MILLIS);
+    };
+  }
+
+  JsonNode encode(Epoch epoch) {
+    return switch (format) {
+      case JsonFormat.Api a -> TextNode.valueOf(epoch.toString());
+      case JsonFormat.Row r ->
+          JsonNodeFactory.instance.arrayNode().add(epoch.term()).add(epoch.counter());
+    };
+  }
+
+  JsonValue<Epoch> epoch() {
+    return switch (format) {
+      case JsonFormat.Api a -> EPOCH_TEXT;
+      case JsonFormat.Row r -> epochArray();
+    };
+  }
+
+  private static JsonValue<Epoch> epochArray() {
+    return new JsonValue<>() {
+      @Override
+      public String allowed() {
+        return EPOCH_ARRAY.allowed();
+      }
+
+      @Override
+      public Optional<Epoch> read(JsonNode node, String path, JsonErrors errors) {
+        Optional<ImmutableList<Long>> numbers = EPOCH_ARRAY.read(node, path, errors);
+        if (numbers.isEmpty() || numbers.get().size() != 2) {
+          errors.add(path, node, allowed());
+          return Optional.empty();
+        }
+        return Optional.of(Epoch.of(numbers.get().get(0), numbers.get().get(1)));
+      }
+    };
+  }
+
+  private static Optional<Epoch> parseEpoch(String text) {
+    List<String> parts = Splitter.on('.').splitToList(text);
+    if (parts.size() != 2) {
+      return Optional.empty();
+    }
+    Long term = Longs.tryParse(parts.get(0));
+    Long counter = Longs.tryParse(parts.get(1));
+    if (term == null || counter == null) {
+      return Optional.empty();
+    }
+    return Optional.of(Epoch.of(term, counter));
+  }
+
+  void putAddress(ObjectNode node, NetworkAddress address) {
+    switch (format) {
+      case JsonFormat.Api a -> node.put("address", JsonValues.formatAddress(address));
+      case JsonFormat.Row r -> node.put("ip", address.ip()).put("port", address.port());
+    }
+  }
+
+  Optional<NetworkAddress> address(JsonObjectReader object) {
+    return switch (format) {
+      case JsonFormat.Api a -> object.required("address", JsonValues.address());
+      case JsonFormat.Row r -> {
+        Optional<String> ip = object.required("ip", JsonValues.text());
+        Optional<Integer> port = object.required("port", ANY_INTEGER);
+        yield ip.flatMap(i -> port.map(p -> NetworkAddress.of(i, p)));
+      }
+    };
+  }
+
+  /** Tells whether a person wrote the document, so that mistakes in it are to be explained. */
+  boolean isWrittenByPeople() {
+    return switch (format) {
+      case JsonFormat.Api a -> true;
+      case JsonFormat.Row r -> false;
+    };
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/IntentCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/IntentCodec.java
@@ -1,13 +1,10 @@
-package org.catkinlift.daemon.operator;
+package org.catkinlift.daemon.json;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import java.util.function.Function;
-import org.catkinlift.daemon.json.JsonObjectReader;
-import org.catkinlift.daemon.json.JsonValue;
-import org.catkinlift.daemon.json.JsonValues;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
@@ -16,13 +13,12 @@
 
 /** Translates intents to and from JSON. */
 public final class IntentCodec {
-  /** Reads an intent. */
-  public static final JsonValue<Intent> VALUE = JsonValues.object(IntentCodec::read);
-
-  private static final ImmutableMap<String, Function<JsonObjectReader, Optional<Intent>>> READERS =
+  private final FormatRules rules;
+  private final ServiceCodec services;
+  private final ImmutableMap<String, Function<JsonObjectReader, Optional<Intent>>> readers =
       ImmutableMap.of(
           "put-service",
-          o -> o.required("service", ServiceCodec.VALUE).map(Intent.PutService::new),
+          this::readPutService,
           "remove-service",
           o -> name(o, "service", ServiceName::of).map(Intent.RemoveService::new),
           "drain-zone",
@@ -30,13 +26,30 @@
           "return-zone",
           o -> name(o, "zone", ZoneName::of).map(Intent.ReturnZone::new),
           "declare-zone-lost",
-          IntentCodec::readZoneLost,
+          this::readZoneLost,
           "retire-upstream",
           o -> name(o, "upstream", UpstreamId::of).map(Intent.RetireUpstream::new),
           "retire-host",
           o -> name(o, "host", HostId::of).map(Intent.RetireHost::new));
 
-  private IntentCodec() {}
+  /**
+   * Creates a codec.
+   *
+   * @param format the form of the JSON
+   */
+  public IntentCodec(JsonFormat format) {
+    this.rules = new FormatRules(format);
+    this.services = new ServiceCodec(format);
+  }
+
+  /**
+   * Reads an intent.
+   *
+   * @return the kind of value
+   */
+  public JsonValue<Intent> value() {
+    return JsonValues.object(this::read);
+  }
 
   /**
    * Encodes an intent.
@@ -44,11 +57,11 @@
    * @param intent the intent
    * @return the JSON object
    */
-  public static ObjectNode encode(Intent intent) {
+  public ObjectNode encode(Intent intent) {
     return switch (intent) {
       case Intent.PutService i -> {
         ObjectNode node = node("put-service");
-        node.set("service", ServiceCodec.encode(i.definition()));
+        node.set(rules.definitionKey(), services.encode(i.definition()));
         yield node;
       }
       case Intent.RemoveService i -> node("remove-service").put("service", i.service().value());
@@ -63,18 +76,24 @@
     };
   }
 
-  private static Optional<Intent> read(JsonObjectReader object) {
+  private Optional<Intent> read(JsonObjectReader object) {
+    rules.allowLaterKeys(object);
     Optional<Function<JsonObjectReader, Optional<Intent>>> reader =
-        object.required("intent", JsonValues.choice(READERS));
+        object.required(rules.intentKey(), JsonValues.choice(readers));
     if (reader.isEmpty()) {
       object.ignoreRest();
     }
     return reader.flatMap(r -> r.apply(object));
   }
 
-  private static Optional<Intent> readZoneLost(JsonObjectReader object) {
+  private Optional<Intent> readPutService(JsonObjectReader object) {
+    return object.required(rules.definitionKey(), services.value()).map(Intent.PutService::new);
+  }
+
+  private Optional<Intent> readZoneLost(JsonObjectReader object) {
     Optional<ZoneName> zone = name(object, "zone", ZoneName::of);
-    boolean hostsAreOff = object.optional("hostsAreOff", JsonValues.bool()).orElse(false);
+    boolean hostsAreOff =
+        rules.optionalForPeople(object, "hostsAreOff", JsonValues.bool()).orElse(false);
     return zone.map(z -> new Intent.DeclareZoneLost(z, hostsAreOff));
   }
 
@@ -83,7 +102,7 @@
     return object.required(key, JsonValues.name(factory));
   }
 
-  private static ObjectNode node(String intent) {
-    return JsonNodeFactory.instance.objectNode().put("intent", intent);
+  private ObjectNode node(String intent) {
+    return JsonNodeFactory.instance.objectNode().put(rules.intentKey(), intent);
   }
 }
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/KindCodec.java
@@ -0,0 +1,123 @@
+package org.catkinlift.daemon.json;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.catkinlift.model.CutOffRule;
+import org.catkinlift.model.GrantChecking;
+import org.catkinlift.model.ServiceKind;
+
+/** Translates the kind of a service, with its cut-off rule, to and from JSON. */
+final class KindCodec {
+  private static final Duration ONE_SECOND = Duration.ofSeconds(1);
+  private static final Duration ONE_DAY = Duration.ofDays(1);
+  private static final int MAX_SLOT_COUNT = 1 << 20;
+
+  private final FormatRules rules;
+
+  KindCodec(FormatRules rules) {
+    this.rules = rules;
+  }
+
+  /** Reads the kind of a service. */
+  JsonValue<ServiceKind> value() {
+    return tagged(ImmutableMap.of("keyed", this::readKeyed, "shared", o -> ServiceKind.shared()));
+  }
+
+  private JsonValue<CutOffRule> cutOffRule() {
+    return tagged(ImmutableMap.of("lapse", o -> CutOffRule.lapse(), "hold", this::readHold));
+  }
+
+  private JsonValue<GrantChecking> grantChecking() {
+    return tagged(
+        ImmutableMap.of("checked", o -> GrantChecking.checked(), "unchecked", this::readUnchecked));
+  }
+
+  /**
+   * Encodes the kind of a service.
+   *
+   * @param kind the kind
+   * @return the JSON object
+   */
+  ObjectNode encode(ServiceKind kind) {
+    return switch (kind) {
+      case ServiceKind.Shared s -> variant("shared");
+      case ServiceKind.Keyed k -> {
+        ObjectNode node = variant("keyed").put("slotCount", k.slotCount());
+        node.set("cutOffRule", encode(k.cutOffRule()));
+        node.set("grantChecking", encode(k.grantChecking()));
+        yield node;
+      }
+    };
+  }
+
+  private ObjectNode encode(CutOffRule rule) {
+    return switch (rule) {
+      case CutOffRule.Lapse l -> variant("lapse");
+      case CutOffRule.Hold h -> {
+        ObjectNode node =
+            variant("hold").put(rules.millisKey("longPromise"), h.longPromise().toMillis());
+        h.isolationLimit()
+            .ifPresent(d -> node.put(rules.millisKey("isolationLimit"), d.toMillis()));
+        yield node;
+      }
+    };
+  }
+
+  private ObjectNode encode(GrantChecking checking) {
+    return switch (checking) {
+      case GrantChecking.Checked c -> variant("checked");
+      case GrantChecking.Unchecked u ->
+          variant("unchecked").put(rules.millisKey("startBound"), u.startBound().toMillis());
+    };
+  }
+
+  private ServiceKind readKeyed(JsonObjectReader object) {
+    return new ServiceKind.Keyed(
+        rules
+            .optionalForPeople(object, "slotCount", rules.powerOfTwo(MAX_SLOT_COUNT))
+            .orElse(ServiceKind.DEFAULT_SLOT_COUNT),
+        rules.optionalForPeople(object, "cutOffRule", cutOffRule()).orElseGet(CutOffRule::hold),
+        rules
+            .optionalForPeople(object, "grantChecking", grantChecking())
+            .orElseGet(GrantChecking::checked));
+  }
+
+  private CutOffRule readHold(JsonObjectReader object) {
+    var millis = rules.millis(ONE_SECOND, ONE_DAY);
+    return new CutOffRule.Hold(
+        rules
+            .optionalForPeople(object, rules.millisKey("longPromise"), millis)
+            .orElse(CutOffRule.DEFAULT_LONG_PROMISE),
+        object.optional(rules.millisKey("isolationLimit"), millis));
+  }
+
+  private GrantChecking readUnchecked(JsonObjectReader object) {
+    var millis = rules.millis(Duration.ofMillis(1), GrantChecking.DEFAULT_START_BOUND);
+    return new GrantChecking.Unchecked(
+        rules
+            .optionalForPeople(object, rules.millisKey("startBound"), millis)
+            .orElse(GrantChecking.DEFAULT_START_BOUND));
+  }
+
+  private ObjectNode variant(String name) {
+    return JsonNodeFactory.instance.objectNode().put(rules.variantKey(), name);
+  }
+
+  /** Reads an object of which one key says which other keys it has. */
+  private <T> JsonValue<T> tagged(ImmutableMap<String, Function<JsonObjectReader, T>> readers) {
+    return JsonValues.object(
+        object -> {
+          rules.allowLaterKeys(object);
+          Optional<Function<JsonObjectReader, T>> reader =
+              object.required(rules.variantKey(), JsonValues.choice(readers));
+          if (reader.isEmpty()) {
+            object.ignoreRest();
+          }
+          return reader.map(r -> r.apply(object));
+        });
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/ServiceCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/json/ServiceCodec.java
@@ -1,4 +1,4 @@
-package org.catkinlift.daemon.operator;
+package org.catkinlift.daemon.json;
 
 import static com.google.common.collect.ImmutableList.sortedCopyOf;
 
@@ -10,10 +10,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.catkinlift.daemon.json.JsonErrors;
-import org.catkinlift.daemon.json.JsonObjectReader;
-import org.catkinlift.daemon.json.JsonValue;
-import org.catkinlift.daemon.json.JsonValues;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceDefinition;
@@ -25,17 +21,33 @@
 
 /** Translates service definitions to and from JSON. */
 public final class ServiceCodec {
-  /** Reads a service definition; every upstream must lie in one of its availability zones. */
-  public static final JsonValue<ServiceDefinition> VALUE =
-      JsonValues.object(ServiceCodec::readService);
-
   private static final int MAX_CONCURRENCY = 100_000;
   private static final JsonValue<ImmutableList<ZoneName>> ZONES =
       JsonValues.list(JsonValues.name(ZoneName::of), "array of zone names");
-  private static final JsonValue<ImmutableList<UpstreamDefinition>> UPSTREAMS =
-      JsonValues.list(JsonValues.object(ServiceCodec::readUpstream), "array of upstreams");
 
-  private ServiceCodec() {}
+  private final FormatRules rules;
+  private final KindCodec kinds;
+  private final JsonValue<ImmutableList<UpstreamDefinition>> upstreams =
+      JsonValues.list(JsonValues.object(this::readUpstream), "array of upstreams");
+
+  /**
+   * Creates a codec.
+   *
+   * @param format the form of the JSON
+   */
+  public ServiceCodec(JsonFormat format) {
+    this.rules = new FormatRules(format);
+    this.kinds = new KindCodec(rules);
+  }
+
+  /**
+   * Reads a service definition; every upstream must lie in one of its availability zones.
+   *
+   * @return the kind of value
+   */
+  public JsonValue<ServiceDefinition> value() {
+    return JsonValues.object(this::readService);
+  }
 
   /**
    * Encodes a service definition.
@@ -43,51 +55,68 @@
    * @param service the definition
    * @return the JSON object
    */
-  public static ObjectNode encode(ServiceDefinition service) {
+  public ObjectNode encode(ServiceDefinition service) {
     ObjectNode node = JsonNodeFactory.instance.objectNode();
     node.put("name", service.name().value());
-    node.set("kind", KindCodec.encode(service.kind()));
+    node.set("kind", kinds.encode(service.kind()));
     var zones = node.putArray("zones");
     service.zones().forEach(z -> zones.add(z.value()));
-    var upstreams = node.putArray("upstreams");
-    service.upstreams().forEach(u -> upstreams.add(encode(u)));
+    var array = node.putArray("upstreams");
+    service.upstreams().forEach(u -> array.add(encode(u)));
     return node.put("zoneLimit", service.zoneLimit());
   }
 
-  private static ObjectNode encode(UpstreamDefinition upstream) {
-    return JsonNodeFactory.instance
-        .objectNode()
-        .put("id", upstream.id().value())
-        .put("zone", upstream.zone().value())
-        .put("cell", upstream.cell().value())
-        .put("address", JsonValues.formatAddress(upstream.address()))
-        .put("concurrencyLimit", upstream.concurrencyLimit())
+  private ObjectNode encode(UpstreamDefinition upstream) {
+    ObjectNode node =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("id", upstream.id().value())
+            .put("zone", upstream.zone().value())
+            .put("cell", upstream.cell().value());
+    rules.putAddress(node, upstream.address());
+    return node.put("concurrencyLimit", upstream.concurrencyLimit())
         .put("connectionLimit", upstream.connectionLimit());
   }
 
-  private static Optional<ServiceDefinition> readService(JsonObjectReader object) {
+  private Optional<ServiceDefinition> readService(JsonObjectReader object) {
+    rules.allowLaterKeys(object);
     Optional<ServiceName> name = object.required("name", JsonValues.name(ServiceName::of));
-    Optional<ServiceKind> kind = object.required("kind", KindCodec.VALUE);
+    Optional<ServiceKind> kind = object.required("kind", kinds.value());
     Optional<ImmutableList<ZoneName>> zones = object.required("zones", ZONES);
-    Optional<ImmutableList<UpstreamDefinition>> upstreams = object.required("upstreams", UPSTREAMS);
+    Optional<ImmutableList<UpstreamDefinition>> read = object.required("upstreams", upstreams);
     int zoneLimit =
-        object.optional("zoneLimit", JsonValues.integer(0, Integer.MAX_VALUE)).orElse(0);
-    if (name.isEmpty() || kind.isEmpty() || zones.isEmpty() || upstreams.isEmpty()) {
+        rules.optionalForPeople(object, "zoneLimit", rules.integer(0, Integer.MAX_VALUE)).orElse(0);
+    if (name.isEmpty() || kind.isEmpty() || zones.isEmpty() || read.isEmpty()) {
       return Optional.empty();
     }
-    checkUpstreams(object, zones.get(), upstreams.get());
-    var sorted = sortedCopyOf(Comparator.comparing(UpstreamDefinition::id), upstreams.get());
     return Optional.of(
         new ServiceDefinition(
-            name.get(), kind.get(), ImmutableSet.copyOf(zones.get()), sorted, zoneLimit));
+            name.get(),
+            kind.get(),
+            ImmutableSet.copyOf(zones.get()),
+            checked(object, zones.get(), read.get()),
+            zoneLimit));
+  }
+
+  /** Checks and sorts what people wrote; rows keep the order that they were written in. */
+  private ImmutableList<UpstreamDefinition> checked(
+      JsonObjectReader object,
+      ImmutableList<ZoneName> zones,
+      ImmutableList<UpstreamDefinition> read) {
+    if (!rules.isWrittenByPeople()) {
+      return read;
+    }
+    checkUpstreams(object, zones, read);
+    return sortedCopyOf(Comparator.comparing(UpstreamDefinition::id), read);
   }
 
-  private static Optional<UpstreamDefinition> readUpstream(JsonObjectReader object) {
+  private Optional<UpstreamDefinition> readUpstream(JsonObjectReader object) {
+    rules.allowLaterKeys(object);
     Optional<UpstreamId> id = object.required("id", JsonValues.name(UpstreamId::of));
     Optional<ZoneName> zone = object.required("zone", JsonValues.name(ZoneName::of));
-    Optional<CellId> cell = object.optional("cell", JsonValues.name(CellId::of));
-    Optional<NetworkAddress> address = object.required("address", JsonValues.address());
-    var limit = JsonValues.integer(1, MAX_CONCURRENCY);
+    Optional<CellId> cell = rules.optionalForPeople(object, "cell", JsonValues.name(CellId::of));
+    Optional<NetworkAddress> address = rules.address(object);
+    var limit = rules.integer(1, MAX_CONCURRENCY);
     Optional<Integer> concurrency = object.required("concurrencyLimit", limit);
     Optional<Integer> connections = object.required("connectionLimit", limit);
     if (id.isEmpty() || zone.isEmpty() || address.isEmpty()) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCalls.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCalls.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.catkinlift.daemon.json.IntentCodec;
 import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonFormat;
 import org.catkinlift.daemon.json.JsonObjectReader;
 import org.catkinlift.daemon.json.JsonValue;
 import org.catkinlift.daemon.json.JsonValues;
@@ -27,6 +29,7 @@
   private static final String METRICS = "/metrics";
   private static final String CONFIRM = "confirm";
   private static final String NAME_RULE = "1 to 64 lower-case letters, digits, dots or hyphens";
+  private static final IntentCodec INTENT = new IntentCodec(new JsonFormat.Api());
   private static final JsonValue<Integer> LIMIT =
       JsonValues.parsed(
           "integer from 1 to " + OperatorRequest.ListPlans.MAX_LIMIT, OperatorCalls::limitOf);
@@ -44,7 +47,7 @@
   public static OperatorCall encode(OperatorRequest request) {
     return switch (request) {
       case OperatorRequest.MakePlan r ->
-          new OperatorCall(POST, PLANS, StrictJson.print(IntentCodec.encode(r.intent())));
+          new OperatorCall(POST, PLANS, StrictJson.print(INTENT.encode(r.intent())));
       case OperatorRequest.ConfirmPlan r -> post(PLANS + '/' + r.plan() + '/' + CONFIRM);
       case OperatorRequest.ShowPlan r -> get(PLANS + '/' + r.plan());
       case OperatorRequest.ListPlans r -> {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorCodec.java
@@ -12,11 +12,14 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Function;
+import org.catkinlift.daemon.json.IntentCodec;
 import org.catkinlift.daemon.json.JsonError;
 import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonFormat;
 import org.catkinlift.daemon.json.JsonObjectReader;
 import org.catkinlift.daemon.json.JsonValue;
 import org.catkinlift.daemon.json.JsonValues;
+import org.catkinlift.daemon.json.PlanCodec;
 import org.catkinlift.daemon.json.StrictJson;
 import org.catkinlift.plans.Intent;
 import org.catkinlift.plans.OperatorReply;
@@ -27,9 +30,12 @@
  * it. {@link OperatorCalls} translates whole requests.
  */
 public final class OperatorCodec {
+  private static final JsonFormat FORMAT = new JsonFormat.Api();
+  private static final IntentCodec INTENT = new IntentCodec(FORMAT);
+  private static final PlanCodec PLAN = new PlanCodec(FORMAT);
   private static final JsonValue<OperatorReply> REPLY = JsonValues.object(OperatorCodec::readReply);
   private static final JsonValue<ImmutableList<PlanRecord>> PLANS =
-      JsonValues.list(PlanCodec.VALUE, "array of plans");
+      JsonValues.list(PLAN.value(), "array of plans");
   private static final JsonValue<ImmutableMap<String, String>> FACTS = JsonValues.map(anyText());
   private static final JsonValue<ImmutableList<String>> DECISIONS =
       JsonValues.list(anyText(), "array of strings");
@@ -40,7 +46,7 @@
       READERS =
           ImmutableMap.of(
               "plan",
-              o -> o.required("plan", PlanCodec.VALUE).map(OperatorReply.PlanShown::new),
+              o -> o.required("plan", PLAN.value()).map(OperatorReply.PlanShown::new),
               "plans",
               OperatorCodec::readPlans,
               "facts",
@@ -58,7 +64,7 @@
    * @return the intent; empty if an error was added
    */
   public static Optional<Intent> decodeIntent(String text, JsonErrors errors) {
-    return decode(text, IntentCodec.VALUE, errors);
+    return decode(text, INTENT.value(), errors);
   }
 
   /**
@@ -97,13 +103,13 @@
     return switch (reply) {
       case OperatorReply.PlanShown r -> {
         ObjectNode node = type("plan");
-        node.set("plan", PlanCodec.encode(r.plan()));
+        node.set("plan", PLAN.encode(r.plan()));
         yield node;
       }
       case OperatorReply.PlansListed r -> {
         ObjectNode node = type("plans");
         ArrayNode plans = node.putArray("plans");
-        r.plans().forEach(p -> plans.add(PlanCodec.encode(p)));
+        r.plans().forEach(p -> plans.add(PLAN.encode(p)));
         yield node.put("hasMore", r.hasMore());
       }
       case OperatorReply.Facts r -> {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/JsonFields.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/JsonFields.java
@@ -13,11 +13,17 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.catkinlift.daemon.json.JsonError;
+import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonValue;
 import org.catkinlift.model.Epoch;
 
 /** Reads and writes the fields that several rows have in common, with checks. */
 final class JsonFields {
 
+  private static final ImmutableSet<String> VARIANT_KEYS = ImmutableSet.of("kind", "state");
+
   private JsonFields() {}
 
   static ObjectNode object() {
@@ -122,6 +128,29 @@
     return list.get(index);
   }
 
+  /** Reads a value; everything that is wrong with it becomes one exception. */
+  static <T> T read(JsonValue<T> value, JsonNode node) {
+    var errors = new JsonErrors();
+    Optional<T> read = value.read(node, JsonError.ROOT, errors);
+    if (errors.isEmpty()) {
+      return read.orElseThrow(() -> malformed("the value is not allowed"));
+    }
+    String details =
+        errors.list().stream()
+            .map(e -> e.path() + " is " + e.value() + ", not " + e.allowed())
+            .collect(Collectors.joining("; "));
+    boolean isUnknown = errors.list().stream().anyMatch(JsonFields::isUnknownKind);
+    throw new PlatformException(
+        isUnknown ? PlatformException.Code.UNKNOWN_KIND : PlatformException.Code.MALFORMED_ROW,
+        details);
+  }
+
+  /** Tells whether a word that names a variant is none that this version knows. */
+  private static boolean isUnknownKind(JsonError error) {
+    String key = error.path().substring(error.path().lastIndexOf('.') + 1);
+    return VARIANT_KEYS.contains(key) && error.value().startsWith("\"");
+  }
+
   static PlatformException malformed(String message) {
     return new PlatformException(PlatformException.Code.MALFORMED_ROW, message);
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
@@ -9,6 +9,9 @@
 import java.util.Comparator;
 import java.util.function.Supplier;
 import org.catkinlift.control.RowValue;
+import org.catkinlift.daemon.json.IntentCodec;
+import org.catkinlift.daemon.json.JsonFormat;
+import org.catkinlift.daemon.json.PlanCodec;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
@@ -30,6 +33,9 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String CELL = "cell";
   private static final String PLAN = "plan";
+  private static final JsonFormat FORMAT = new JsonFormat.Row();
+  private static final IntentCodec INTENTS = new IntentCodec(FORMAT);
+  private static final PlanCodec PLANS = new PlanCodec(FORMAT);
 
   private RowCodec() {}
 
@@ -61,7 +67,7 @@
           String kind = JsonFields.text(node, "kind");
           return switch (kind) {
             case CELL -> decodeCell(node);
-            case PLAN -> new RowValue.PlanRow(PlanCodec.decode(node));
+            case PLAN -> new RowValue.PlanRow(JsonFields.read(PLANS.value(), node));
             default -> toRow(VersionedCodec.decode(node), kind);
           };
         });
@@ -94,7 +100,7 @@
    * @return the JSON value
    */
   public static ObjectNode encodePlan(PlanRecord plan) {
-    return PlanCodec.encode(plan);
+    return PLANS.encode(plan);
   }
 
   /**
@@ -104,7 +110,7 @@
    * @return the plan and its state
    */
   public static PlanRecord decodePlan(JsonNode node) {
-    return checked(() -> PlanCodec.decode(node));
+    return checked(() -> JsonFields.read(PLANS.value(), node));
   }
 
   /**
@@ -114,7 +120,7 @@
    * @return the JSON value, with the field {@code kind}
    */
   public static ObjectNode encodeIntent(Intent intent) {
-    return IntentCodec.encode(intent);
+    return INTENTS.encode(intent);
   }
 
   /**
@@ -124,7 +130,7 @@
    * @return the intent
    */
   public static Intent decodeIntent(JsonNode node) {
-    return checked(() -> IntentCodec.decode(node));
+    return checked(() -> JsonFields.read(INTENTS.value(), node));
   }
 
   /**
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/VersionedCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/VersionedCodec.java
@@ -5,17 +5,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
+import org.catkinlift.daemon.json.ConfigurationCodec;
+import org.catkinlift.daemon.json.JsonFormat;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.HostId;
-import org.catkinlift.model.ServiceDefinition;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.Versioned;
-import org.catkinlift.model.ZoneName;
 
 /** Translates the values that spread among daemons to and from JSON. */
 final class VersionedCodec {
@@ -25,11 +25,14 @@
   private static final String ASSIGNMENT = "assignment";
   private static final String DISPATCHERS = "dispatchers";
 
+  private static final ConfigurationCodec CONFIGURATIONS =
+      new ConfigurationCodec(new JsonFormat.Row());
+
   private VersionedCodec() {}
 
   static ObjectNode encode(Versioned value) {
     return switch (value) {
-      case Configuration v -> encodeConfiguration(v);
+      case Configuration v -> CONFIGURATIONS.encode(v);
       case HomeMap v -> encodeHomes(v);
       case Assignment v -> encodeAssignment(v);
       case DispatcherMap v -> encodeDispatchers(v);
@@ -39,7 +42,7 @@
   static Versioned decode(JsonNode node) {
     String kind = JsonFields.text(node, "kind");
     return switch (kind) {
-      case CONFIGURATION -> decodeConfiguration(node);
+      case CONFIGURATION -> JsonFields.read(CONFIGURATIONS.value(), node);
       case HOMES -> decodeHomes(node);
       case ASSIGNMENT -> decodeAssignment(node);
       case DISPATCHERS -> decodeDispatchers(node);
@@ -47,29 +50,6 @@
     };
   }
 
-  static ObjectNode encodeConfiguration(Configuration value) {
-    ObjectNode node = kind(CONFIGURATION).put("version", value.version());
-    node.set("services", JsonFields.array(value.services().values(), ServiceCodec::encode));
-    node.set("drainedZones", JsonFields.names(value.drainedZones()));
-    node.set("lostZones", JsonFields.names(value.lostZones()));
-    node.set("retiringUpstreams", JsonFields.names(value.retiringUpstreams()));
-    node.set("retiringHosts", JsonFields.names(value.retiringHosts()));
-    return node;
-  }
-
-  static Configuration decodeConfiguration(JsonNode node) {
-    return Configuration.builder()
-        .version(JsonFields.number(node, "version"))
-        .services(
-            JsonFields.list(node, "services", ServiceCodec::decode).stream()
-                .collect(toImmutableMap(ServiceDefinition::name, s -> s)))
-        .drainedZones(JsonFields.nameSet(node, "drainedZones", ZoneName::of))
-        .lostZones(JsonFields.nameSet(node, "lostZones", ZoneName::of))
-        .retiringUpstreams(JsonFields.nameSet(node, "retiringUpstreams", UpstreamId::of))
-        .retiringHosts(JsonFields.nameSet(node, "retiringHosts", HostId::of))
-        .build();
-  }
-
   private static ObjectNode encodeHomes(HomeMap value) {
     ObjectNode node =
         kind(HOMES).put("service", value.service().value()).put("version", value.version());
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorCodecTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/operator/OperatorCodecTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import org.catkinlift.daemon.json.JsonErrors;
+import org.catkinlift.daemon.json.JsonFormat;
+import org.catkinlift.daemon.json.ServiceCodec;
 import org.catkinlift.daemon.json.StrictJson;
 import org.catkinlift.model.PlanId;
 import org.catkinlift.model.ServiceDefinition;
@@ -23,6 +25,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 final class OperatorCodecTest {
+  private static final ServiceCodec SERVICES = new ServiceCodec(new JsonFormat.Api());
+
   private final JsonErrors errors = new JsonErrors();
 
   private ImmutableList<String> found() {
@@ -103,7 +107,7 @@
                 upstream.formatted("a", "suva", "127.0.0.1:1", 4),
                 upstream.formatted("a", "nadi", "127.0.0.1:1", 4),
                 upstream.formatted("c", "suva", "127.0.0.1:2", 0));
-    assertThat(OperatorCodec.decode(text, ServiceCodec.VALUE, errors)).isEmpty();
+    assertThat(OperatorCodec.decode(text, SERVICES.value(), errors)).isEmpty();
     assertThat(found())
         .containsExactly(
             "kind.slotCount 1000",
@@ -124,8 +128,7 @@
   })
   void readsExampleServices(String name, int upstreams) throws IOException {
     String text = Files.readString(Path.of("../examples", name + ".json"));
-    ServiceDefinition service =
-        OperatorCodec.decode(text, ServiceCodec.VALUE, errors).orElseThrow();
+    ServiceDefinition service = OperatorCodec.decode(text, SERVICES.value(), errors).orElseThrow();
     assertThat(service.upstreams()).hasSize(upstreams);
   }
 }
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
@@ -152,6 +152,20 @@
         .isEqualTo(PlatformException.Code.MALFORMED_ROW);
   }
 
+  @Test
+  void reportsWhatIsWrongInsideAPlan() {
+    var row = new RowValue.PlanRow(plan(new Intent.PutService(SERVICE), PlanRecord.State.OPEN));
+    String json = RowCodec.encode(row).toString();
+    assertThat(codeOf(json.replace("\"put-service\"", "\"other\"")))
+        .isEqualTo(PlatformException.Code.UNKNOWN_KIND);
+    assertThat(codeOf(json.replace("\"open\"", "\"other\"")))
+        .isEqualTo(PlatformException.Code.UNKNOWN_KIND);
+    assertThat(codeOf(json.replace("\"slotCount\":8,", "")))
+        .isEqualTo(PlatformException.Code.MALFORMED_ROW);
+    assertThat(RowCodec.decode(RowCodec.parse(json.replace("{\"id\"", "{\"later\":1,\"id\""))))
+        .isEqualTo(row);
+  }
+
   private static String assignmentWith(String slots) {
     return "{\"kind\":\"assignment\",\"service\":\"s\",\"cell\":\"c\",\"version\":[1,1],"
         + "\"owners\":[\"u\"],\"overrides\":{},\"slots\":"
