--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/relay/RelayClientTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/relay/RelayClientTest.java
@@ -37,7 +37,7 @@
 final class RelayClientTest {
   private static final int WAIT_SECONDS = 30;
 
-  private final RelayClient client = new RelayClient();
+  private final RelayClient client = new RelayClient(service -> {});
   private final BlockingQueue<PeerLink> suspected = new LinkedBlockingQueue<>();
   private ServerSocket silentPeer;
   private PeerTransport transport;
