--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
@@ -14,6 +14,7 @@
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.VersionStore;
@@ -114,6 +115,10 @@
     return lost ? ImmutableList.of() : control.heldLeases(now());
   }
 
+  DispatchDuties duties() {
+    return control.dispatchDuties(now());
+  }
+
   VersionStore store() {
     return store;
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -45,6 +45,9 @@
   /** The balancer needs a few failed health checks before it stops sending new connections. */
   private static final Duration HEALTH_NOTICE = Duration.ofMillis(500);
 
+  /** One load report, so that the next dispatchers learn that nothing runs here any more. */
+  private static final Duration LAST_REPORT = Duration.ofMillis(300);
+
   private final Vertx vertx;
   private final DaemonSettings settings;
   private final EventLogger logger;
@@ -138,7 +141,7 @@
             metrics);
     ControlParts parts =
         ControlParts.create(settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
-    control = ControlLoop.start(parts, states, ports, workers::leasesHeld);
+    control = ControlLoop.start(parts, states, ports, workers::dutiesChanged);
     return Future.succeededFuture();
   }
 
@@ -212,6 +215,7 @@
         .compose(v -> bounded(control.handOver()))
         .compose(v -> bounded(all(loops.stream().map(TrafficLoop::drain))))
         .compose(v -> bounded(all(loops.stream().map(loop -> loop.workers().drained()))))
+        .compose(v -> delay(LAST_REPORT))
         .eventually(this::close)
         .onSuccess(
             v -> logger.log(DecisionEvent.of(EventCode.DAEMON_STOPPED, "host", settings.host())));
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -8,17 +8,17 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.VersionStore;
 import org.catkinlift.daemon.RoutingStateHolder;
-import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceDefinition;
 import org.catkinlift.model.UpstreamDefinition;
@@ -45,7 +45,7 @@
   private final CallNumbers calls;
   private final RoutingStateHolder states;
   private final ControlPorts ports;
-  private final BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener;
+  private final Consumer<DispatchDuties> dutiesListener;
   private final Map<Long, Promise<OperatorReply>> operators = new HashMap<>();
   private final Promise<Void> handedOver = Promise.promise();
   private boolean routingChanged;
@@ -54,7 +54,7 @@
       ControlParts parts,
       RoutingStateHolder states,
       ControlPorts ports,
-      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
+      Consumer<DispatchDuties> dutiesListener) {
     this.parts = parts.all();
     this.store = parts.store();
     this.members = parts.membership();
@@ -62,7 +62,7 @@
     this.calls = parts.calls();
     this.states = states;
     this.ports = ports;
-    this.leaseListener = leaseListener;
+    this.dutiesListener = dutiesListener;
     this.executor =
         new ScheduledThreadPoolExecutor(
             1, task -> new Thread(task, "control-" + parts.membership().self().id()));
@@ -75,16 +75,16 @@
    * @param parts the decisions
    * @param states takes the routing state
    * @param ports carries out actions
-   * @param leaseListener takes the dispatch leases that this daemon holds, with the time from which
-   *     their remaining times count; called on the control thread with each tick
+   * @param dutiesListener takes the dispatch leases that this daemon holds or has given up; called
+   *     on the control thread with each tick
    * @return the running loop
    */
   public static ControlLoop start(
       ControlParts parts,
       RoutingStateHolder states,
       ControlPorts ports,
-      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
-    var loop = new ControlLoop(parts, states, ports, leaseListener);
+      Consumer<DispatchDuties> dutiesListener) {
+    var loop = new ControlLoop(parts, states, ports, dutiesListener);
     var unused = loop.timers.every(ControlPart.TICK_INTERVAL, loop::tick);
     return loop;
   }
@@ -147,7 +147,7 @@
   private void tick() {
     handle(new ControlEvent.Tick());
     long now = timers.nowNanos();
-    leaseListener.accept(ownership.heldLeases(now), now);
+    dutiesListener.accept(ownership.dispatchDuties(now));
   }
 
   private void handle(ControlEvent event) {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
@@ -21,7 +21,6 @@
 
 /** Runs the traffic of one event loop: its share of callers and its share of upstreams. */
 public final class TrafficLoop extends VerticleBase {
-  private static final long LOAD_REPORT_MILLIS = 250;
 
   private final Shared shared;
   private final SplittableRandom random;
@@ -65,8 +64,12 @@
     loop = context;
     workers =
         new UpstreamWorkers(
-            vertx, shared.settings(), shared.states(), shared.events(), shared.attempts());
-    vertx.setPeriodic(LOAD_REPORT_MILLIS, t -> shared.loads().accept(workers.loads()));
+            vertx,
+            shared.settings(),
+            shared.states(),
+            shared.events(),
+            shared.attempts(),
+            shared.loads());
     return Future.succeededFuture();
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -27,6 +27,7 @@
 import org.catkinlift.limits.DispatchAction;
 import org.catkinlift.limits.UpstreamDispatcher;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.RefusalCode;
 import org.catkinlift.model.UpstreamDefinition;
@@ -45,6 +46,9 @@
 
   private static final Duration EARLIER_WORK_ASKED_AGAIN_AFTER = Duration.ofMillis(100);
 
+  /** Several load reports and heartbeats, so that a lost one does no harm. */
+  private static final Duration RELEASE_STATED_FOR = Duration.ofSeconds(2);
+
   /** Attempt numbers of probes are negative, so that they never meet those of requests. */
   private static final long FIRST_PROBE = -1;
 
@@ -61,6 +65,7 @@
   private long nextProbe = FIRST_PROBE;
   private boolean earlierWorkAsked;
   private boolean closed;
+  private long heldAtNanos = System.nanoTime();
 
   UpstreamWorker(
       Vertx vertx,
@@ -108,6 +113,7 @@
   }
 
   void leaseGranted(DispatchLease lease, long atNanos) {
+    heldAtNanos = System.nanoTime();
     execute(dispatcher.leaseGranted(lease, atNanos));
     if (!earlierWorkAsked) {
       earlierWorkAsked = true;
@@ -120,6 +126,16 @@
     execute(dispatcher.leaseLost(System.nanoTime()));
   }
 
+  void leaseGivenUp(Epoch epoch) {
+    earlierWorkAsked = false;
+    execute(dispatcher.leaseGivenUp(epoch, System.nanoTime()));
+  }
+
+  /** Tells whether nothing runs and the coordinator has had time to learn that. */
+  boolean isFinished() {
+    return isIdle() && System.nanoTime() - heldAtNanos > RELEASE_STATED_FOR.toNanos();
+  }
+
   /** Asks the upstream how much it still executes for the previous dispatcher. */
   private void askEarlierWork() {
     if (closed) {
@@ -134,12 +150,13 @@
   }
 
   private void earlierWorkAnswered(Optional<UpstreamLoadReport> report, long askedNanos) {
-    int own = dispatcher.load(System.nanoTime()).inFlight();
+    long now = System.nanoTime();
+    int own = dispatcher.load(now).inFlight();
     int earlier = report.map(r -> Math.max(0, r.running() + r.waiting() - own)).orElse(0);
     if (report.isPresent()) {
-      execute(dispatcher.earlierRequestsReported(earlier, askedNanos));
+      execute(dispatcher.earlierRequestsReported(earlier, askedNanos, now));
     }
-    if (report.isEmpty() || earlier > 0) {
+    if (report.isEmpty() || earlier > 0 || dispatcher.mayHaveEarlierRequests(now)) {
       vertx.setTimer(EARLIER_WORK_ASKED_AGAIN_AFTER.toMillis(), t -> askEarlierWork());
     }
   }
@@ -233,21 +250,27 @@
       return;
     }
     exchange.connecting();
-    long deadlineNanos = System.nanoTime() + send.deadline().toNanos();
+    long now = System.nanoTime();
+    long startBeforeNanos = now + send.startBefore().toNanos();
+    long deadlineNanos = now + send.deadline().toNanos();
     client
         .request(requestOptions(exchange.head(), send))
         .onComplete(
-            request -> connected(exchange, request, deadlineNanos),
+            request -> connected(exchange, request, startBeforeNanos, deadlineNanos),
             failure -> exchange.failed(RefusalCode.CONNECT_FAILED));
   }
 
-  private void connected(UpstreamExchange exchange, HttpClientRequest request, long deadline) {
+  /** The wait for a connection counts, because the lease was checked before it. */
+  private void connected(
+      UpstreamExchange exchange, HttpClientRequest request, long startBefore, long deadline) {
     long now = System.nanoTime();
-    if (now >= deadline) {
+    if (now >= startBefore) {
       var unused = request.reset();
-      exchange.failed(RefusalCode.DEADLINE_PASSED);
+      exchange.failed(now >= deadline ? RefusalCode.DEADLINE_PASSED : RefusalCode.CONNECT_FAILED);
       return;
     }
+    request.putHeader(
+        Headers.START_BEFORE, Long.toString(Duration.ofNanos(startBefore - now).toMillis()));
     long connection = numberOf(request.connection());
     health.sent(connection, exchange.attempt(), now, Duration.ofNanos(deadline - now));
     request.idleTimeout(Duration.ofNanos(deadline - now).toMillis() + 1);
@@ -280,7 +303,6 @@
     options.putHeader(Headers.REQUEST_ID, head.request().id().value());
     options.putHeader(Headers.DISPATCHER, self.value());
     options.putHeader(Headers.SERVICE, head.request().service().value());
-    options.putHeader(Headers.START_BEFORE, Long.toString(send.startBefore().toMillis()));
     options.putHeader(Headers.DEADLINE, Long.toString(send.deadline().toMillis()));
     if (head.slot() >= 0) {
       options.putHeader(Headers.SLOT, Integer.toString(head.slot()));
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorkers.java
@@ -1,9 +1,11 @@
 package org.catkinlift.daemon.upstream;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -15,6 +17,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.daemon.EventSink;
 import org.catkinlift.daemon.RoutingStateHolder;
@@ -23,6 +27,7 @@
 import org.catkinlift.daemon.relay.EntryEnd;
 import org.catkinlift.daemon.settings.DaemonSettings;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
 import org.catkinlift.model.Outcome;
 import org.catkinlift.model.RefusalCode;
 import org.catkinlift.model.ServiceDefinition;
@@ -33,6 +38,7 @@
 /** Keeps the workers of the upstreams that one event loop dispatches to. */
 public final class UpstreamWorkers {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+  private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(250);
   private static final Duration RETRY_AFTER = Duration.ofMillis(250);
 
   private final Vertx vertx;
@@ -43,7 +49,10 @@
   private final AtomicLong attempts;
   private final Map<UpstreamId, UpstreamWorker> workers = new TreeMap<>();
   private final List<Promise<Void>> drained = new ArrayList<>();
+  private final Consumer<ImmutableList<UpstreamLoad>> loads;
   private final long timer;
+  private final long loadTimer;
+  private ImmutableMap<UpstreamId, Epoch> givenUp = ImmutableMap.of();
 
   /**
    * Creates the registry of one event loop; called on it.
@@ -53,20 +62,24 @@
    * @param states shows the definitions of upstreams
    * @param events takes log events
    * @param attempts numbers the attempts of the daemon
+   * @param loads takes the loads, every 250 ms and when a lease was given up
    */
   public UpstreamWorkers(
       Vertx vertx,
       DaemonSettings settings,
       RoutingStateHolder states,
       EventSink events,
-      AtomicLong attempts) {
+      AtomicLong attempts,
+      Consumer<ImmutableList<UpstreamLoad>> loads) {
     this.vertx = vertx;
     this.context = vertx.getOrCreateContext();
     this.settings = settings;
     this.states = states;
     this.events = events;
     this.attempts = attempts;
+    this.loads = loads;
     this.timer = vertx.setPeriodic(TICK_INTERVAL.toMillis(), t -> tick());
+    this.loadTimer = vertx.setPeriodic(LOAD_REPORT_INTERVAL.toMillis(), t -> loads.accept(loads()));
   }
 
   private void tick() {
@@ -111,13 +124,34 @@
   }
 
   /**
-   * Takes the dispatch leases that this daemon holds for the upstreams of this event loop.
+   * Takes the dispatch leases that this daemon holds or has given up for the upstreams of this
+   * event loop.
    *
-   * @param leases the leases; an upstream that is left out is no longer dispatched from here
-   * @param atNanos the time from which their remaining times count
+   * @param duties the leases; an upstream that is left out is no longer dispatched from here
    */
-  public void leasesHeld(ImmutableList<DispatchLease> leases, long atNanos) {
-    context.runOnContext(v -> takeLeases(leases, atNanos));
+  public void dutiesChanged(DispatchDuties duties) {
+    context.runOnContext(v -> take(duties));
+  }
+
+  private void take(DispatchDuties duties) {
+    takeLeases(duties.held(), duties.atNanos());
+    ImmutableSet<UpstreamId> held =
+        duties.held().stream().map(DispatchLease::upstream).collect(toImmutableSet());
+    for (UpstreamWorker worker : ImmutableList.copyOf(workers.values())) {
+      UpstreamId upstream = worker.upstream().id();
+      if (held.contains(upstream)) {
+        continue;
+      }
+      Epoch givenUp = duties.givenUp().get(upstream);
+      if (givenUp != null) {
+        worker.leaseGivenUp(givenUp);
+      }
+      release(worker);
+    }
+    if (!duties.givenUp().equals(givenUp)) {
+      givenUp = duties.givenUp();
+      loads.accept(loads());
+    }
   }
 
   private void takeLeases(ImmutableList<DispatchLease> leases, long atNanos) {
@@ -128,12 +162,6 @@
         workerOf(definition).leaseGranted(lease, atNanos);
       }
     }
-    var held = leases.stream().map(DispatchLease::upstream).toList();
-    for (UpstreamWorker worker : ImmutableList.copyOf(workers.values())) {
-      if (!held.contains(worker.upstream().id())) {
-        release(worker);
-      }
-    }
   }
 
   private ImmutableMap<UpstreamId, UpstreamDefinition> definitions() {
@@ -151,17 +179,20 @@
       return present;
     }
     if (present != null) {
-      release(present);
+      present.leaseLost();
+      if (present.isIdle()) {
+        present.close();
+      }
     }
     var worker = new UpstreamWorker(vertx, definition, settings.host(), settings.limits(), events);
     workers.put(definition.id(), worker);
     return worker;
   }
 
-  /** Refuses what waits; the worker goes once its running requests have ended. */
+  /** Refuses what waits; the worker goes once the end of its running requests is reported. */
   private void release(UpstreamWorker worker) {
     worker.leaseLost();
-    if (worker.isIdle()) {
+    if (worker.isFinished()) {
       workers.remove(worker.upstream().id(), worker);
       worker.close();
     }
@@ -204,6 +235,7 @@
   /** Stops the timer and closes all connections; called on this event loop. */
   public void close() {
     vertx.cancelTimer(timer);
+    vertx.cancelTimer(loadTimer);
     workers.values().forEach(UpstreamWorker::abort);
     workers.values().forEach(UpstreamWorker::close);
     workers.clear();
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/WorkerLoops.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/WorkerLoops.java
@@ -3,10 +3,12 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.daemon.relay.DispatchEnd;
 import org.catkinlift.daemon.relay.Dispatching;
 import org.catkinlift.daemon.relay.EntryEnd;
-import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.protocol.RelayHead;
 
@@ -29,16 +31,19 @@
   }
 
   /**
-   * Takes the dispatch leases that this daemon holds.
+   * Takes the dispatch leases that this daemon holds or has given up.
    *
-   * @param leases the leases
-   * @param atNanos the time from which their remaining times count
+   * @param duties the leases
    */
-  public void leasesHeld(ImmutableList<DispatchLease> leases, long atNanos) {
+  public void dutiesChanged(DispatchDuties duties) {
     for (UpstreamWorkers loop : loops) {
-      loop.leasesHeld(
-          leases.stream().filter(l -> loopOf(l.upstream()) == loop).collect(toImmutableList()),
-          atNanos);
+      loop.dutiesChanged(
+          new DispatchDuties(
+              duties.held().stream()
+                  .filter(l -> loopOf(l.upstream()) == loop)
+                  .collect(toImmutableList()),
+              ImmutableMap.copyOf(Maps.filterKeys(duties.givenUp(), u -> loopOf(u) == loop)),
+              duties.atNanos()));
     }
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/control/OwnershipView.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/OwnershipView.java
@@ -1,6 +1,7 @@
 package org.catkinlift.control;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.HostId;
@@ -30,4 +31,14 @@
    * @return the leases, with the time that remains of each
    */
   ImmutableList<DispatchLease> heldLeases(long nowNanos);
+
+  /**
+   * Returns the dispatch leases that this daemon holds now and those that it has given up.
+   *
+   * @param nowNanos the time
+   * @return the duties of its dispatchers
+   */
+  default DispatchDuties dispatchDuties(long nowNanos) {
+    return new DispatchDuties(heldLeases(nowNanos), ImmutableMap.of(), nowNanos);
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/control/PeerMessage.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/PeerMessage.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
@@ -137,6 +138,8 @@
    * @param queued the requests in the queue
    * @param slotLoads the work per second by slot index, for slots with any
    * @param keyLoads the work per second of the hottest keys
+   * @param release what the dispatcher left behind when it gave its lease up; empty while it holds
+   *     one, or if it does not know
    */
   record UpstreamLoad(
       UpstreamId upstream,
@@ -145,5 +148,36 @@
       int inFlight,
       int queued,
       ImmutableMap<Integer, Double> slotLoads,
-      ImmutableMap<String, Double> keyLoads) {}
+      ImmutableMap<String, Double> keyLoads,
+      Optional<DispatchRelease> release) {
+    /**
+     * Creates the load of a dispatcher that has given up no lease.
+     *
+     * @param upstream the upstream
+     * @param instance the run of the upstream's process; empty if none was seen
+     * @param currentLimit the limit in force
+     * @param inFlight the requests in execution
+     * @param queued the requests in the queue
+     * @param slotLoads the work per second by slot index
+     * @param keyLoads the work per second of the hottest keys
+     */
+    public UpstreamLoad(
+        UpstreamId upstream,
+        String instance,
+        int currentLimit,
+        int inFlight,
+        int queued,
+        ImmutableMap<Integer, Double> slotLoads,
+        ImmutableMap<String, Double> keyLoads) {
+      this(
+          upstream,
+          instance,
+          currentLimit,
+          inFlight,
+          queued,
+          slotLoads,
+          keyLoads,
+          Optional.empty());
+    }
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/LeaseClock.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/LeaseClock.java
@@ -1,6 +1,9 @@
 package org.catkinlift.limits;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.Epoch;
 
 /**
@@ -9,7 +12,8 @@
  *
  * <p>After a lease that does not continue the previous one, the upstream is assumed to be full
  * until the longest {@code start before} of an earlier dispatcher has passed. After that its own
- * report counts. Confined to one event loop.
+ * report counts. If the earlier dispatcher gave its lease up and said what it left behind, that
+ * number counts instead, from the first moment. Confined to one event loop.
  */
 final class LeaseClock {
   /** The longest time between sending a request and its start at the upstream. */
@@ -31,20 +35,30 @@
   private long startedAtNanos;
   private boolean reported;
   private int reportedEarlier;
+  private boolean givenUp;
+  private Optional<EarlierWork> handedOver = Optional.empty();
 
-  /** Takes a new or renewed lease; one that is older than the latest is ignored. */
-  void granted(Epoch newEpoch, Duration remaining, long nowNanos) {
-    if (epoch.isAfter(newEpoch)) {
+  /** Takes a new or renewed lease; one that is older than the latest or given up is ignored. */
+  void granted(DispatchLease lease, long nowNanos) {
+    Epoch newEpoch = lease.epoch();
+    if (epoch.isAfter(newEpoch) || (givenUp && newEpoch.equals(epoch))) {
       return;
     }
     if (!continues(newEpoch, nowNanos)) {
       startedAtNanos = nowNanos;
       reported = false;
+      handedOver = Optional.empty();
     }
     epoch = newEpoch;
-    expiresAtNanos = nowNanos + remaining.toNanos();
+    expiresAtNanos = nowNanos + lease.remaining().toNanos();
     held = true;
     lost = false;
+    givenUp = false;
+    lease
+        .earlier()
+        .filter(e -> newEpoch.isAfter(e.epoch()))
+        .map(e -> EarlierWork.of(e, nowNanos))
+        .ifPresent(e -> handedOver = Optional.of(handedOver.map(h -> h.lowest(e)).orElse(e)));
   }
 
   /** No other daemon can have sent requests since the previous grant of this daemon. */
@@ -57,6 +71,17 @@
     lost = true;
   }
 
+  /** Ends a lease for good; it is not taken again, so what was left behind can be stated. */
+  void givenUp(Epoch released) {
+    lost();
+    givenUp = released.equals(epoch);
+  }
+
+  /** Returns the lease that was given up, if the latest one was. */
+  Optional<Epoch> releasedEpoch() {
+    return givenUp ? Optional.of(epoch) : Optional.empty();
+  }
+
   boolean isCurrent(long nowNanos) {
     return held && nowNanos < expiresAtNanos;
   }
@@ -66,7 +91,17 @@
     return lost;
   }
 
-  void reportedEarlier(int requests, long nowNanos) {
+  /**
+   * Takes the upstream's report. After a release it counts only if this daemon had no request in
+   * execution meanwhile, because a report cannot tell the two daemons' requests apart exactly.
+   */
+  void reportedEarlier(int requests, boolean noOwnRequests, long nowNanos) {
+    if (handedOver.isPresent()) {
+      handedOver =
+          handedOver.map(
+              h -> noOwnRequests && nowNanos >= h.startsUntilNanos() ? h.reported(requests) : h);
+      return;
+    }
     if (nowNanos - startedAtNanos < LONGEST_START_BEFORE.toNanos()) {
       return;
     }
@@ -76,6 +111,9 @@
 
   /** Returns how many requests of earlier dispatchers the upstream may be executing. */
   int earlierRequests(int limit, long nowNanos) {
+    if (handedOver.isPresent()) {
+      return handedOver.get().runningAt(nowNanos);
+    }
     long elapsed = nowNanos - startedAtNanos;
     if (elapsed < LONGEST_START_BEFORE.toNanos()) {
       return limit;
@@ -88,4 +126,26 @@
     }
     return elapsed < EARLIER_WORK_ENDS_WITHIN.toNanos() ? limit - 1 : 0;
   }
+
+  /** Returns the requests of earlier dispatchers as far as they are known and not assumed. */
+  OptionalInt knownEarlierRequests(long nowNanos) {
+    boolean ended = nowNanos - startedAtNanos >= EARLIER_WORK_ENDS_WITHIN.toNanos();
+    return handedOver.isPresent() || reported || ended
+        ? OptionalInt.of(earlierRequests(0, nowNanos))
+        : OptionalInt.empty();
+  }
+
+  /** Returns when the requests of earlier dispatchers have surely ended. */
+  long earlierRequestsEndAt() {
+    return handedOver
+        .map(EarlierWork::endsAtNanos)
+        .orElse(startedAtNanos + EARLIER_WORK_ENDS_WITHIN.toNanos());
+  }
+
+  /** Returns when no request of an earlier dispatcher starts any more. */
+  long earlierRequestsStartUntil() {
+    return handedOver
+        .map(EarlierWork::startsUntilNanos)
+        .orElse(startedAtNanos + LONGEST_START_BEFORE.toNanos());
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/RunningWork.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/RunningWork.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Counts the requests that the upstream may be executing: those whose answer is awaited, and those
@@ -15,11 +16,14 @@
   /** An upstream counts the deadline from the receipt of the request, which is a little later. */
   private static final Duration DEADLINE_MARGIN = Duration.ofMillis(50);
 
-  private final Map<Long, Long> awaited = new HashMap<>();
-  private final Map<Long, Long> uncertain = new HashMap<>();
+  private final Map<Long, Sent> awaited = new HashMap<>();
+  private final Map<Long, Sent> uncertain = new HashMap<>();
+  private long endedAt = Long.MIN_VALUE;
 
-  void sent(long attempt, long deadlineNanos) {
-    awaited.put(attempt, deadlineNanos + DEADLINE_MARGIN.toNanos());
+  private record Sent(long startsUntilNanos, long endsAtNanos) {}
+
+  void sent(long attempt, long startsUntilNanos, long deadlineNanos) {
+    awaited.put(attempt, new Sent(startsUntilNanos, deadlineNanos + DEADLINE_MARGIN.toNanos()));
   }
 
   boolean contains(long attempt) {
@@ -30,25 +34,48 @@
     return awaited.containsKey(attempt);
   }
 
-  void ended(long attempt) {
+  void ended(long attempt, long nowNanos) {
     awaited.remove(attempt);
     uncertain.remove(attempt);
+    endedAt = nowNanos;
   }
 
   void becameUncertain(long attempt) {
-    Long end = awaited.remove(attempt);
-    if (end != null) {
-      uncertain.put(attempt, end);
+    Sent sent = awaited.remove(attempt);
+    if (sent != null) {
+      uncertain.put(attempt, sent);
     }
   }
 
   void expire(long nowNanos) {
-    uncertain.values().removeIf(end -> end <= nowNanos);
+    if (uncertain.values().removeIf(s -> s.endsAtNanos <= nowNanos)) {
+      endedAt = nowNanos;
+    }
   }
 
   /** Forgets requests with unknown outcome, because the process that had them is gone. */
-  void instanceChanged() {
+  void instanceChanged(long nowNanos) {
     uncertain.clear();
+    endedAt = nowNanos;
+  }
+
+  /** Tells whether no request was in execution at any time since then. */
+  boolean isIdleSince(long sinceNanos) {
+    return count() == 0 && endedAt < sinceNanos;
+  }
+
+  /** Returns when no counted request starts any more. */
+  long startsUntil() {
+    return all().mapToLong(Sent::startsUntilNanos).max().orElse(Long.MIN_VALUE);
+  }
+
+  /** Returns when all counted requests have passed their deadline. */
+  long endsAt() {
+    return all().mapToLong(Sent::endsAtNanos).max().orElse(Long.MIN_VALUE);
+  }
+
+  private Stream<Sent> all() {
+    return Stream.concat(awaited.values().stream(), uncertain.values().stream());
   }
 
   int count() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
@@ -34,9 +34,6 @@
    */
   public static final int DEFAULT_QUEUE_FACTOR = 16;
 
-  /** A new dispatcher gets its lease within about this time, or another daemon gets it. */
-  private static final Duration LONGEST_WAIT_FOR_LEASE = Duration.ofSeconds(1);
-
   private static final Duration RETRY_AFTER_LEASE_CHANGE = Duration.ofMillis(250);
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(10);
 
@@ -103,7 +100,7 @@
     if (expectedWait(nowNanos).compareTo(request.deadline()) > 0) {
       return refuse(attempt, RefusalCode.DEADLINE_TOO_SHORT, retryAfter());
     }
-    queue.add(waiting(attempt, request.deadline(), nowNanos));
+    queue.add(WaitingRequest.of(attempt, request.deadline(), nowNanos));
     return sendNext(nowNanos);
   }
 
@@ -128,9 +125,9 @@
     ImmutableList<DispatchAction> own =
         switch (result) {
           case AttemptResult.Answered answered -> answered(attempt, answered, awaited, nowNanos);
-          case AttemptResult.Shed shed -> ended(attempt, limiter.shed(nowNanos));
-          case AttemptResult.Refused refused -> refused(attempt, refused.code());
-          case AttemptResult.Stopped stopped -> ended(attempt, ImmutableList.of());
+          case AttemptResult.Shed shed -> ended(attempt, limiter.shed(nowNanos), nowNanos);
+          case AttemptResult.Refused refused -> refused(attempt, refused.code(), nowNanos);
+          case AttemptResult.Stopped stopped -> ended(attempt, ImmutableList.of(), nowNanos);
           case AttemptResult.Failed failed -> failed(attempt, failed.code(), awaited);
         };
     return concat(own, sendNext(nowNanos));
@@ -163,7 +160,7 @@
     if (!granted.holder().equals(self)) {
       return leaseLost(nowNanos);
     }
-    lease.granted(granted.epoch(), granted.remaining(), nowNanos);
+    lease.granted(granted, nowNanos);
     return sendNext(nowNanos);
   }
 
@@ -181,6 +178,19 @@
         .collect(toImmutableList());
   }
 
+  /**
+   * Takes the news that the coordinator has taken the lease back. From then on {@link #load} states
+   * what this dispatcher left behind, if it knows that.
+   *
+   * @param epoch the epoch of the lease, which is not taken again
+   * @param nowNanos the time
+   * @return a refusal for each waiting request; sent ones continue
+   */
+  public ImmutableList<DispatchAction> leaseGivenUp(Epoch epoch, long nowNanos) {
+    lease.givenUp(epoch);
+    return leaseLost(nowNanos);
+  }
+
   /**
    * Takes a new limit.
    *
@@ -209,14 +219,26 @@
    * Takes the number of requests that the upstream executes for earlier dispatchers.
    *
    * @param requests the requests that name another dispatcher
-   * @param nowNanos the time at which the upstream was asked
+   * @param askedNanos the time at which the upstream was asked
+   * @param nowNanos the time
    * @return what to do
    */
-  public ImmutableList<DispatchAction> earlierRequestsReported(int requests, long nowNanos) {
-    lease.reportedEarlier(requests, nowNanos);
+  public ImmutableList<DispatchAction> earlierRequestsReported(
+      int requests, long askedNanos, long nowNanos) {
+    lease.reportedEarlier(requests, running.isIdleSince(askedNanos), askedNanos);
     return sendNext(nowNanos);
   }
 
+  /**
+   * Tells whether the upstream should be asked for requests of earlier dispatchers.
+   *
+   * @param nowNanos the time
+   * @return false once it is known that none are left
+   */
+  public boolean mayHaveEarlierRequests(long nowNanos) {
+    return lease.knownEarlierRequests(nowNanos).orElse(1) > 0;
+  }
+
   /**
    * Looks for expired deadlines and leases.
    *
@@ -242,15 +264,8 @@
         running.count(),
         queue.size(),
         load.slotLoads(nowNanos),
-        load.keyLoads(nowNanos));
-  }
-
-  private WaitingRequest waiting(long attempt, Duration deadline, long nowNanos) {
-    Duration half = deadline.dividedBy(2);
-    Duration untilLease =
-        half.compareTo(LONGEST_WAIT_FOR_LEASE) < 0 ? half : LONGEST_WAIT_FOR_LEASE;
-    return new WaitingRequest(
-        attempt, nowNanos + deadline.toNanos(), nowNanos + untilLease.toNanos());
+        load.keyLoads(nowNanos),
+        ReleaseStatement.of(lease, running, nowNanos));
   }
 
   private ImmutableList<DispatchAction> refuseExpired(long nowNanos) {
@@ -268,24 +283,25 @@
 
   private ImmutableList<DispatchAction> answered(
       long attempt, AttemptResult.Answered answer, boolean awaited, long nowNanos) {
-    running.ended(attempt);
+    running.ended(attempt, nowNanos);
     ImmutableList<DispatchAction> instance = noteInstance(answer.instance(), nowNanos);
     return awaited
         ? concat(instance, reports(limiter.answered(answer.latency(), nowNanos)))
         : instance;
   }
 
-  private ImmutableList<DispatchAction> ended(long attempt, List<DecisionEvent> events) {
-    running.ended(attempt);
+  private ImmutableList<DispatchAction> ended(
+      long attempt, List<DecisionEvent> events, long nowNanos) {
+    running.ended(attempt, nowNanos);
     return reports(events);
   }
 
   /** A refused connection hints at a restart, after which the upstream is cold. */
-  private ImmutableList<DispatchAction> refused(long attempt, RefusalCode code) {
+  private ImmutableList<DispatchAction> refused(long attempt, RefusalCode code, long nowNanos) {
     if (code == RefusalCode.CONNECT_FAILED) {
       limiter.connectionLost();
     }
-    return ended(attempt, ImmutableList.of());
+    return ended(attempt, ImmutableList.of(), nowNanos);
   }
 
   private ImmutableList<DispatchAction> failed(long attempt, RefusalCode code, boolean awaited) {
@@ -303,7 +319,7 @@
     String before = limiter.instance();
     ImmutableList<DispatchAction> reports = reports(limiter.instanceSeen(instance, nowNanos));
     if (!before.isEmpty() && !before.equals(limiter.instance())) {
-      running.instanceChanged();
+      running.instanceChanged(nowNanos);
     }
     return reports;
   }
@@ -331,11 +347,11 @@
     if (remaining.isZero()) {
       return refusal(request.attempt(), RefusalCode.DEADLINE_PASSED, retryAfter());
     }
-    running.sent(request.attempt(), request.deadlineNanos());
     Duration startBefore =
         remaining.compareTo(LeaseClock.LONGEST_START_BEFORE) < 0
             ? remaining
             : LeaseClock.LONGEST_START_BEFORE;
+    running.sent(request.attempt(), nowNanos + startBefore.toNanos(), request.deadlineNanos());
     return new Send(request.attempt(), startBefore, remaining);
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellControl.java
@@ -9,6 +9,7 @@
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.PeerMessage;
@@ -66,7 +67,7 @@
       case ControlEvent.PeerMessageReceived m -> received(duties, m.from(), m.message(), now, out);
       case ControlEvent.PlatformReplied r -> duties.platformReplied(r.call(), r.reply(), now, out);
       case ControlEvent.UpstreamReplied r -> duties.upstreamReplied(r, now, out);
-      case ControlEvent.LoadReported l -> duties.loadReported(l.loads(), now);
+      case ControlEvent.LoadReported l -> duties.loadReported(l.loads(), now, out);
       case ControlEvent.OperatorRequested o -> {}
       case ControlEvent.StopRequested s -> duties.stop();
     }
@@ -102,6 +103,13 @@
     return duties.map(d -> d.heldLeases(nowNanos)).orElse(ImmutableList.of());
   }
 
+  @Override
+  public DispatchDuties dispatchDuties(long nowNanos) {
+    return duties
+        .map(d -> d.dispatchDuties(nowNanos))
+        .orElseGet(() -> OwnershipView.super.dispatchDuties(nowNanos));
+  }
+
   /** Builds a {@link CellControl}. */
   public static final class Builder {
     private HostDefinition self;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
 import org.catkinlift.control.PeerMessage.Leaving;
@@ -39,7 +40,7 @@
   private final Announcer announcer;
   private final RowReadPlan reads = new RowReadPlan();
   private final CellMembers members;
-  private ImmutableList<UpstreamLoad> ownLoads = ImmutableList.of();
+  private final HeartbeatAnswers answers;
   private Optional<Coordinator> coordinator = Optional.empty();
   private Optional<HostId> heardCoordinator = Optional.empty();
   private long roundAt = Long.MIN_VALUE / 4;
@@ -55,6 +56,7 @@
   CellDuties(CellContext context, long nowNanos) {
     this.context = context;
     this.members = new CellMembers(context);
+    this.answers = new HeartbeatAnswers(context);
     this.book = new PromiseBook(context.timings(), nowNanos);
     var authority =
         new CellAuthority(
@@ -82,6 +84,10 @@
     return held.current(nowNanos);
   }
 
+  DispatchDuties dispatchDuties(long nowNanos) {
+    return new DispatchDuties(held.current(nowNanos), held.givenUp(), nowNanos);
+  }
+
   private CellAuthority authority() {
     return role.authority();
   }
@@ -94,7 +100,8 @@
     role.tick(nowNanos, out);
     readRow(nowNanos, out);
     take(nowNanos, out);
-    if (nowNanos - roundAt >= context.timings().heartbeat().toNanos()) {
+    boolean isDue = nowNanos - roundAt >= context.timings().heartbeat().toNanos();
+    if (isDue || coordinator.filter(Coordinator::isHandOverReady).isPresent()) {
       roundAt = nowNanos;
       coordinator.ifPresent(c -> round(c, nowNanos, out));
     }
@@ -212,14 +219,7 @@
     }
     heardCoordinator = Optional.of(from);
     holderKnowsThisRun = answersThisRun && heartbeat.term() >= held.term();
-    out.send(
-        from,
-        new HeartbeatAck(
-            context.cell(),
-            heartbeat.term(),
-            heartbeat.sequence(),
-            context.store().digest(),
-            ownLoads));
+    answers.answer(from, heartbeat, nowNanos, out);
   }
 
   void acknowledged(HostId from, HeartbeatAck ack, long nowNanos, Outbox out) {
@@ -295,9 +295,9 @@
         c -> c.upstreamReplied(event.call(), event.upstream(), event.reply(), nowNanos, out));
   }
 
-  void loadReported(ImmutableList<UpstreamLoad> loads, long nowNanos) {
-    ownLoads = loads;
-    coordinator.ifPresent(c -> c.reported(loads, nowNanos));
+  void loadReported(ImmutableList<UpstreamLoad> loads, long nowNanos, Outbox out) {
+    answers.reported(loads, nowNanos, out);
+    coordinator.ifPresent(c -> c.reported(context.host(), loads, nowNanos));
   }
 
   void stop() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -40,6 +40,7 @@
   private final TreeMap<ServiceName, SlotControl> slots = new TreeMap<>();
   private ImmutableMap<UpstreamId, ServiceDefinition> services = ImmutableMap.of();
   private long takeoverTerm;
+  private boolean handOverReady;
 
   Coordinator(
       CellContext context, long term, LeaseBounds bounds, QuietTime quiet, long unknownUntil) {
@@ -81,14 +82,15 @@
     }
     boolean first = leases.answered(from) == 0;
     leases.acknowledged(from, ack, nowNanos);
-    reported(ack.loads(), nowNanos);
+    reported(from, ack.loads(), nowNanos);
     if (first) {
       sendLeases(ImmutableSet.of(from), nowNanos, out);
     }
   }
 
-  void reported(ImmutableList<UpstreamLoad> loads, long nowNanos) {
+  void reported(HostId from, ImmutableList<UpstreamLoad> loads, long nowNanos) {
     for (UpstreamLoad load : loads) {
+      load.release().ifPresent(r -> handOverReady |= leases.released(from, load.upstream(), r));
       Optional.ofNullable(services.get(load.upstream()))
           .map(s -> slots.get(s.name()))
           .ifPresent(s -> s.reported(load, nowNanos));
@@ -177,9 +179,15 @@
     takeoverTerm = newest;
   }
 
-  /** Sends heartbeats and grants; called in each heartbeat interval. */
+  /** Tells whether a dispatcher has released an upstream since the latest round. */
+  boolean isHandOverReady() {
+    return handOverReady;
+  }
+
+  /** Sends heartbeats and grants; called in each heartbeat interval and after a release. */
   ImmutableList<DispatchLease> round(
       ImmutableSet<HostId> hosts, ImmutableSet<HostId> dispatchers, long nowNanos, Outbox out) {
+    handOverReady = false;
     slots.values().forEach(s -> s.round(nowNanos, out));
     slots.values().forEach(s -> s.askForReleases(nowNanos, out));
     chooseDispatchers(dispatchers, out);
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -13,9 +14,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.UpstreamId;
@@ -33,6 +36,7 @@
   private final EpochIssuer epochs;
   private final Map<UpstreamId, Choice> choices = new TreeMap<>();
   private final Map<HostId, Member> members = new HashMap<>();
+  private final DispatchHandOvers handOvers = new DispatchHandOvers();
   private long sequence;
 
   private record Choice(HostId holder, Epoch epoch) {}
@@ -45,7 +49,7 @@
     private ImmutableMap<String, Epoch> versions = ImmutableMap.of();
   }
 
-  private record Outstanding(long untilNanos, long sequence) {}
+  private record Outstanding(long untilNanos, long sequence, Epoch epoch) {}
 
   DispatchLeases(HostId self, OwnershipTimings timings, EpochIssuer epochs) {
     this.self = self;
@@ -124,6 +128,19 @@
     member.outstanding.values().removeIf(o -> o.sequence < ack.sequence());
   }
 
+  /**
+   * Takes what a dispatcher left behind when it gave its lease up. That ends the lease, too.
+   *
+   * @return true if the next dispatcher should learn of it soon
+   */
+  boolean released(HostId host, UpstreamId upstream, DispatchRelease release) {
+    Outstanding lease = member(host).outstanding.get(upstream);
+    if (lease != null && lease.epoch.equals(release.epoch())) {
+      member(host).outstanding.remove(upstream);
+    }
+    return handOvers.released(host, upstream, release);
+  }
+
   /**
    * Returns the leases to name in a heartbeat and counts them as given.
    *
@@ -134,9 +151,20 @@
   ImmutableList<DispatchLease> give(
       HostId host,
       ToLongFunction<UpstreamId> bounds,
-      java.util.function.Function<UpstreamId, Duration> wanted,
+      Function<UpstreamId, Duration> wanted,
       long nowNanos) {
     long base = host.equals(self) ? nowNanos : member(host).answeredAt;
+    ImmutableList<DispatchLease> given = named(host, base, bounds, wanted, nowNanos);
+    renewOmitted(host, given);
+    return given;
+  }
+
+  private ImmutableList<DispatchLease> named(
+      HostId host,
+      long base,
+      ToLongFunction<UpstreamId> bounds,
+      Function<UpstreamId, Duration> wanted,
+      long nowNanos) {
     return choices.entrySet().stream()
         .filter(e -> e.getValue().holder.equals(host))
         .filter(e -> !isHeldByOther(e.getKey(), host, nowNanos))
@@ -151,17 +179,37 @@
     Duration left = timings.withoutMargin(bound - base);
     Duration remaining = wanted.compareTo(left) < 0 ? wanted : left;
     Choice choice = entry.getValue();
-    return new DispatchLease(entry.getKey(), choice.holder, choice.epoch, remaining);
+    Optional<DispatchRelease> earlier =
+        handOvers.earlier(entry.getKey(), choice.holder, choice.epoch);
+    return new DispatchLease(entry.getKey(), choice.holder, choice.epoch, remaining, earlier);
+  }
+
+  /**
+   * A holder gives up a lease that is not named any more and says what it left behind. Were the
+   * same epoch named again, it could send more after that statement.
+   */
+  private void renewOmitted(HostId host, ImmutableList<DispatchLease> given) {
+    ImmutableSet<UpstreamId> named =
+        given.stream().map(DispatchLease::upstream).collect(toImmutableSet());
+    choices.replaceAll(
+        (upstream, choice) -> {
+          boolean omitted =
+              choice.holder.equals(host)
+                  && !named.contains(upstream)
+                  && handOvers.wasGiven(upstream, host, choice.epoch);
+          return omitted ? new Choice(host, epochs.next()) : choice;
+        });
   }
 
   private void count(HostId host, DispatchLease lease, long base) {
     long until = base + timings.withMargin(lease.remaining());
+    handOvers.given(lease.upstream(), host, lease.epoch());
     member(host)
         .outstanding
         .merge(
             lease.upstream(),
-            new Outstanding(until, sequence),
-            (a, b) -> new Outstanding(Math.max(a.untilNanos, b.untilNanos), b.sequence));
+            new Outstanding(until, sequence, lease.epoch()),
+            (a, b) -> new Outstanding(Math.max(a.untilNanos, b.untilNanos), b.sequence, b.epoch));
   }
 
   /** Notes that an upstream refuses all dispatchers but one. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HeldLeases.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HeldLeases.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.Epoch;
 import org.catkinlift.model.UpstreamId;
 
 /**
@@ -25,6 +26,7 @@
 
   private final TreeMap<Long, Long> answeredAt = new TreeMap<>();
   private ImmutableMap<UpstreamId, Held> held = ImmutableMap.of();
+  private ImmutableMap<UpstreamId, Epoch> givenUp = ImmutableMap.of();
   private long term;
   private long newestSequence;
 
@@ -49,7 +51,7 @@
     term = heartbeat.term();
     newestSequence = heartbeat.sequence();
     Long base = answeredAt.get(heartbeat.answered());
-    held = base == null ? retained(heartbeat, newTerm) : from(heartbeat.leases(), base);
+    replace(base == null ? retained(heartbeat, newTerm) : from(heartbeat.leases(), base));
     answeredAt.put(heartbeat.sequence(), nowNanos);
     if (answeredAt.size() > REMEMBERED_ANSWERS) {
       answeredAt.pollFirstEntry();
@@ -78,7 +80,21 @@
   /** Takes over the leases that this daemon gives to itself as the coordinator. */
   void acceptOwn(long ownTerm, List<DispatchLease> leases, long nowNanos) {
     term = Math.max(term, ownTerm);
-    held = from(leases, nowNanos);
+    replace(from(leases, nowNanos));
+  }
+
+  /** A lease that is no longer named is given up for good: its epoch is not named again. */
+  private void replace(ImmutableMap<UpstreamId, Held> next) {
+    var ended = ImmutableMap.<UpstreamId, Epoch>builder().putAll(givenUp);
+    held.forEach((upstream, h) -> ended.put(upstream, h.lease.epoch()));
+    givenUp =
+        ImmutableMap.copyOf(Maps.filterKeys(ended.buildKeepingLast(), u -> !next.containsKey(u)));
+    held = next;
+  }
+
+  /** Returns the epochs of the leases that the coordinator has taken back, by upstream. */
+  ImmutableMap<UpstreamId, Epoch> givenUp() {
+    return givenUp;
   }
 
   ImmutableList<DispatchLease> current(long nowNanos) {
@@ -95,7 +111,8 @@
   private static DispatchLease remaining(Held held, long nowNanos) {
     DispatchLease lease = held.lease;
     var left = Duration.ofNanos(held.untilNanos - nowNanos);
-    return new DispatchLease(lease.upstream(), lease.holder(), lease.epoch(), left);
+    return new DispatchLease(
+        lease.upstream(), lease.holder(), lease.epoch(), left, lease.earlier());
   }
 
   private static ImmutableMap<UpstreamId, Held> from(List<DispatchLease> leases, long base) {
@@ -107,5 +124,6 @@
   /** Gives up all leases, when this daemon leaves or its coordinator has. */
   void clear() {
     held = ImmutableMap.of();
+    givenUp = ImmutableMap.of();
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/limits/DispatcherFixture.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/limits/DispatcherFixture.java
@@ -4,7 +4,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.Optional;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.RequestDescription;
@@ -55,8 +57,23 @@
     return dispatcher.leaseGranted(lease, nowNanos);
   }
 
+  /** Grants a lease after another dispatcher has released the upstream. */
+  public ImmutableList<DispatchAction> grantAfter(DispatchRelease earlier, long counter) {
+    var lease =
+        new DispatchLease(UPSTREAM, SELF, Epoch.of(1, counter), LEASE, Optional.of(earlier));
+    return dispatcher.leaseGranted(lease, nowNanos);
+  }
+
+  public ImmutableList<DispatchAction> giveUp(long counter) {
+    return dispatcher.leaseGivenUp(Epoch.of(1, counter), nowNanos);
+  }
+
+  public Optional<DispatchRelease> release() {
+    return dispatcher.load(nowNanos).release();
+  }
+
   public ImmutableList<DispatchAction> reportEarlier(int requests) {
-    return dispatcher.earlierRequestsReported(requests, nowNanos);
+    return dispatcher.earlierRequestsReported(requests, nowNanos, nowNanos);
   }
 
   public ImmutableList<DispatchAction> see(String instance) {
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/limits/PlannedHandOverTest.java
@@ -0,0 +1,107 @@
+package org.catkinlift.limits;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.catkinlift.limits.DispatcherFixture.sent;
+
+import java.time.Duration;
+import org.catkinlift.model.DispatchRelease;
+import org.catkinlift.model.Epoch;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a limit that is exceeded when one dispatcher follows another by plan. */
+final class PlannedHandOverTest {
+  private static final Duration LEASE = Duration.ofHours(1);
+
+  private static DispatchRelease release(long counter, int running) {
+    return new DispatchRelease(
+        Epoch.of(1, counter), running, Duration.ofMillis(500), Duration.ofSeconds(9));
+  }
+
+  /** Guards against a start from zero while requests of the earlier dispatcher run. */
+  @Test
+  void startsAtOnceWithWhatTheEarlierDispatcherLeaves() {
+    DispatcherFixture next = DispatcherFixture.withoutLease(4);
+    next.offerMany(6);
+    assertThat(sent(next.grantAfter(release(1, 3), 2))).hasSize(1);
+    assertThat(sent(next.grantAfter(release(1, 1), 2))).hasSize(2);
+    assertThat(next.inFlight()).isEqualTo(3);
+  }
+
+  /** Guards against a repeated or late release that raises the count or lengthens the wait. */
+  @Test
+  void repeatedReleaseChangesNothing() {
+    DispatcherFixture next = DispatcherFixture.withoutLease(4);
+    next.offerMany(6);
+    next.grantAfter(release(1, 1), 2);
+    next.grantAfter(release(1, 3), 2);
+    next.pass(Duration.ofSeconds(8));
+    next.grantAfter(release(1, 3), 2);
+    assertThat(next.inFlight()).isEqualTo(3);
+    next.pass(Duration.ofSeconds(1));
+    assertThat(sent(next.tick())).hasSize(1);
+  }
+
+  /** Guards against a release of this daemon's own or a later lease. */
+  @Test
+  void releaseOfAnotherLeaseIsIgnored() {
+    DispatcherFixture next = DispatcherFixture.withoutLease(4);
+    next.offerMany(4);
+    assertThat(sent(next.grantAfter(release(2, 0), 2))).isEmpty();
+    assertThat(sent(next.grantAfter(release(3, 0), 2))).isEmpty();
+  }
+
+  /** Guards against a report that takes requests on the way to the upstream for ended ones. */
+  @Test
+  void upstreamReportCountsOnlyAfterTheStartTimeAndWithoutOwnRequests() {
+    DispatcherFixture next = DispatcherFixture.withoutLease(2);
+    next.grantAfter(release(1, 2), 2);
+    next.reportEarlier(0);
+    assertThat(next.offerMany(1)).isEmpty();
+    next.pass(Duration.ofMillis(510));
+    assertThat(sent(next.reportEarlier(1))).hasSize(1);
+    next.reportEarlier(0);
+    assertThat(next.offerMany(1)).isEmpty();
+  }
+
+  /** Guards against a release that leaves out requests of the dispatcher before. */
+  @Test
+  void releaseCountsOwnAndEarlierRequests() {
+    DispatcherFixture middle = DispatcherFixture.withoutLease(4);
+    middle.offerMany(2);
+    middle.grantAfter(release(1, 2), 2);
+    middle.giveUp(2);
+    assertThat(middle.release().orElseThrow().running()).isEqualTo(4);
+    assertThat(middle.release().orElseThrow().epoch()).isEqualTo(Epoch.of(1, 2));
+    middle.answer(1);
+    assertThat(middle.release().orElseThrow().running()).isEqualTo(3);
+  }
+
+  /** Guards against a statement by a dispatcher that itself does not know what runs. */
+  @Test
+  void nothingIsStatedWhileEarlierRequestsAreUnknown() {
+    DispatcherFixture middle = DispatcherFixture.withoutLease(4);
+    middle.grant(1, LEASE);
+    middle.giveUp(1);
+    assertThat(middle.release()).isEmpty();
+  }
+
+  /** Guards against a lease that ran out, may come back and was stated as released. */
+  @Test
+  void aLeaseThatRanOutIsNotReleased() {
+    DispatcherFixture dispatcher = DispatcherFixture.ready(4);
+    dispatcher.loseLease();
+    assertThat(dispatcher.release()).isEmpty();
+  }
+
+  /** Guards against requests that are sent after the statement. */
+  @Test
+  void aReleasedLeaseIsNotTakenAgain() {
+    DispatcherFixture dispatcher = DispatcherFixture.ready(4);
+    dispatcher.giveUp(1);
+    dispatcher.grant(1, LEASE);
+    assertThat(dispatcher.offerMany(1)).isEmpty();
+    assertThat(dispatcher.release()).isPresent();
+    dispatcher.grant(2, LEASE);
+    assertThat(dispatcher.release()).isEmpty();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/DispatchHandOversTest.java
@@ -0,0 +1,80 @@
+package org.catkinlift.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.catkinlift.model.DispatchRelease;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a release that is passed on to a dispatcher for which it is not complete. */
+final class DispatchHandOversTest {
+  private static final UpstreamId UPSTREAM = UpstreamId.of("u");
+  private static final HostId A = HostId.of("a");
+  private static final HostId B = HostId.of("b");
+  private static final HostId C = HostId.of("c");
+
+  private final DispatchHandOvers handOvers = new DispatchHandOvers();
+
+  private static Epoch epoch(long counter) {
+    return Epoch.of(1, counter);
+  }
+
+  private static DispatchRelease release(long counter, int running) {
+    return new DispatchRelease(
+        epoch(counter), running, Duration.ofMillis(500), Duration.ofSeconds(9));
+  }
+
+  @Test
+  void nextDispatcherGetsTheReleaseBeforeAndAfterItsFirstLease() {
+    handOvers.given(UPSTREAM, A, epoch(1));
+    assertThat(handOvers.released(A, UPSTREAM, release(1, 3))).isTrue();
+    assertThat(handOvers.earlier(UPSTREAM, B, epoch(2))).isEqualTo(Optional.of(release(1, 3)));
+    handOvers.given(UPSTREAM, B, epoch(2));
+    assertThat(handOvers.released(A, UPSTREAM, release(1, 2))).isFalse();
+    assertThat(handOvers.earlier(UPSTREAM, B, epoch(2))).isEqualTo(Optional.of(release(1, 2)));
+  }
+
+  /** Guards against a repeated or delayed message that brings an old count back. */
+  @Test
+  void countsNeverRise() {
+    handOvers.given(UPSTREAM, A, epoch(1));
+    handOvers.released(A, UPSTREAM, release(1, 1));
+    handOvers.released(A, UPSTREAM, release(1, 3));
+    assertThat(handOvers.earlier(UPSTREAM, B, epoch(2))).isEqualTo(Optional.of(release(1, 1)));
+  }
+
+  /** Guards against a crash of B whose requests the release of A does not contain. */
+  @Test
+  void releaseOfAnEarlierDispatcherDoesNotCountAfterAnotherOne() {
+    handOvers.given(UPSTREAM, A, epoch(1));
+    handOvers.released(A, UPSTREAM, release(1, 0));
+    handOvers.given(UPSTREAM, B, epoch(2));
+    assertThat(handOvers.earlier(UPSTREAM, C, epoch(3))).isEmpty();
+    handOvers.given(UPSTREAM, C, epoch(3));
+    handOvers.released(A, UPSTREAM, release(1, 0));
+    assertThat(handOvers.earlier(UPSTREAM, C, epoch(3))).isEmpty();
+    handOvers.released(B, UPSTREAM, release(2, 1));
+    assertThat(handOvers.earlier(UPSTREAM, C, epoch(3))).isEqualTo(Optional.of(release(2, 1)));
+  }
+
+  /** Guards against requests that are counted twice, as own and as left behind. */
+  @Test
+  void aHolderThatReturnsDoesNotGetItsOwnRelease() {
+    handOvers.given(UPSTREAM, A, epoch(1));
+    handOvers.released(A, UPSTREAM, release(1, 3));
+    assertThat(handOvers.earlier(UPSTREAM, A, epoch(3))).isEmpty();
+  }
+
+  /** Guards against a release by a daemon that did not hold the lease. */
+  @Test
+  void unknownLeasesAreIgnored() {
+    handOvers.given(UPSTREAM, A, epoch(1));
+    assertThat(handOvers.released(B, UPSTREAM, release(1, 0))).isFalse();
+    assertThat(handOvers.released(A, UPSTREAM, release(9, 0))).isFalse();
+    assertThat(handOvers.earlier(UPSTREAM, B, epoch(2))).isEmpty();
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/HeldLeasesTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/HeldLeasesTest.java
@@ -37,6 +37,21 @@
     assertThat(held.current(2 * SECOND)).isEmpty();
   }
 
+  /** Guards against a release of a lease that has run out or is still named, and may continue. */
+  @Test
+  void onlyALeaseThatIsNoLongerNamedIsGivenUp() {
+    accept(1, 1, 0, SECOND);
+    accept(1, 2, 1, SECOND, LEASE);
+    assertThat(held.current(3 * SECOND)).isEmpty();
+    assertThat(held.givenUp()).isEmpty();
+    accept(1, 3, 2, 3 * SECOND);
+    assertThat(held.givenUp()).containsExactly(LEASE.upstream(), LEASE.epoch());
+    accept(1, 2, 1, 3 * SECOND, LEASE);
+    assertThat(held.givenUp()).hasSize(1);
+    accept(1, 4, 3, 3 * SECOND, LEASE);
+    assertThat(held.givenUp()).isEmpty();
+  }
+
   /** Guards against leases of heartbeats that were overtaken or name an earlier run's answer. */
   @Test
   void olderHeartbeatsAndUnknownAnswersGiveNothing() {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/PeerMessageCodec.java
@@ -11,10 +11,12 @@
 import org.catkinlift.control.PeerMessage;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.protocol.generated.DigestFrame;
 import org.catkinlift.protocol.generated.DispatchLeaseProto;
+import org.catkinlift.protocol.generated.DispatchReleaseProto;
 import org.catkinlift.protocol.generated.Frame;
 import org.catkinlift.protocol.generated.HeartbeatAckFrame;
 import org.catkinlift.protocol.generated.HeartbeatFrame;
@@ -135,12 +137,14 @@
   }
 
   private static DispatchLeaseProto encodeLease(DispatchLease lease) {
-    return DispatchLeaseProto.newBuilder()
-        .setUpstream(lease.upstream().value())
-        .setHolder(lease.holder().value())
-        .setEpoch(ModelCodec.encode(lease.epoch()))
-        .setRemainingNanos(lease.remaining().toNanos())
-        .build();
+    var builder =
+        DispatchLeaseProto.newBuilder()
+            .setUpstream(lease.upstream().value())
+            .setHolder(lease.holder().value())
+            .setEpoch(ModelCodec.encode(lease.epoch()))
+            .setRemainingNanos(lease.remaining().toNanos());
+    lease.earlier().map(PeerMessageCodec::encodeRelease).ifPresent(builder::setEarlier);
+    return builder.build();
   }
 
   private static DispatchLease decodeLease(DispatchLeaseProto proto) {
@@ -148,7 +152,25 @@
         UpstreamId.of(proto.getUpstream()),
         HostId.of(proto.getHolder()),
         ModelCodec.decode(proto.getEpoch()),
-        Duration.ofNanos(proto.getRemainingNanos()));
+        Duration.ofNanos(proto.getRemainingNanos()),
+        proto.hasEarlier() ? Optional.of(decodeRelease(proto.getEarlier())) : Optional.empty());
+  }
+
+  private static DispatchReleaseProto encodeRelease(DispatchRelease release) {
+    return DispatchReleaseProto.newBuilder()
+        .setEpoch(ModelCodec.encode(release.epoch()))
+        .setRunning(release.running())
+        .setStartsWithinNanos(release.startsWithin().toNanos())
+        .setEndsWithinNanos(release.endsWithin().toNanos())
+        .build();
+  }
+
+  private static DispatchRelease decodeRelease(DispatchReleaseProto proto) {
+    return new DispatchRelease(
+        ModelCodec.decode(proto.getEpoch()),
+        proto.getRunning(),
+        Duration.ofNanos(proto.getStartsWithinNanos()),
+        Duration.ofNanos(proto.getEndsWithinNanos()));
   }
 
   private static HeartbeatAckFrame encodeHeartbeatAck(PeerMessage.HeartbeatAck ack) {
@@ -180,6 +202,7 @@
             .setQueued(load.queued());
     load.slotLoads().forEach((slot, work) -> builder.putSlotLoads(slot, work.floatValue()));
     load.keyLoads().forEach((key, work) -> builder.putKeyLoads(key, work.floatValue()));
+    load.release().map(PeerMessageCodec::encodeRelease).ifPresent(builder::setRelease);
     return builder.build();
   }
 
@@ -193,7 +216,8 @@
         proto.getSlotLoadsMap().entrySet().stream()
             .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().doubleValue())),
         proto.getKeyLoadsMap().entrySet().stream()
-            .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().doubleValue())));
+            .collect(toImmutableMap(Map.Entry::getKey, e -> e.getValue().doubleValue())),
+        proto.hasRelease() ? Optional.of(decodeRelease(proto.getRelease())) : Optional.empty());
   }
 
   private static PromiseRequestFrame encodePromiseRequest(PeerMessage.PromiseRequest request) {
--- a/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
+++ b/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
@@ -16,6 +16,7 @@
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.GrantChecking;
@@ -44,6 +45,8 @@
   private static final UpstreamId UPSTREAM = UpstreamId.of("desk-1");
   private static final ServiceName SERVICE = ServiceName.of("order-desk");
   private static final Epoch EPOCH = Epoch.of(7, 11);
+  private static final DispatchRelease RELEASE =
+      new DispatchRelease(Epoch.of(7, 10), 3, Duration.ofMillis(400), Duration.ofSeconds(9));
   private static final HostDefinition DEFINITION =
       new HostDefinition(HOST, ZONE, CELL, NetworkAddress.of("127.0.0.1", 7001));
   private static final PeerMessage.Digest DIGEST =
@@ -59,7 +62,10 @@
             12,
             11,
             DIGEST,
-            ImmutableList.of(new DispatchLease(UPSTREAM, HOST, EPOCH, Duration.ofMillis(900)))),
+            ImmutableList.of(
+                new DispatchLease(UPSTREAM, HOST, EPOCH, Duration.ofMillis(900)),
+                new DispatchLease(
+                    UPSTREAM, HOST, EPOCH, Duration.ofMillis(900), Optional.of(RELEASE)))),
         new PeerMessage.HeartbeatAck(
             CELL,
             7,
@@ -73,7 +79,16 @@
                     3,
                     2,
                     ImmutableMap.of(5, 1.5),
-                    ImmutableMap.of("school-9", 0.25)))),
+                    ImmutableMap.of("school-9", 0.25)),
+                new PeerMessage.UpstreamLoad(
+                    UPSTREAM,
+                    "run-1",
+                    4,
+                    3,
+                    2,
+                    ImmutableMap.of(),
+                    ImmutableMap.of(),
+                    Optional.of(RELEASE)))),
         new PeerMessage.PromiseRequest("cell/suva", 7, 3, Duration.ofSeconds(1)),
         new PeerMessage.Promise("cell/suva", 7, 3, Duration.ofSeconds(1), 8),
         DIGEST,
