Allow a gap after random faults only for slots that move

Cause: the final check of OwnershipRandomFaultTest accepted a gap of 1 s for any slot over the last 5 s. Requests wait for such a planned move at the entry daemon, so 1 s is right for it. For a slot that does not move it was too lenient.

Change: each interrupted slot must have been assigned between 1 s before and 1 s after the window; other slots may not have any gap. The bound of 1 s stays.

The skip of grants that have expired on arrival is right and stays: the expiry is a reading of the upstream's own clock, which never goes back, and a grant of another run of its process is refused. Such a grant never gives a slot, and the last owner that counts is still compared with the next one.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipChecks.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipChecks.java
@@ -52,7 +52,7 @@
     }
     for (int slot : slots) {
       if (!upstream.owns(slot)) {
-        continue; // a buffered grant that has expired on arrival gives nothing
+        continue; // expired on arrival by the upstream's own clock, which never goes back
       }
       FakeUpstream last = lastGranted.put(slot, upstream);
       if (last != null && last != upstream && last.owns(slot)) {
--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/Unavailability.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/Unavailability.java
@@ -1,5 +1,8 @@
 package org.catkinlift.bench.ownership;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.BitSet;
 
@@ -9,6 +12,7 @@
 
   private final OwnershipWorld world;
   private final int[] gapSteps;
+  private final BitSet interrupted = new BitSet();
   private int longestSteps;
 
   Unavailability(OwnershipWorld world) {
@@ -26,6 +30,10 @@
 
   private void sample() {
     BitSet served = world.servedSlots();
+    var unserved = new BitSet();
+    unserved.set(0, gapSteps.length);
+    unserved.andNot(served);
+    interrupted.or(unserved);
     for (int slot = 0; slot < gapSteps.length; slot++) {
       gapSteps[slot] = served.get(slot) ? 0 : gapSteps[slot] + 1;
       longestSteps = Math.max(longestSteps, gapSteps[slot]);
@@ -37,6 +45,11 @@
     return STEP.multipliedBy(longestSteps);
   }
 
+  /** Returns the slots that were not served at some time. */
+  ImmutableSet<Integer> interrupted() {
+    return interrupted.stream().boxed().collect(toImmutableSet());
+  }
+
   /** Returns the share of slots that are served now. */
   double servedShare() {
     return (double) world.servedSlots().cardinality() / gapSteps.length;
--- a/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipRandomFaultTest.java
+++ b/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipRandomFaultTest.java
@@ -1,12 +1,15 @@
 package org.catkinlift.bench.ownership;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.GrantChecking;
 import org.catkinlift.model.ServiceKind;
@@ -19,7 +22,10 @@
   private static final int FAULTS = 80;
   private static final int SLOTS = 32;
 
-  /** Slots that still return to their cells one by one may wait this long in a planned move. */
+  /**
+   * Slots that still return to their cells one by one may wait this long in a planned move; their
+   * requests wait at the entry daemon. With seed 14 slot 2 does so after the time to settle.
+   */
   private static final Duration ENTRY_WAIT = Duration.ofSeconds(1);
 
   private static final Duration SETTLE = Duration.ofSeconds(60);
@@ -60,11 +66,27 @@
       assertWithMessage(when).that(world.checks().violations()).isEmpty();
     }
     OwnershipFaults.healAll(world);
-    world.advance(settle);
+    world.advance(settle.minus(ENTRY_WAIT));
+    int logged = world.checks().log().size();
+    world.advance(ENTRY_WAIT);
     assertWithMessage("seed %s", seed).that(world.checks().violations()).isEmpty();
     var gaps = new Unavailability(world);
     gaps.advance(Duration.ofSeconds(5));
     assertWithMessage("seed %s", seed).that(gaps.longest()).isAtMost(ENTRY_WAIT);
+    world.advance(ENTRY_WAIT);
+    assertWithMessage("seed %s, slots that did not move", seed)
+        .that(Sets.difference(gaps.interrupted(), movedSince(world, logged)))
+        .isEmpty();
+  }
+
+  private static ImmutableSet<Integer> movedSince(OwnershipWorld world, int logged) {
+    return world.checks().log().stream()
+        .skip(logged)
+        .filter(e -> e.code() == EventCode.SLOT_ASSIGNED)
+        .map(e -> e.fields().get("unit"))
+        .filter(u -> u.startsWith("slot "))
+        .map(u -> Integer.valueOf(u.substring("slot ".length())))
+        .collect(toImmutableSet());
   }
 
   private static void inject(OwnershipWorld world, SplittableRandom random) {
