--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/control/ControlLoop.java
@@ -8,12 +8,13 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.catkinlift.configuration.ConfigurationAge;
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlEvent;
 import org.catkinlift.control.ControlPart;
+import org.catkinlift.control.DispatchDuties;
 import org.catkinlift.control.MembershipView;
 import org.catkinlift.control.OwnershipView;
 import org.catkinlift.control.UpstreamRequest;
@@ -21,7 +22,6 @@
 import org.catkinlift.daemon.RoutingStateHolder;
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.DecisionLog;
-import org.catkinlift.model.DispatchLease;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceDefinition;
 import org.catkinlift.model.UpstreamDefinition;
@@ -50,7 +50,7 @@
   private final ConfigurationAge age;
   private final RoutingStateHolder states;
   private final ControlPorts ports;
-  private final BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener;
+  private final Consumer<DispatchDuties> dutiesListener;
   private final Map<Long, Promise<OperatorReply>> operators = new HashMap<>();
   private final Promise<Void> handedOver = Promise.promise();
   private boolean routingChanged;
@@ -59,7 +59,7 @@
       ControlParts parts,
       RoutingStateHolder states,
       ControlPorts ports,
-      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
+      Consumer<DispatchDuties> dutiesListener) {
     this.parts = parts.all();
     this.store = parts.store();
     this.members = parts.membership();
@@ -69,7 +69,7 @@
     this.age = parts.age();
     this.states = states;
     this.ports = ports;
-    this.leaseListener = leaseListener;
+    this.dutiesListener = dutiesListener;
     this.executor =
         new ScheduledThreadPoolExecutor(
             1, task -> new Thread(task, "control-" + parts.membership().self().id()));
@@ -82,16 +82,16 @@
    * @param parts the decisions
    * @param states takes the routing state
    * @param ports carries out actions
-   * @param leaseListener takes the dispatch leases that this daemon holds, with the time from which
-   *     their remaining times count; called on the control thread with each tick
+   * @param dutiesListener takes the dispatch leases that this daemon holds or has given up; called
+   *     on the control thread with each tick
    * @return the running loop
    */
   public static ControlLoop start(
       ControlParts parts,
       RoutingStateHolder states,
       ControlPorts ports,
-      BiConsumer<ImmutableList<DispatchLease>, Long> leaseListener) {
-    var loop = new ControlLoop(parts, states, ports, leaseListener);
+      Consumer<DispatchDuties> dutiesListener) {
+    var loop = new ControlLoop(parts, states, ports, dutiesListener);
     var unused = loop.timers.every(ControlPart.TICK_INTERVAL, loop::tick);
     return loop;
   }
@@ -154,7 +154,7 @@
   private void tick() {
     handle(new ControlEvent.Tick());
     long now = timers.nowNanos();
-    leaseListener.accept(ownership.heldLeases(now), now);
+    dutiesListener.accept(ownership.dispatchDuties(now));
     ports.stateSeen(ownership.hasAuthority(now), store.configuration().version(), age.age(now));
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/TrafficLoop.java
@@ -22,7 +22,6 @@
 
 /** Runs the traffic of one event loop: its share of callers and its share of upstreams. */
 public final class TrafficLoop extends VerticleBase {
-  private static final long LOAD_REPORT_MILLIS = 250;
 
   private final Shared shared;
   private final SplittableRandom random;
@@ -73,8 +72,8 @@
             shared.states(),
             shared.events(),
             shared.attempts(),
+            shared.loads(),
             shared.upstreamLeft());
-    vertx.setPeriodic(LOAD_REPORT_MILLIS, t -> shared.loads().accept(workers.loads()));
     return Future.succeededFuture();
   }
 
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/control/ControlLoopTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/control/ControlLoopTest.java
@@ -55,7 +55,7 @@
   private final CallNumbers calls = new CallNumbers();
   private final DecisionLog decisions = new DecisionLog();
   private final ControlLoop loop =
-      ControlLoop.start(parts(), new RoutingStateHolder(SELF.id()), new NoPorts(), (l, n) -> {});
+      ControlLoop.start(parts(), new RoutingStateHolder(SELF.id()), new NoPorts(), duties -> {});
 
   @AfterEach
   void close() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HeartbeatAnswers.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HeartbeatAnswers.java
@@ -1,17 +1,46 @@
 package org.catkinlift.ownership;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import org.catkinlift.control.DigestExchange;
 import org.catkinlift.control.DigestRange;
+import org.catkinlift.control.PeerMessage.Digest;
 import org.catkinlift.control.PeerMessage.Heartbeat;
 import org.catkinlift.control.PeerMessage.HeartbeatAck;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
+import org.catkinlift.model.Epoch;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
 
-/** Answers heartbeats with the versions that the coordinator of the term has not seen yet. */
+/**
+ * Answers heartbeats with the loads and releases of this daemon's dispatchers, and with the
+ * versions that the coordinator of the term has not seen yet.
+ */
 final class HeartbeatAnswers {
+  /** Event loops report every 250 ms; a dispatcher that is gone is no longer reported. */
+  private static final Duration LOAD_VALID_FOR = Duration.ofSeconds(1);
+
   private final CellContext context;
   private DigestExchange exchange;
   private long term;
+  private final Map<UpstreamId, Reported> loads = new TreeMap<>();
+  private ImmutableSet<Released> released = ImmutableSet.of();
+  private Optional<Answered> latest = Optional.empty();
+
+  private record Reported(UpstreamLoad load, long atNanos) {}
+
+  private record Released(UpstreamId upstream, Epoch epoch, boolean ended) {}
+
+  /** The digest is kept, because answers of one sequence must state the same versions. */
+  private record Answered(
+      HostId coordinator, long term, long sequence, Digest digest, DigestRange range) {}
 
   HeartbeatAnswers(CellContext context) {
     this.context = context;
@@ -19,23 +48,51 @@
   }
 
   /**
-   * Composes an answer.
+   * Answers a heartbeat.
    *
    * @param heartbeat a heartbeat of a term and sequence that no earlier one had
    */
-  HeartbeatAck answer(Heartbeat heartbeat, ImmutableList<UpstreamLoad> loads) {
+  void answer(HostId from, Heartbeat heartbeat, long nowNanos, Outbox out) {
     if (heartbeat.term() != term) {
       term = heartbeat.term();
       exchange = new DigestExchange(context.store()); // sequences start anew with each term
     }
     exchange.received(term, heartbeat.sequence(), heartbeat.range());
     DigestExchange.Outgoing next = exchange.next(heartbeat.sequence());
-    return new HeartbeatAck(
-        heartbeat.cell(),
-        term,
-        heartbeat.sequence(),
-        next.digest(),
-        new DigestRange(context.ids().run(), next.base(), exchange.covered()),
-        loads);
+    var range = new DigestRange(context.ids().run(), next.base(), exchange.covered());
+    latest = Optional.of(new Answered(from, term, heartbeat.sequence(), next.digest(), range));
+    send(nowNanos, out);
+  }
+
+  /**
+   * Takes the loads of one event loop. A new release repeats the latest answer at once, because the
+   * next dispatcher waits for it; so does the end of what was left, because this daemon may stop.
+   */
+  void reported(ImmutableList<UpstreamLoad> reports, long nowNanos, Outbox out) {
+    reports.forEach(l -> loads.put(l.upstream(), new Reported(l, nowNanos)));
+    loads.values().removeIf(r -> nowNanos - r.atNanos > LOAD_VALID_FOR.toNanos());
+    ImmutableSet<Released> before = released;
+    released =
+        loads.values().stream().flatMap(r -> releaseOf(r.load).stream()).collect(toImmutableSet());
+    if (!before.containsAll(released)) {
+      send(nowNanos, out);
+    }
+  }
+
+  private static Optional<Released> releaseOf(UpstreamLoad load) {
+    return load.release().map(r -> new Released(load.upstream(), r.epoch(), r.running() == 0));
+  }
+
+  private void send(long nowNanos, Outbox out) {
+    ImmutableList<UpstreamLoad> current =
+        loads.values().stream()
+            .filter(r -> nowNanos - r.atNanos <= LOAD_VALID_FOR.toNanos())
+            .map(Reported::load)
+            .collect(toImmutableList());
+    latest.ifPresent(
+        a ->
+            out.send(
+                a.coordinator,
+                new HeartbeatAck(context.cell(), a.term, a.sequence, a.digest, a.range, current)));
   }
 }
--- a/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
+++ b/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerMessageCodecTest.java
@@ -18,6 +18,7 @@
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.CutOffRule;
 import org.catkinlift.model.DispatchLease;
+import org.catkinlift.model.DispatchRelease;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.GrantChecking;
@@ -46,6 +47,8 @@
   private static final UpstreamId UPSTREAM = UpstreamId.of("desk-1");
   private static final ServiceName SERVICE = ServiceName.of("order-desk");
   private static final Epoch EPOCH = Epoch.of(7, 11);
+  private static final DispatchRelease RELEASE =
+      new DispatchRelease(Epoch.of(7, 10), 3, Duration.ofMillis(400), Duration.ofSeconds(9));
   private static final HostDefinition DEFINITION =
       new HostDefinition(HOST, ZONE, CELL, NetworkAddress.of("127.0.0.1", 7001));
   private static final PeerMessage.Digest DIGEST =
@@ -62,7 +65,10 @@
             11,
             DIGEST,
             new DigestRange(0, 10, 9),
-            ImmutableList.of(new DispatchLease(UPSTREAM, HOST, EPOCH, Duration.ofMillis(900)))),
+            ImmutableList.of(
+                new DispatchLease(UPSTREAM, HOST, EPOCH, Duration.ofMillis(900)),
+                new DispatchLease(
+                    UPSTREAM, HOST, EPOCH, Duration.ofMillis(900), Optional.of(RELEASE)))),
         new PeerMessage.HeartbeatAck(
             CELL,
             7,
@@ -77,7 +83,16 @@
                     3,
                     2,
                     ImmutableMap.of(5, 1.5),
-                    ImmutableMap.of("school-9", 0.25)))),
+                    ImmutableMap.of("school-9", 0.25)),
+                new PeerMessage.UpstreamLoad(
+                    UPSTREAM,
+                    "run-1",
+                    4,
+                    3,
+                    2,
+                    ImmutableMap.of(),
+                    ImmutableMap.of(),
+                    Optional.of(RELEASE)))),
         new PeerMessage.PromiseRequest("cell/suva", 7, 3, Duration.ofSeconds(1)),
         new PeerMessage.Promise("cell/suva", 7, 3, Duration.ofSeconds(1), 8),
         DIGEST,
