--- a/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipSteps.java
+++ b/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipSteps.java
@@ -1,7 +1,9 @@
 package org.catkinlift.bench.ownership;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -18,13 +20,128 @@
 public final class OwnershipSteps {
   private OwnershipWorld world;
   private FakeHost stopped;
+  private FakeHost dispatcher;
   private Set<Integer> keysBefore = ImmutableSet.of();
+  private ImmutableMap<Integer, UpstreamId> ownersBefore = ImmutableMap.of();
 
   @Given("three zones with three hosts and three upstreams each, in service")
   public void inService() {
-    var kind = new ServiceKind.Keyed(64, CutOffRule.hold(), GrantChecking.checked());
+    start(GrantChecking.checked());
+  }
+
+  @Given("the upstreams check no grants")
+  public void unchecked() {
+    start(GrantChecking.unchecked());
+  }
+
+  private void start(GrantChecking checking) {
+    var kind = new ServiceKind.Keyed(64, CutOffRule.hold(), checking);
     world = OwnershipWorlds.of(kind, 3, 3, 9, 4);
     pass(12);
+    ownersBefore = world.owners();
+  }
+
+  /** After a fault the owners are not those that a first assignment gives. */
+  @When("the owners are noted")
+  public void noteOwners() {
+    ownersBefore = world.owners();
+  }
+
+  @When("{int} ms pass")
+  public void passMillis(int millis) {
+    world.advance(Duration.ofMillis(millis));
+  }
+
+  @When("the coordinator of {string} is paused")
+  public void pauseCoordinator(String zone) {
+    world.coordinator(zone).orElseThrow().pause();
+  }
+
+  @When("the coordinator of {string} and upstream {string} are cut off for {int} seconds")
+  public void cutOff(String zone, String upstream, int seconds) {
+    cutOff(ImmutableSet.of(coordinatorName(zone), upstream), seconds);
+  }
+
+  @When("the coordinator of {string} is cut off for {int} seconds")
+  public void cutOffCoordinator(String zone, int seconds) {
+    cutOff(ImmutableSet.of(coordinatorName(zone)), seconds);
+  }
+
+  @When("messages to the coordinator of {string} are delayed by {int} ms for {int} seconds")
+  public void delayToCoordinator(String zone, int millis, int seconds) {
+    delayNode(coordinatorName(zone), millis, seconds);
+  }
+
+  @When("messages to a dispatcher of {string} are delayed by {int} ms for {int} seconds")
+  public void delayToDispatcher(String zone, int millis, int seconds) {
+    dispatcher = dispatcherOf(zone);
+    delayNode(dispatcher.id().value(), millis, seconds);
+  }
+
+  @When("that dispatcher is cut off for {int} seconds")
+  public void cutOffDispatcher(int seconds) {
+    cutOff(ImmutableSet.of(dispatcher.id().value()), seconds);
+  }
+
+  @When("a dispatcher of {string} that does not coordinate is cut off and retires")
+  public void cutOffAndRetire(String zone) {
+    dispatcher = dispatcherOf(zone);
+    world.network().cut(ImmutableSet.of(dispatcher.id().value()));
+    world.accept(
+        world.configuration().toBuilder().retiringHosts(ImmutableSet.of(dispatcher.id())).build());
+  }
+
+  /** The delays stay in force until the next step that cuts or ends them. */
+  private void delayNode(String node, int millis, int seconds) {
+    world.network().delay(node, Duration.ofMillis(millis));
+    pass(seconds);
+  }
+
+  private void cutOff(ImmutableSet<String> nodes, int seconds) {
+    world.network().cut(nodes);
+    pass(seconds);
+    world.network().heal();
+  }
+
+  private String coordinatorName(String zone) {
+    return world.coordinator(zone).orElseThrow().id().value();
+  }
+
+  private FakeHost dispatcherOf(String zone) {
+    return world.hosts().stream()
+        .filter(h -> h.self().zone().value().equals(zone))
+        .filter(h -> !h.hasAuthority() && !h.leases().isEmpty())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @When("messages to the voters of {string} are delayed by {int} ms")
+  public void delayToVoters(String zone, int millis) {
+    world.hosts().stream()
+        .filter(h -> h.self().zone().value().equals(zone) && !h.hasAuthority())
+        .forEach(h -> world.network().delay(h.id().value(), Duration.ofMillis(millis)));
+  }
+
+  @When("delays end")
+  public void delaysEnd() {
+    world.network().heal();
+  }
+
+  @When("the platform is up again")
+  public void platformUp() {
+    world.platform().setDown(false);
+  }
+
+  @Then("every key of other upstreams than {string} has kept its owner")
+  public void keptOwner(String lost) {
+    ImmutableMap<Integer, UpstreamId> now = world.owners();
+    assertThat(ownersBefore).isNotEmpty();
+    ownersBefore.forEach(
+        (slot, owner) -> {
+          if (!owner.value().equals(lost)) {
+            assertWithMessage("slot %s", slot).that(now.get(slot)).isEqualTo(owner);
+          }
+        });
   }
 
   @When("{int} seconds pass")
--- a/catkinlift-decision/src/test/java/org/catkinlift/control/features/ControlSteps.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/control/features/ControlSteps.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Iterables;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -11,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.catkinlift.control.ControlEvent;
+import org.catkinlift.control.PeerMessage;
 import org.catkinlift.control.RowValue;
 import org.catkinlift.control.fake.FakeDaemon;
 import org.catkinlift.control.fake.FakeSite;
@@ -103,6 +106,14 @@
     site.start(FakeSite.host(zone, number), FakeSite.host("suva", 1));
   }
 
+  @When("an answer of {word} with version {long} reaches {word} late")
+  public void lateAnswer(String from, long version, String to) {
+    var old = new PeerMessage.PullReply(ImmutableList.of(FakeSite.configuration(version)));
+    FakeDaemon receiver = site.daemon(to);
+    receiver.deliver(new ControlEvent.PeerMessageReceived(site.daemon(from).id(), old));
+    observe(receiver);
+  }
+
   @Then("all daemons have version {long}")
   public void allHave(long version) {
     assertThat(site.allHave(version)).isTrue();
--- a/catkinlift-decision/src/test/resources/features/configuration.feature
+++ b/catkinlift-decision/src/test/resources/features/configuration.feature
@@ -28,6 +28,13 @@
     Then all daemons have version 2
     And no daemon went back to an older version
 
+  Scenario: An answer with an older version is overtaken by a newer version
+    When version 2 is written to the platform
+    And 7 seconds pass
+    And an answer of nadi-02 with version 1 reaches suva-01 late
+    Then all daemons have version 2
+    And no daemon went back to an older version
+
   Scenario: A daemon that starts during an outage takes what its peers have
     When version 2 is written to the platform
     And 7 seconds pass
