Measure route, admit and encode against the cost of a proxied request

Cause: the aim is under 2 % of the cost of one proxied request, but that cost had not been measured, and encoding had no benchmark. SlotEvents takes the logging out of SlotControl.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/jmh/JmhMain.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/jmh/JmhMain.java
@@ -1,12 +1,17 @@
 package org.catkinlift.bench.jmh;
 
+import java.util.Collection;
+import java.util.Locale;
 import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.RunResult;
 import org.openjdk.jmh.runner.Runner;
-import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 import org.openjdk.jmh.runner.options.TimeValue;
 
-/** Runs the micro-benchmarks with the allocation per operation. The figures decide nothing. */
+/**
+ * Runs the micro-benchmarks with the allocation per operation, and states each as a share of the
+ * processor time of one proxied request in the same run. The figures decide nothing.
+ */
 public final class JmhMain {
   private static final int ITERATIONS = 3;
   private static final TimeValue TIME = TimeValue.seconds(1);
@@ -17,9 +22,9 @@
    * Runs all benchmarks of this package.
    *
    * @param args unused
-   * @throws RunnerException if a benchmark fails
+   * @throws Exception if a benchmark or the site of the proxied requests fails
    */
-  public static void main(String[] args) throws RunnerException {
+  public static void main(String[] args) throws Exception {
     var options =
         new OptionsBuilder()
             .include("org\\.catkinlift\\.bench\\.jmh\\..*")
@@ -30,6 +35,19 @@
             .measurementIterations(ITERATIONS)
             .measurementTime(TIME)
             .build();
-    new Runner(options).run();
+    Collection<RunResult> results = new Runner(options).run();
+    double requestNanos = ProxiedRequestCost.nanos();
+    System.out.printf(Locale.ROOT, "%nproxied request: %.0f ns of processor time%n", requestNanos);
+    results.forEach(result -> printShare(result, requestNanos));
+  }
+
+  private static void printShare(RunResult result, double requestNanos) {
+    double nanos = result.getPrimaryResult().getScore();
+    System.out.printf(
+        Locale.ROOT,
+        "%s: %.0f ns, %.2f %% of a proxied request%n",
+        result.getParams().getBenchmark(),
+        nanos,
+        100 * nanos / requestNanos);
   }
 }
--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/jmh/OneDaemonSite.java
@@ -0,0 +1,136 @@
+package org.catkinlift.bench.jmh;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.catkinlift.control.RowValue;
+import org.catkinlift.daemon.Daemon;
+import org.catkinlift.daemon.platform.RowCodec;
+import org.catkinlift.daemon.settings.DaemonSettings;
+import org.catkinlift.daemon.settings.LoggingSettings;
+import org.catkinlift.daemon.settings.OperatorToken;
+import org.catkinlift.events.EventCode.Severity;
+import org.catkinlift.model.CellId;
+import org.catkinlift.model.Configuration;
+import org.catkinlift.model.HostDefinition;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceDefinition;
+import org.catkinlift.model.ServiceKind;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamDefinition;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.standin.platform.HostList;
+import org.catkinlift.standin.platform.PlatformStandin;
+import org.catkinlift.standin.upstream.UpstreamSettings;
+import org.catkinlift.standin.upstream.UpstreamStandin;
+
+/** Runs one daemon, one upstream of a keyed service and the platform on loopback addresses. */
+final class OneDaemonSite {
+  private static final String IP = "127.0.0.1";
+  private static final ServiceName SERVICE = ServiceName.of("order-desk");
+  private static final UpstreamId UPSTREAM = UpstreamId.of("desk-1");
+  private static final ZoneName ZONE = ZoneName.of("suva");
+  private static final CellId CELL = CellId.of("suva");
+  private static final HostId HOST = HostId.of("suva-1");
+  private static final int LIMIT = 64;
+  private static final long WAIT_SECONDS = 30;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final UpstreamStandin upstream;
+  private final Daemon daemon;
+
+  private OneDaemonSite() throws Exception {
+    PlatformStandin platform = await(PlatformStandin.start(vertx, IP, 0));
+    upstream = await(UpstreamStandin.start(vertx, upstreamSettings(), IP, 0));
+    platform.putRow(
+        Configuration.NAME,
+        RowCodec.encode(new RowValue.ConfigurationRow(configuration(upstream.address())))
+            .toString());
+    DaemonSettings settings = daemonSettings(platform.address());
+    HostDefinition self = settings.self();
+    platform.setHosts(new HostList(ImmutableList.of(self), ImmutableList.of()));
+    daemon = await(Daemon.start(vertx, settings));
+  }
+
+  /**
+   * Starts the site.
+   *
+   * @return the site; its daemon may not serve yet
+   * @throws Exception if a part does not start
+   */
+  static OneDaemonSite start() throws Exception {
+    return new OneDaemonSite();
+  }
+
+  Vertx vertx() {
+    return vertx;
+  }
+
+  /** Returns where requests pass the daemon. */
+  NetworkAddress callerAddress() {
+    return daemon.callerAddress();
+  }
+
+  /** Returns where requests reach the upstream without the daemon. */
+  NetworkAddress directAddress() {
+    return upstream.directAddress();
+  }
+
+  /** Stops the daemon and the stand-ins. */
+  void stop() throws Exception {
+    await(daemon.stop());
+    await(vertx.close());
+  }
+
+  private static UpstreamSettings upstreamSettings() {
+    return UpstreamSettings.builder()
+        .id(UPSTREAM)
+        .executionSlots(LIMIT)
+        .connectionLimit(2 * LIMIT)
+        .executionTime(Duration.ZERO)
+        .build();
+  }
+
+  private static Configuration configuration(NetworkAddress address) {
+    var definition = new UpstreamDefinition(UPSTREAM, ZONE, CELL, address, LIMIT, LIMIT);
+    var service =
+        new ServiceDefinition(
+            SERVICE, ServiceKind.keyed(), ImmutableSet.of(ZONE), ImmutableList.of(definition), 0);
+    return Configuration.builder().version(1).services(ImmutableMap.of(SERVICE, service)).build();
+  }
+
+  private static DaemonSettings daemonSettings(NetworkAddress platform) throws IOException {
+    return DaemonSettings.builder()
+        .host(HOST)
+        .zone(ZONE)
+        .cell(CELL)
+        .zones(ImmutableSet.of(ZONE))
+        .callerAddress(freeAddress())
+        .peerAddress(freeAddress())
+        .operatorAddress(freeAddress())
+        .operatorToken(OperatorToken.of("a-token-for-measurements"))
+        .platformAddress(platform)
+        .peers(ImmutableList.of())
+        .logging(new LoggingSettings(Severity.WARNING, 0))
+        .build();
+  }
+
+  private static NetworkAddress freeAddress() throws IOException {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return NetworkAddress.of(IP, socket.getLocalPort());
+    }
+  }
+
+  private static <T> T await(Future<T> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -15,8 +15,6 @@
 import java.util.stream.IntStream;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest.Reply;
-import org.catkinlift.events.DecisionEvent;
-import org.catkinlift.events.EventCode;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HomeMap;
@@ -50,6 +48,7 @@
   private final UnitLoads loads;
   private final CellLoads cellLoads;
   private final KeyReturns keyReturns;
+  private final SlotEvents events;
   private final Set<UpstreamId> touched = new HashSet<>();
   private boolean loaded;
   private boolean changed;
@@ -75,6 +74,7 @@
     this.writer = new AssignmentWriter(rowName(), context.ids());
     this.loads = new UnitLoads(table);
     this.keyReturns = new KeyReturns(table, loads);
+    this.events = new SlotEvents(service.name(), table);
     this.cellLoads = new CellLoads(context, service.name());
     this.homes = new HomeMoves(context, service, cellLoads, loads::slotLoads);
   }
@@ -269,7 +269,7 @@
               UnitTable.Release now = noteStopped(unit, release, nowNanos);
               if (isOver(unit, now, nowNanos)) {
                 table.endRelease(unit);
-                logReleased(unit, release.from(), out);
+                events.released(unit, release.from(), out);
               }
             });
   }
@@ -315,7 +315,7 @@
               table.assign(move.slot(), move.to(), epochs.next());
               touched.add(move.to());
               changed = true;
-              logAssigned(move.slot(), move.to(), "least load per capacity", out);
+              events.assigned(move.slot(), move.to(), "least load per capacity", out);
             });
   }
 
@@ -324,12 +324,7 @@
       table.addOverride(key, epochs.next(), epochs.next());
       table.unitOf(key).flatMap(table::owner).ifPresent(touched::add);
       changed = true;
-      out.log(
-          EventCode.KEY_OVERRIDDEN,
-          DecisionEvent.SERVICE_FIELD,
-          service.name(),
-          DecisionEvent.KEY_FIELD,
-          key);
+      events.overridden(key, out);
     }
   }
 
@@ -342,7 +337,7 @@
   private void endKeyReturns(Outbox out) {
     for (String key : keyReturns.finish()) {
       changed = true;
-      out.log(EventCode.KEY_RETURNED, "service", service.name(), "key", key);
+      events.returned(key, out);
     }
   }
 
@@ -350,44 +345,12 @@
     Set<Integer> owned = table.owned(u -> true);
     for (var move : loads.balance(owned, capacities(nowNanos), nowNanos)) {
       startRelease(move.slot(), nowNanos);
-      logAssigned(move.slot(), move.to(), "imbalance above " + PlacementPlanner.MOVE_ABOVE, out);
+      events.assigned(
+          move.slot(), move.to(), "imbalance above " + PlacementPlanner.MOVE_ABOVE, out);
     }
     askForReleases(nowNanos, out, touched);
   }
 
-  private void logAssigned(int unit, UpstreamId to, String reason, Outbox out) {
-    out.log(
-        EventCode.SLOT_ASSIGNED,
-        ImmutableMap.of(
-            DecisionEvent.SERVICE_FIELD,
-            service.name().value(),
-            DecisionEvent.UNIT_FIELD,
-            unitName(unit),
-            "to",
-            to.value(),
-            "reason",
-            reason));
-  }
-
-  private void logReleased(int unit, UpstreamId from, Outbox out) {
-    out.log(
-        EventCode.SLOT_RELEASED,
-        ImmutableMap.of(
-            DecisionEvent.SERVICE_FIELD,
-            service.name().value(),
-            DecisionEvent.UNIT_FIELD,
-            unitName(unit),
-            "from",
-            from.value()));
-  }
-
-  private String unitName(int unit) {
-    return table
-        .keyOf(unit)
-        .map(DecisionEvent::keyUnit)
-        .orElseGet(() -> DecisionEvent.slotUnit(unit));
-  }
-
   private void publish(long nowNanos, Outbox out) {
     if (changed) {
       changed = false;
