--- a/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionLog.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionLog.java
@@ -31,7 +31,9 @@
           EventCode.SLOT_RELEASED,
           EventCode.GRANT_REFUSED,
           EventCode.DISPATCHER_ASSIGNED,
-          EventCode.KEY_OVERRIDDEN);
+          EventCode.KEY_OVERRIDDEN,
+          EventCode.HOME_MOVED,
+          EventCode.KEY_RETURNED);
 
   /**
    * A decision and when it was made.
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -18,6 +18,7 @@
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.PlatformRequest.Row;
 import org.catkinlift.control.RowValue.HomeRow;
+import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.HomeMap;
@@ -196,10 +197,14 @@
     out.log(
         EventCode.HOME_MOVED,
         ImmutableMap.of(
-            "service", service.name().value(),
-            "slot", Integer.toString(slot),
-            "to", to.value(),
-            "reason", "load of the cell above " + CellBalancePlanner.MOVE_ABOVE));
+            DecisionEvent.SERVICE_FIELD,
+            service.name().value(),
+            DecisionEvent.UNIT_FIELD,
+            DecisionEvent.slotUnit(slot),
+            "to",
+            to.value(),
+            "reason",
+            "load of the cell above " + CellBalancePlanner.MOVE_ABOVE));
   }
 
   /** Writes the new home of the slots that are released, and of slots of lost cells. */
--- a/catkinlift-decision/src/test/java/org/catkinlift/events/DecisionLogTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/events/DecisionLogTest.java
@@ -1,10 +1,13 @@
 package org.catkinlift.events;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
+/** Guards against decisions that operators cannot ask about. */
 final class DecisionLogTest {
   private final DecisionLog log = new DecisionLog();
 
@@ -46,6 +49,17 @@
     assertThat(all(0)).isEmpty();
   }
 
+  /** Guards against a new kind of placement decision that explanations of a key leave out. */
+  @Test
+  void keepsEveryPlacementEvent() {
+    ImmutableList<EventCode> placement =
+        Stream.of(EventCode.values())
+            .filter(c -> c.number() / 1_000 == 3)
+            .collect(toImmutableList());
+    placement.forEach(c -> log.record(DecisionEvent.of(c, "service", "desk"), 0));
+    assertThat(all(0)).hasSize(placement.size());
+  }
+
   /** Guards against an unbounded answer or one that leaves out the newest decisions. */
   @Test
   void filtersAndLimitsFromTheNewest() {
