Use pattern switches in the harness where types were tested one by one

The fakes and checks tested the types of messages, events and rows with instanceof, so a new type would have been passed over silently. The switches name every type. A row that changes its kind is now a violation.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/control/MeasuredDaemon.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/control/MeasuredDaemon.java
@@ -95,11 +95,17 @@
 
   void receive(HostId from, PeerMessage message, int bytes) {
     received.count(message, bytes);
-    if (message instanceof PeerMessage.Heartbeat h) {
-      send(from, answer(h, exchange(from)));
-    }
-    if (message instanceof PeerMessage.HeartbeatAck a) {
-      exchange(from).received(a.range().stream(), a.sequence(), a.range());
+    switch (message) {
+      case PeerMessage.Heartbeat h -> send(from, answer(h, exchange(from)));
+      case PeerMessage.HeartbeatAck a ->
+          exchange(from).received(a.range().stream(), a.sequence(), a.range());
+      case PeerMessage.Hello h -> {}
+      case PeerMessage.PromiseRequest p -> {}
+      case PeerMessage.Promise p -> {}
+      case PeerMessage.Digest d -> {}
+      case PeerMessage.Pull p -> {}
+      case PeerMessage.PullReply p -> {}
+      case PeerMessage.Leaving l -> {}
     }
     handle(new ControlEvent.PeerMessageReceived(from, message));
   }
--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/FakeHost.java
@@ -163,8 +163,14 @@
       missed.add(event);
       return;
     }
-    if (event instanceof ControlEvent.PeerMessageReceived m) {
-      spread(m.from(), m.message());
+    switch (event) {
+      case ControlEvent.PeerMessageReceived m -> spread(m.from(), m.message());
+      case ControlEvent.Tick t -> {}
+      case ControlEvent.PlatformReplied p -> {}
+      case ControlEvent.UpstreamReplied u -> {}
+      case ControlEvent.LoadReported l -> {}
+      case ControlEvent.OperatorRequested o -> {}
+      case ControlEvent.StopRequested s -> {}
     }
     control.handle(event, now()).forEach(this::act);
     world.checks().handled(this);
--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipChecks.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipChecks.java
@@ -118,19 +118,30 @@
     if (row.version() <= before.version()) {
       violate(row.name() + " went back to version " + row.version());
     }
-    if (before.value() instanceof RowValue.AssignmentRow a
-        && row.value() instanceof RowValue.AssignmentRow b) {
-      checkAssignments(a.assignment(), b.assignment());
+    if (!before.value().getClass().equals(row.value().getClass())) {
+      violate(row.name() + " changed its kind");
+      return;
+    }
+    switch (row.value()) {
+      case RowValue.AssignmentRow after ->
+          checkAssignments(
+              ((RowValue.AssignmentRow) before.value()).assignment(), after.assignment());
+      case RowValue.CellRow after -> checkTerm(row, (RowValue.CellRow) before.value(), after);
+      case RowValue.HomeRow after -> checkHomes(row, (RowValue.HomeRow) before.value(), after);
+      case RowValue.ConfigurationRow after -> {}
+      case RowValue.PlanRow after -> {}
     }
-    if (before.value() instanceof RowValue.CellRow a
-        && row.value() instanceof RowValue.CellRow b
-        && b.term() < a.term()) {
-      violate(row.name() + " went back to term " + b.term());
+  }
+
+  private void checkTerm(Row row, RowValue.CellRow before, RowValue.CellRow after) {
+    if (after.term() < before.term()) {
+      violate(row.name() + " went back to term " + after.term());
     }
-    if (before.value() instanceof RowValue.HomeRow a
-        && row.value() instanceof RowValue.HomeRow b
-        && b.homes().version() <= a.homes().version()) {
-      violate(row.name() + " went back to home map " + b.homes().version());
+  }
+
+  private void checkHomes(Row row, RowValue.HomeRow before, RowValue.HomeRow after) {
+    if (after.homes().version() <= before.homes().version()) {
+      violate(row.name() + " went back to home map " + after.homes().version());
     }
   }
 
