Remove repeated lookups and names from the decision library

Read-through of the whole change; behaviour stays as it is. - The names of home maps and assignments were put together in eight places; HomeMap and Assignment now state them. VersionStore finds these values by name instead of searching all values, which SlotControl did on each tick. - CellAuthority.voters, the fair share of UnitLoads, Imbalance.mean and PlanRows.values replace copies of the same expression. - DecisionLog kept a list of event codes that had to follow each new event; EventCode.isPlacement derives it from the number. - RequestDescription.withDeadline serves the daemon and the bench. - DispatchLeases counts leases after the stream instead of in peek. - UpstreamDispatcher.limitChanged and what it called had no caller: a changed definition gets a new worker.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
@@ -144,13 +144,7 @@
   }
 
   private RequestDescription remainingRequest() {
-    RequestDescription whole = request.description();
-    return new RequestDescription(
-        whole.id(),
-        whole.service(),
-        whole.key(),
-        whole.requestClass(),
-        Duration.ofNanos(Math.max(0, deadlineNanos - now())));
+    return request.description().withDeadline(Duration.ofNanos(Math.max(0, deadlineNanos - now())));
   }
 
   private long now() {
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/AttemptHeads.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/AttemptHeads.java
@@ -41,16 +41,8 @@
    * @return the head
    */
   RelayHead next(UpstreamId upstream, int slot, Epoch epoch, Duration remaining) {
-    RequestDescription attempt =
-        RequestDescription.builder()
-            .id(description.id())
-            .service(description.service())
-            .key(description.key())
-            .requestClass(description.requestClass())
-            .deadline(remaining)
-            .build();
     return RelayHead.builder()
-        .request(attempt)
+        .request(description.withDeadline(remaining))
         .upstream(upstream)
         .slot(slot)
         .epoch(epoch)
--- a/catkinlift-decision/src/main/java/org/catkinlift/configuration/PlatformReads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/configuration/PlatformReads.java
@@ -8,7 +8,9 @@
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.PlatformRequest;
+import org.catkinlift.model.Assignment;
 import org.catkinlift.model.Configuration;
+import org.catkinlift.model.HomeMap;
 
 /**
  * Decides when this daemon reads which rows of the platform's table.
@@ -25,9 +27,6 @@
   /** An adapter that never answers must not end the reads. */
   private static final Duration ANSWER_LIMIT = Duration.ofSeconds(5);
 
-  private static final String HOMES = "home/";
-  private static final String ASSIGNMENTS = "assignment/";
-
   /** A read without an answer yet. */
   record Read(String prefix, long sentNanos) {}
 
@@ -58,9 +57,9 @@
     }
     var actions = ImmutableList.<ControlAction>builder();
     read(Configuration.NAME, nowNanos).ifPresent(actions::add);
-    read(HOMES, nowNanos).ifPresent(actions::add);
+    read(HomeMap.PREFIX, nowNanos).ifPresent(actions::add);
     if (needsAssignments) {
-      read(ASSIGNMENTS, nowNanos).ifPresent(actions::add);
+      read(Assignment.PREFIX, nowNanos).ifPresent(actions::add);
     }
     return actions.build();
   }
@@ -77,7 +76,7 @@
   }
 
   private static Duration interval(String prefix) {
-    return prefix.equals(HOMES) ? HOMES_INTERVAL : HEAD_INTERVAL;
+    return prefix.equals(HomeMap.PREFIX) ? HOMES_INTERVAL : HEAD_INTERVAL;
   }
 
   /** Returns the read that a reply belongs to, once; empty for calls of other parts. */
@@ -92,7 +91,7 @@
       dueNanos.put(prefix, nowNanos + RETRY_INTERVAL.toNanos());
       return;
     }
-    if (prefix.equals(ASSIGNMENTS)) {
+    if (prefix.equals(Assignment.PREFIX)) {
       needsAssignments = false;
       starting = false;
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/control/VersionStore.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/control/VersionStore.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
+import org.catkinlift.model.CellLoad;
 import org.catkinlift.model.Configuration;
 import org.catkinlift.model.DispatcherMap;
 import org.catkinlift.model.Epoch;
@@ -104,7 +105,7 @@
    * @return the configuration; {@link Configuration#EMPTY} if none has arrived
    */
   public Configuration configuration() {
-    return values.get(Configuration.NAME) instanceof Configuration c ? c : Configuration.EMPTY;
+    return valueOf(Configuration.class, Configuration.NAME).orElse(Configuration.EMPTY);
   }
 
   /**
@@ -114,7 +115,7 @@
    * @return the home map, if one has arrived
    */
   public Optional<HomeMap> homeMap(ServiceName service) {
-    return valuesOf(HomeMap.class).stream().filter(h -> h.service().equals(service)).findFirst();
+    return valueOf(HomeMap.class, HomeMap.nameOf(service));
   }
 
   /**
@@ -137,7 +138,18 @@
    * @return the assignment, if one has arrived
    */
   public Optional<Assignment> assignment(ServiceName service, CellId cell) {
-    return assignments(service).stream().filter(a -> a.cell().equals(cell)).findFirst();
+    return valueOf(Assignment.class, Assignment.nameOf(service, cell));
+  }
+
+  /**
+   * Returns the load of one cell.
+   *
+   * @param service the service
+   * @param cell the cell
+   * @return the load, if a report has arrived
+   */
+  public Optional<CellLoad> cellLoad(ServiceName service, CellId cell) {
+    return valueOf(CellLoad.class, CellLoad.nameOf(service, cell));
   }
 
   /**
@@ -188,6 +200,10 @@
     return present == null ? Epoch.NONE : present.order();
   }
 
+  private <T extends Versioned> Optional<T> valueOf(Class<T> type, String name) {
+    return value(name).map(type::cast);
+  }
+
   private <T extends Versioned> ImmutableList<T> valuesOf(Class<T> type) {
     return values.values().stream()
         .filter(type::isInstance)
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionLog.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/DecisionLog.java
@@ -3,7 +3,6 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.function.Predicate;
@@ -23,18 +22,6 @@
   /** The age after which a decision is dropped. */
   public static final Duration MAX_AGE = Duration.ofHours(1);
 
-  private static final ImmutableSet<EventCode> KEPT =
-      ImmutableSet.of(
-          EventCode.ROLE_TAKEN,
-          EventCode.ROLE_LOST,
-          EventCode.SLOT_ASSIGNED,
-          EventCode.SLOT_RELEASED,
-          EventCode.GRANT_REFUSED,
-          EventCode.DISPATCHER_ASSIGNED,
-          EventCode.KEY_OVERRIDDEN,
-          EventCode.HOME_MOVED,
-          EventCode.KEY_RETURNED);
-
   /**
    * A decision and when it was made.
    *
@@ -55,7 +42,7 @@
    * @param nowNanos the time, in nanoseconds; never earlier than that of the event before
    */
   public void record(DecisionEvent event, long nowNanos) {
-    if (!KEPT.contains(event.code())) {
+    if (!event.code().isPlacement()) {
       return;
     }
     dropOld(nowNanos);
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -85,6 +85,9 @@
     WARNING
   }
 
+  private static final int GROUP_SIZE = 1_000;
+  private static final int PLACEMENT_GROUP = 3;
+
   private final int number;
   private final Severity severity;
   private final String text;
@@ -104,6 +107,15 @@
     return number;
   }
 
+  /**
+   * Tells whether the event states a decision about ownership or placement.
+   *
+   * @return true if its number is of the 3000s
+   */
+  public boolean isPlacement() {
+    return number / GROUP_SIZE == PLACEMENT_GROUP;
+  }
+
   /**
    * Returns the severity.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/RequestQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/RequestQueue.java
@@ -8,8 +8,7 @@
 /** Holds the requests that wait for an upstream, first in, first out, up to a bound. */
 final class RequestQueue {
   private final Map<Long, WaitingRequest> waiting = new LinkedHashMap<>();
-  private final int factor;
-  private int capacity;
+  private final int capacity;
 
   /**
    * Creates an empty queue.
@@ -18,12 +17,7 @@
    * @param factor the longest queue, in multiples of the limit
    */
   RequestQueue(int limit, int factor) {
-    this.factor = factor;
-    changeLimit(limit);
-  }
-
-  void changeLimit(int limit) {
-    capacity = limit * factor;
+    this.capacity = limit * factor;
   }
 
   boolean isFull() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/SlowStartLimiter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/SlowStartLimiter.java
@@ -27,7 +27,7 @@
 
   private final UpstreamId upstream;
   private final LatencyTracker latencies = new LatencyTracker();
-  private int fullLimit;
+  private final int fullLimit;
   private int limit;
   private int completedAtLimit;
   private int slowInARow;
@@ -59,11 +59,6 @@
     return latencies.percentile(MEDIAN);
   }
 
-  void changeFullLimit(int newLimit) {
-    limit = isCold() ? Math.min(limit, newLimit) : newLimit;
-    fullLimit = newLimit;
-  }
-
   /** Keeps the limit at 1 until the next answer shows whether the upstream restarted. */
   void connectionLost() {
     unconfirmed = true;
--- a/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/limits/UpstreamDispatcher.java
@@ -191,19 +191,6 @@
     return leaseLost(nowNanos);
   }
 
-  /**
-   * Takes a new limit.
-   *
-   * @param limit the number of requests that the upstream executes at once, at least 1
-   * @param nowNanos the time
-   * @return what to do
-   */
-  public ImmutableList<DispatchAction> limitChanged(int limit, long nowNanos) {
-    limiter.changeFullLimit(limit);
-    queue.changeLimit(limit);
-    return sendNext(nowNanos);
-  }
-
   /**
    * Takes the instance that the upstream named in a reply to a probe or a grant.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/model/Assignment.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/Assignment.java
@@ -19,6 +19,8 @@
     PackedSlots slots,
     ImmutableMap<String, SlotOwner> overrides)
     implements Versioned {
+  /** Starts the names of all assignments. */
+  public static final String PREFIX = "assignment/";
 
   /**
    * Creates an assignment from slots in any map.
@@ -38,9 +40,20 @@
     this(service, cell, version, PackedSlots.copyOf(slots), overrides);
   }
 
+  /**
+   * Returns the name of the assignment of one cell.
+   *
+   * @param service the service
+   * @param cell the home cell
+   * @return the name
+   */
+  public static String nameOf(ServiceName service, CellId cell) {
+    return PREFIX + service + "/" + cell;
+  }
+
   @Override
   public String name() {
-    return "assignment/" + service + "/" + cell;
+    return nameOf(service, cell);
   }
 
   @Override
--- a/catkinlift-decision/src/main/java/org/catkinlift/model/HomeMap.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/HomeMap.java
@@ -11,10 +11,22 @@
  */
 public record HomeMap(ServiceName service, long version, ImmutableList<CellId> homes)
     implements Versioned {
+  /** Starts the names of all home maps. */
+  public static final String PREFIX = "home/";
+
+  /**
+   * Returns the name of the home map of a service.
+   *
+   * @param service the service
+   * @return the name
+   */
+  public static String nameOf(ServiceName service) {
+    return PREFIX + service;
+  }
 
   @Override
   public String name() {
-    return "home/" + service;
+    return nameOf(service);
   }
 
   @Override
--- a/catkinlift-decision/src/main/java/org/catkinlift/model/RequestDescription.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/model/RequestDescription.java
@@ -28,6 +28,16 @@
     return new Builder();
   }
 
+  /**
+   * Returns the same request with another deadline, as a further attempt needs it.
+   *
+   * @param remaining the time that remains for an answer
+   * @return the request
+   */
+  public RequestDescription withDeadline(Duration remaining) {
+    return new RequestDescription(id, service, key, requestClass, remaining);
+  }
+
   /** Builds a {@link RequestDescription}. */
   public static final class Builder {
     private RequestId id;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellAuthority.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellAuthority.java
@@ -145,10 +145,14 @@
             v -> promisedUntil.getOrDefault(v, NONE) > nowNanos + timings.heartbeat().toNanos());
   }
 
+  /** The voters of the row as the platform last showed it. */
+  ImmutableSet<HostId> voters() {
+    return row().<ImmutableSet<HostId>>map(CellRow::voters).orElse(ImmutableSet.of());
+  }
+
   /** The voters whose promises count, those of an unconfirmed change of voters included. */
   ImmutableSet<HostId> otherVoters() {
-    Set<HostId> voters = row().<Set<HostId>>map(CellRow::voters).orElse(ImmutableSet.of());
-    return Sets.union(voters, futureVoters).stream()
+    return Sets.union(voters(), futureVoters).stream()
         .filter(v -> !v.equals(self))
         .collect(toImmutableSet());
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellDuties.java
@@ -16,7 +16,6 @@
 import org.catkinlift.control.PeerMessage.PromiseRequest;
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.control.PlatformRequest.Reply;
-import org.catkinlift.control.RowValue.CellRow;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
@@ -124,13 +123,7 @@
         || !rule.mayTake(authority(), longestPromise(), nowNanos)) {
       return;
     }
-    ImmutableSet<HostId> voters =
-        authority()
-            .row()
-            .map(CellRow::voters)
-            .<ImmutableSet<HostId>>map(v -> v)
-            .orElse(ImmutableSet.of());
-    role.take(voters, nowNanos, out);
+    role.take(authority().voters(), nowNanos, out);
   }
 
   /** Zero unless a service may have caused long promises that this run does not know of. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellLoads.java
@@ -104,9 +104,6 @@
   }
 
   private Optional<CellLoad> report(CellId cell) {
-    return context
-        .store()
-        .value(CellLoad.nameOf(service, cell))
-        .map(v -> v instanceof CellLoad load ? load : null);
+    return context.store().cellLoad(service, cell);
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/DispatchLeases.java
@@ -186,6 +186,7 @@
       long nowNanos) {
     long base = host.equals(self) ? nowNanos : member(host).answeredAt;
     ImmutableList<DispatchLease> given = named(host, base, bounds, wanted, nowNanos);
+    given.forEach(l -> count(host, l, base));
     renewOmitted(host, given);
     return given;
   }
@@ -201,7 +202,6 @@
         .filter(e -> !isHeldByOther(e.getKey(), host, nowNanos))
         .map(e -> lease(e, base, bounds.applyAsLong(e.getKey()), wanted.apply(e.getKey())))
         .filter(l -> base + l.remaining().toNanos() > nowNanos)
-        .peek(l -> count(host, l, base))
         .collect(toImmutableList());
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/ForeignTakeovers.java
@@ -124,7 +124,7 @@
   private void takeOrReadHomes(CellId cell, RoleKeeper keeper, long nowNanos, Outbox out) {
     if (nowNanos - homesReadAt > FRESH_NANOS || homeRows.isEmpty()) {
       if (homesCall < 0) {
-        homesCall = out.platform(new PlatformRequest.ReadRows("home/"));
+        homesCall = out.platform(new PlatformRequest.ReadRows(HomeMap.PREFIX));
       }
       return;
     }
@@ -150,7 +150,7 @@
 
   private Optional<Row> newHomes(ServiceDefinition service, CellId lost, long nowNanos) {
     return homeRows.stream()
-        .filter(r -> r.name().equals("home/" + service.name()))
+        .filter(r -> r.name().equals(HomeMap.nameOf(service.name())))
         .findFirst()
         .map(r -> withoutCell(r, service, lost, nowNanos))
         .filter(r -> !homeRows.contains(r));
@@ -210,7 +210,7 @@
     boolean before = keeper.authority().isHolder();
     keeper.replied(call, reply, nowNanos, out);
     if (!before && keeper.authority().isHolder() && homesCall < 0) {
-      homesCall = out.platform(new PlatformRequest.ReadRows("home/"));
+      homesCall = out.platform(new PlatformRequest.ReadRows(HomeMap.PREFIX));
     }
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/HomeMoves.java
@@ -64,7 +64,7 @@
     this.slotLoads = slotLoads;
     this.context = context;
     this.service = service;
-    this.writer = new RowWriter("home/" + service.name(), context.ids());
+    this.writer = new RowWriter(HomeMap.nameOf(service.name()), context.ids());
   }
 
   boolean isRecovered() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/OwnTakeoverRole.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/OwnTakeoverRole.java
@@ -70,14 +70,8 @@
     if (keeper.isBusy() || !authority().isKnown()) {
       return;
     }
-    ImmutableSet<HostId> voters =
-        authority()
-            .row()
-            .map(CellRow::voters)
-            .<ImmutableSet<HostId>>map(v -> v)
-            .orElse(ImmutableSet.of());
     ImmutableSet<HostId> others =
-        voters.stream().filter(v -> !isOfOwnZone(v)).collect(toImmutableSet());
+        authority().voters().stream().filter(v -> !isOfOwnZone(v)).collect(toImmutableSet());
     keeper.take(others, nowNanos, out);
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/ServiceRules.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/ServiceRules.java
@@ -19,13 +19,18 @@
   }
 
   static boolean isLapse(ServiceDefinition service) {
-    return keyed(service).filter(k -> k.cutOffRule() instanceof CutOffRule.Lapse).isPresent();
+    return keyed(service).isPresent() && hold(service).isEmpty();
   }
 
   static Optional<CutOffRule.Hold> hold(ServiceDefinition service) {
     return keyed(service)
         .map(ServiceKind.Keyed::cutOffRule)
-        .flatMap(r -> r instanceof CutOffRule.Hold h ? Optional.of(h) : Optional.empty());
+        .flatMap(
+            r ->
+                switch (r) {
+                  case CutOffRule.Hold h -> Optional.of(h);
+                  case CutOffRule.Lapse l -> Optional.empty();
+                });
   }
 
   /** The time for which a request may start late at an upstream that checks no grants. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -80,7 +80,7 @@
   }
 
   private String rowName() {
-    return "assignment/" + service.name() + "/" + context.cell();
+    return Assignment.nameOf(service.name(), context.cell());
   }
 
   ServiceDefinition service() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitLoads.java
@@ -164,8 +164,7 @@
     if (keyLoads.isEmpty() || upstreams == 0 || !isKnown(nowNanos)) {
       return ImmutableList.of();
     }
-    double total = reportedTotals.values().stream().mapToDouble(Double::doubleValue).sum();
-    double fairShare = total / upstreams;
+    double fairShare = fairShare(upstreams);
     int room = HotKeys.MAX_OVERRIDES - table.overrideCount();
     ImmutableList<String> hot =
         keyLoads.entrySet().stream()
@@ -186,8 +185,7 @@
     if (upstreams == 0 || !isKnown(nowNanos)) {
       return ImmutableSet.of();
     }
-    double fairShare =
-        reportedTotals.values().stream().mapToDouble(Double::doubleValue).sum() / upstreams;
+    double fairShare = fairShare(upstreams);
     ImmutableMap<String, Integer> overrides = table.overrides();
     coolSince.keySet().retainAll(overrides.keySet());
     ImmutableMap<Integer, Double> values = averages.values();
@@ -205,6 +203,10 @@
         .collect(toImmutableSet());
   }
 
+  private double fairShare(int upstreams) {
+    return reportedTotals.values().stream().mapToDouble(Double::doubleValue).sum() / upstreams;
+  }
+
   private boolean isReported(int unit, long nowNanos) {
     return averages.isKnown(unit)
         && table.owner(unit).filter(u -> reportsNow(u, nowNanos)).isPresent();
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/Imbalance.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/Imbalance.java
@@ -16,7 +16,7 @@
    * @return the imbalance, at least 1; 1 if there is no load
    */
   public static double of(Map<UpstreamId, Double> loads, Map<UpstreamId, Double> capacities) {
-    double mean = sum(loads.values()) / sum(capacities.values());
+    double mean = mean(loads, capacities);
     if (!(mean > 0)) {
       return 1;
     }
@@ -43,6 +43,11 @@
     return Math.max(1, largestKey / largest / (total / sum(capacities.values())));
   }
 
+  /** The load per capacity of all upstreams together. */
+  static double mean(Map<UpstreamId, Double> loads, Map<UpstreamId, Double> capacities) {
+    return sum(loads.values()) / sum(capacities.values());
+  }
+
   private static double sum(Collection<Double> values) {
     return values.stream().mapToDouble(Double::doubleValue).sum();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/placement/LoadSums.java
@@ -3,7 +3,6 @@
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -53,7 +52,7 @@
 
   /** Tells whether an upstream surely exceeds a multiple of the mean, given the noise of loads. */
   boolean isSurelyAbove(double limit, double standardErrors) {
-    double mean = sum(sums.values()) / sum(input.capacities().values());
+    double mean = Imbalance.mean(sums, input.capacities());
     return sums.keySet().stream()
         .anyMatch(u -> relative(u) - standardErrors * relativeError(u) > limit * mean);
   }
@@ -67,10 +66,6 @@
     return Math.sqrt(squares) / capacity(upstream);
   }
 
-  private static double sum(Collection<Double> values) {
-    return values.stream().mapToDouble(Double::doubleValue).sum();
-  }
-
   UpstreamId mostLoaded() {
     return sums.keySet().stream().max(Comparator.comparingDouble(this::relative)).orElseThrow();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConditions.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanConditions.java
@@ -47,16 +47,14 @@
             plan.moves().stream().map(Plan.Move::service).map(ServiceName::value));
     return Stream.concat(
             Stream.of(Configuration.NAME),
-            services.distinct().map(s -> PlanRows.ASSIGNMENTS + s + "/"))
+            services.distinct().map(s -> Assignment.PREFIX + s + "/"))
         .collect(toImmutableList());
   }
 
   /** Returns the assignments among the rows. */
   static ImmutableList<Assignment> assignments(ImmutableList<Row> rows) {
-    return rows.stream()
-        .map(Row::value)
-        .flatMap(
-            v -> v instanceof RowValue.AssignmentRow a ? Stream.of(a.assignment()) : Stream.empty())
+    return PlanRows.values(rows.stream(), RowValue.AssignmentRow.class)
+        .map(RowValue.AssignmentRow::assignment)
         .collect(toImmutableList());
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanMaking.java
@@ -112,15 +112,13 @@
 
   private ImmutableList<ControlAction> assignmentsRead(
       Step.ReadAssignments step, ImmutableList<Row> rows, long nowNanos) {
-    var read = ImmutableList.<Assignment>builder().addAll(step.read());
+    ImmutableList<Assignment> found = PlanConditions.assignments(rows);
     boolean changed = false;
-    for (Row row : rows) {
-      if (row.value() instanceof RowValue.AssignmentRow a) {
-        read.add(a.assignment());
-        changed |= store.offer(a.assignment());
-      }
+    for (Assignment assignment : found) {
+      changed |= store.offer(assignment);
     }
-    var next = new Step.ReadAssignments(step.operator(), step.intent(), step.rest(), read.build());
+    var read = ImmutableList.<Assignment>builder().addAll(step.read()).addAll(found).build();
+    var next = new Step.ReadAssignments(step.operator(), step.intent(), step.rest(), read);
     return withRoutingChange(changed, readNext(next, nowNanos));
   }
 
@@ -140,7 +138,7 @@
     var next =
         new Step.ReadAssignments(
             step.operator(), step.intent(), rest.subList(1, rest.size()), step.read());
-    String prefix = PlanRows.ASSIGNMENTS + rest.get(0) + "/";
+    String prefix = Assignment.PREFIX + rest.get(0) + "/";
     return ImmutableList.of(call(next, new PlatformRequest.ReadRows(prefix)));
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanQueries.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanQueries.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.catkinlift.control.CallNumbers;
 import org.catkinlift.control.ControlAction;
 import org.catkinlift.control.ControlAction.CallPlatform;
@@ -100,9 +99,8 @@
   }
 
   private static ImmutableList<PlanRecord> all(ImmutableList<Row> rows) {
-    return rows.stream()
-        .map(Row::value)
-        .flatMap(v -> v instanceof RowValue.PlanRow p ? Stream.of(p.plan()) : Stream.empty())
+    return PlanRows.values(rows.stream(), RowValue.PlanRow.class)
+        .map(RowValue.PlanRow::plan)
         .sorted(NEWEST_FIRST)
         .collect(ImmutableList.toImmutableList());
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanRows.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/plans/PlanRows.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.catkinlift.control.PlatformRequest.Reply;
 import org.catkinlift.control.PlatformRequest.Row;
 import org.catkinlift.control.RowValue;
@@ -11,7 +12,6 @@
 /** Names and finds the platform rows that plans are made from and kept in. */
 final class PlanRows {
   static final String PLANS = "plan/";
-  static final String ASSIGNMENTS = "assignment/";
 
   private PlanRows() {}
 
@@ -34,19 +34,22 @@
     return rows.stream().filter(r -> r.name().equals(name)).findFirst();
   }
 
+  /** Returns the contents of one kind; rows of other kinds are left out. */
+  static <V extends RowValue> Stream<V> values(Stream<Row> rows, Class<V> kind) {
+    return rows.map(Row::value).filter(kind::isInstance).map(kind::cast);
+  }
+
   static Optional<PlanRecord> plan(ImmutableList<Row> rows, PlanId plan) {
-    return find(rows, nameOf(plan))
-        .map(Row::value)
-        .filter(RowValue.PlanRow.class::isInstance)
-        .map(v -> ((RowValue.PlanRow) v).plan());
+    return values(find(rows, nameOf(plan)).stream(), RowValue.PlanRow.class)
+        .map(RowValue.PlanRow::plan)
+        .findFirst();
   }
 
   /** Returns the configuration among the rows, or the empty one before the first change. */
   static Configuration configuration(ImmutableList<Row> rows) {
-    return find(rows, Configuration.NAME)
-        .map(Row::value)
-        .filter(RowValue.ConfigurationRow.class::isInstance)
-        .map(v -> ((RowValue.ConfigurationRow) v).configuration())
+    return values(find(rows, Configuration.NAME).stream(), RowValue.ConfigurationRow.class)
+        .map(RowValue.ConfigurationRow::configuration)
+        .findFirst()
         .orElse(Configuration.EMPTY);
   }
 }
