Share the control HTTP client and the runs of slots between codecs

The tests keep their assertions and call the codecs directly. - Daemon closes its client for upstream control, as it does the platform's.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/Daemon.java
@@ -64,6 +64,7 @@
   private PeerTransport transport;
   private volatile ControlLoop control;
   private HttpPlatform platform;
+  private UpstreamControlClient upstreamControl;
   private OperatorServer operators;
   private volatile boolean stopping;
 
@@ -132,14 +133,8 @@
 
   private Future<Void> startControl() {
     platform = HttpPlatform.create(vertx, settings.platformAddress(), HttpPlatform.DEFAULT_TIMEOUT);
-    var ports =
-        new DaemonPorts(
-            transport,
-            platform,
-            UpstreamControlClient.create(vertx, UpstreamControlClient.DEFAULT_TIMEOUT),
-            workers,
-            logger,
-            metrics);
+    upstreamControl = UpstreamControlClient.create(vertx, UpstreamControlClient.DEFAULT_TIMEOUT);
+    var ports = new DaemonPorts(transport, platform, upstreamControl, workers, logger, metrics);
     ControlParts parts =
         ControlParts.create(settings.self(), ImmutableSet.copyOf(settings.peers()), random.split());
     control = ControlLoop.start(parts, states, ports, workers::dutiesChanged);
@@ -250,6 +245,9 @@
     if (platform != null) {
       platform.close();
     }
+    if (upstreamControl != null) {
+      upstreamControl.close();
+    }
     Future<Void> operatorsClosed = operators == null ? Future.succeededFuture() : operators.stop();
     return operatorsClosed
         .transform(done -> Future.all(deployments.stream().map(vertx::undeploy).toList()))
--- /dev/null
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
@@ -0,0 +1,83 @@
+package org.catkinlift.daemon.http;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.catkinlift.model.NetworkAddress;
+
+/** Sends the control thread's requests over HTTP; an answer that comes late counts as lost. */
+public final class ControlHttpClient {
+  private static final int SERVER_ERRORS = 500;
+
+  private final HttpClient client;
+  private final Duration timeout;
+
+  /**
+   * Creates the client; connections are opened when needed.
+   *
+   * @param vertx runs the client
+   * @param pool how many connections it opens
+   * @param timeout the time after which an answer counts as lost
+   */
+  public ControlHttpClient(Vertx vertx, PoolOptions pool, Duration timeout) {
+    var options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
+    this.client = vertx.createHttpClient(options, pool);
+    this.timeout = timeout;
+  }
+
+  /**
+   * An answer with a status below 500.
+   *
+   * @param status the status
+   * @param body the body
+   */
+  public record Answer(int status, String body) {}
+
+  /**
+   * Sends a request.
+   *
+   * @param to the server
+   * @param method the method
+   * @param uri the path and query
+   * @param body the body; empty for none
+   * @return the answer; empty if the connection failed, the answer was late, or the server failed,
+   *     all of which leave open whether the request took effect. Never fails
+   */
+  public Future<Optional<Answer>> send(
+      NetworkAddress to, HttpMethod method, String uri, String body) {
+    var options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(to.ip())
+            .setPort(to.port())
+            .setURI(uri)
+            .setIdleTimeout(timeout.toMillis());
+    return client
+        .request(options)
+        .compose(r -> r.send(Buffer.buffer(body)))
+        .compose(ControlHttpClient::readAnswer)
+        .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        .map(answer -> Optional.of(answer).filter(a -> a.status() < SERVER_ERRORS))
+        .otherwise(Optional.empty());
+  }
+
+  private static Future<Answer> readAnswer(HttpClientResponse response) {
+    return response.body().map(body -> new Answer(response.statusCode(), body.toString(UTF_8)));
+  }
+
+  /** Closes the connections. */
+  public void close() {
+    var unused = client.close();
+  }
+}
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/HttpPlatform.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/HttpPlatform.java
@@ -8,18 +8,15 @@
 import com.google.common.collect.ImmutableList;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.http.PoolOptions;
 import java.net.URLEncoder;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.catkinlift.control.PlatformRequest;
 import org.catkinlift.control.PlatformRequest.Reply;
+import org.catkinlift.daemon.http.ControlHttpClient;
+import org.catkinlift.daemon.http.ControlHttpClient.Answer;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
@@ -37,19 +34,13 @@
 
   private static final int OK = 200;
   private static final int CONFLICT = 409;
-  private static final int SERVER_ERRORS = 500;
 
-  /** Stands for a failure of the connection or a time-out, which tells as little as status 503. */
-  private static final Answer NO_ANSWER = new Answer(503, "");
-
-  private final HttpClient client;
+  private final ControlHttpClient client;
   private final NetworkAddress address;
-  private final Duration timeout;
 
-  private HttpPlatform(HttpClient client, NetworkAddress address, Duration timeout) {
+  private HttpPlatform(ControlHttpClient client, NetworkAddress address) {
     this.client = client;
     this.address = address;
-    this.timeout = timeout;
   }
 
   /**
@@ -61,8 +52,7 @@
    * @return the adapter
    */
   public static HttpPlatform create(Vertx vertx, NetworkAddress address, Duration timeout) {
-    var options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
-    return new HttpPlatform(vertx.createHttpClient(options), address, timeout);
+    return new HttpPlatform(new ControlHttpClient(vertx, new PoolOptions(), timeout), address);
   }
 
   @Override
@@ -72,12 +62,12 @@
           send(
               HttpMethod.GET,
               "/table?prefix=" + URLEncoder.encode(r.prefix(), UTF_8),
-              Buffer.buffer(),
+              "",
               HttpPlatform::decodeRead);
       case PlatformRequest.Transact r ->
           send(HttpMethod.POST, "/transactions", encode(r), HttpPlatform::decodeTransaction);
       case PlatformRequest.ReadHosts r ->
-          send(HttpMethod.GET, "/hosts", Buffer.buffer(), HttpPlatform::decodeHosts);
+          send(HttpMethod.GET, "/hosts", "", HttpPlatform::decodeHosts);
     };
   }
 
@@ -87,30 +77,13 @@
   }
 
   private Future<Reply> send(
-      HttpMethod method, String uri, Buffer body, Function<Answer, Reply> decode) {
-    var options =
-        new RequestOptions()
-            .setMethod(method)
-            .setHost(address.ip())
-            .setPort(address.port())
-            .setURI(uri)
-            .setIdleTimeout(timeout.toMillis());
+      HttpMethod method, String uri, String body, Function<Answer, Reply> decode) {
     return client
-        .request(options)
-        .compose(r -> r.send(body))
-        .compose(HttpPlatform::readAnswer)
-        .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-        .otherwise(NO_ANSWER)
-        .map(
-            answer ->
-                answer.status() >= SERVER_ERRORS ? new Reply.NoAnswer() : decode.apply(answer));
-  }
-
-  private static Future<Answer> readAnswer(HttpClientResponse response) {
-    return response.body().map(body -> new Answer(response.statusCode(), body.toString(UTF_8)));
+        .send(address, method, uri, body)
+        .map(answer -> answer.map(decode).orElseGet(Reply.NoAnswer::new));
   }
 
-  private static Buffer encode(PlatformRequest.Transact request) {
+  private static String encode(PlatformRequest.Transact request) {
     ObjectNode node = JsonFields.object().put("requestId", request.requestId());
     ArrayNode conditions = node.putArray("conditions");
     request
@@ -122,7 +95,7 @@
         .forEach(
             (row, value) ->
                 writes.addObject().put("row", row).set("value", RowCodec.encode(value)));
-    return Buffer.buffer(node.toString());
+    return node.toString();
   }
 
   private static Reply decodeRead(Answer answer) {
@@ -174,6 +147,4 @@
         CellId.of(JsonFields.text(node, "cell")),
         NetworkAddress.of(JsonFields.text(node, "ip"), JsonFields.integer(node, "port")));
   }
-
-  private record Answer(int status, String body) {}
 }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/JsonFields.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/JsonFields.java
@@ -1,7 +1,6 @@
 package org.catkinlift.daemon.platform;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
-import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -69,10 +68,6 @@
     return value.textValue();
   }
 
-  static Optional<String> optionalText(JsonNode parent, String field) {
-    return parent.hasNonNull(field) ? Optional.of(text(parent, field)) : Optional.empty();
-  }
-
   static long number(JsonNode parent, String field) {
     JsonNode value = required(parent, field);
     if (!value.canConvertToLong()) {
@@ -97,14 +92,6 @@
     return toInt(number(array, index));
   }
 
-  static boolean flag(JsonNode parent, String field) {
-    JsonNode value = required(parent, field);
-    if (!value.isBoolean()) {
-      throw malformed("field '" + field + "' is not true or false");
-    }
-    return value.booleanValue();
-  }
-
   static <T> ImmutableList<T> list(JsonNode parent, String field, Function<JsonNode, T> decode) {
     JsonNode values = required(parent, field);
     if (!values.isArray()) {
@@ -113,10 +100,6 @@
     return Streams.stream(values).map(decode).collect(toImmutableList());
   }
 
-  static <T> ImmutableSet<T> nameSet(JsonNode parent, String field, Function<String, T> decode) {
-    return nameList(parent, field, decode).stream().collect(toImmutableSet());
-  }
-
   static <T> ImmutableList<T> nameList(JsonNode parent, String field, Function<String, T> decode) {
     return list(parent, field, n -> decode.apply(n.asText()));
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/RowCodec.java
@@ -9,7 +9,6 @@
 import java.util.Comparator;
 import java.util.function.Supplier;
 import org.catkinlift.control.RowValue;
-import org.catkinlift.daemon.json.IntentCodec;
 import org.catkinlift.daemon.json.JsonFormat;
 import org.catkinlift.daemon.json.PlanCodec;
 import org.catkinlift.model.Assignment;
@@ -20,8 +19,6 @@
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ModelException;
 import org.catkinlift.model.Versioned;
-import org.catkinlift.plans.Intent;
-import org.catkinlift.plans.PlanRecord;
 
 /**
  * Translates the content of platform rows to and from JSON.
@@ -34,9 +31,7 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String CELL = "cell";
   private static final String PLAN = "plan";
-  private static final JsonFormat FORMAT = new JsonFormat.Row();
-  private static final IntentCodec INTENTS = new IntentCodec(FORMAT);
-  private static final PlanCodec PLANS = new PlanCodec(FORMAT);
+  private static final PlanCodec PLANS = new PlanCodec(new JsonFormat.Row());
 
   private RowCodec() {}
 
@@ -52,7 +47,7 @@
       case RowValue.HomeRow v -> VersionedCodec.encode(v.homes());
       case RowValue.AssignmentRow v -> VersionedCodec.encode(v.assignment());
       case RowValue.ConfigurationRow v -> VersionedCodec.encode(v.configuration());
-      case RowValue.PlanRow v -> encodePlan(v.plan()).put("kind", PLAN);
+      case RowValue.PlanRow v -> PLANS.encode(v.plan()).put("kind", PLAN);
     };
   }
 
@@ -74,66 +69,6 @@
         });
   }
 
-  /**
-   * Encodes a value that spreads among daemons.
-   *
-   * @param value the value
-   * @return the JSON value, with the field {@code kind}
-   */
-  public static JsonNode encode(Versioned value) {
-    return VersionedCodec.encode(value);
-  }
-
-  /**
-   * Decodes a value that spreads among daemons.
-   *
-   * @param node the JSON value
-   * @return the value
-   */
-  public static Versioned decodeVersioned(JsonNode node) {
-    return checked(() -> VersionedCodec.decode(node));
-  }
-
-  /**
-   * Encodes a plan.
-   *
-   * @param plan the plan and its state
-   * @return the JSON value
-   */
-  public static ObjectNode encodePlan(PlanRecord plan) {
-    return PLANS.encode(plan);
-  }
-
-  /**
-   * Decodes a plan.
-   *
-   * @param node the JSON value
-   * @return the plan and its state
-   */
-  public static PlanRecord decodePlan(JsonNode node) {
-    return checked(() -> JsonFields.read(PLANS.value(), node));
-  }
-
-  /**
-   * Encodes an intent.
-   *
-   * @param intent the intent
-   * @return the JSON value, with the field {@code kind}
-   */
-  public static ObjectNode encodeIntent(Intent intent) {
-    return INTENTS.encode(intent);
-  }
-
-  /**
-   * Decodes an intent.
-   *
-   * @param node the JSON value
-   * @return the intent
-   */
-  public static Intent decodeIntent(JsonNode node) {
-    return checked(() -> JsonFields.read(INTENTS.value(), node));
-  }
-
   /**
    * Parses JSON text.
    *
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/SlotCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/SlotCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ContiguousSet;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
@@ -15,6 +16,7 @@
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.PackedSlots;
 import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.SlotRuns;
 import org.catkinlift.model.UpstreamId;
 
 /**
@@ -35,15 +37,8 @@
     ImmutableList<CellId> cells = ImmutableSet.copyOf(homes).asList();
     node.set("cells", JsonFields.names(cells));
     ArrayNode runs = node.putArray("homes");
-    int start = 0;
-    while (start < homes.size()) {
-      CellId cell = homes.get(start);
-      int end = start + 1;
-      while (end < homes.size() && homes.get(end).equals(cell)) {
-        end++;
-      }
-      runs.add(JsonFields.array().add(end - start).add(cells.indexOf(cell)));
-      start = end;
+    for (var run : SlotRuns.of(ContiguousSet.closedOpen(0, homes.size()), homes::get)) {
+      runs.add(JsonFields.array().add(run.count()).add(cells.indexOf(run.content())));
     }
     return node;
   }
@@ -104,29 +99,13 @@
   private static ArrayNode encodeRuns(
       PackedSlots slots, ImmutableMap<UpstreamId, Integer> indexes) {
     ArrayNode runs = JsonFields.array();
-    ImmutableList<Map.Entry<Integer, SlotOwner>> entries = ImmutableList.copyOf(slots.entrySet());
-    int start = 0;
-    while (start < entries.size()) {
-      int end = runEnd(entries, start);
-      var first = entries.get(start);
-      ArrayNode run = JsonFields.array().add(first.getKey()).add(end - start);
-      runs.add(addOwner(run, first.getValue(), indexes));
-      start = end;
+    for (var run : SlotRuns.of(slots.keySet(), slots::ownerOf)) {
+      ArrayNode array = JsonFields.array().add(run.first()).add(run.count());
+      runs.add(addOwner(array, run.content(), indexes));
     }
     return runs;
   }
 
-  private static int runEnd(ImmutableList<Map.Entry<Integer, SlotOwner>> entries, int start) {
-    var first = entries.get(start);
-    int end = start + 1;
-    while (end < entries.size()
-        && entries.get(end).getKey() == first.getKey() + (end - start)
-        && entries.get(end).getValue().equals(first.getValue())) {
-      end++;
-    }
-    return end;
-  }
-
   private static ArrayNode addOwner(
       ArrayNode array, SlotOwner owner, ImmutableMap<UpstreamId, Integer> indexes) {
     int index = owner.owner().map(indexes::get).orElse(NO_OWNER);
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/ControlCodec.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/ControlCodec.java
@@ -5,13 +5,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.ImmutableSortedSet;
-import java.util.Map;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.model.Epoch;
+import org.catkinlift.model.SlotRuns;
 
 /**
  * Translates control requests to upstreams, and their answers, to and from JSON.
@@ -72,32 +71,14 @@
   }
 
   private static void putGrantedSlots(ArrayNode runs, ImmutableSortedMap<Integer, Epoch> slots) {
-    ImmutableList<Map.Entry<Integer, Epoch>> entries = slots.entrySet().asList();
-    int start = 0;
-    while (start < entries.size()) {
-      var first = entries.get(start);
-      int end = start + 1;
-      while (end < entries.size()
-          && entries.get(end).getKey() == first.getKey() + (end - start)
-          && entries.get(end).getValue().equals(first.getValue())) {
-        end++;
-      }
-      ArrayNode run = runs.addArray().add(first.getKey()).add(end - start);
-      putEpoch(run, first.getValue());
-      start = end;
+    for (var run : SlotRuns.of(slots.keySet(), slots::get)) {
+      putEpoch(runs.addArray().add(run.first()).add(run.count()), run.content());
     }
   }
 
   private static void putReleasedSlots(ArrayNode runs, ImmutableSortedSet<Integer> slots) {
-    ImmutableList<Integer> list = slots.asList();
-    int start = 0;
-    while (start < list.size()) {
-      int end = start + 1;
-      while (end < list.size() && list.get(end) == list.get(start) + (end - start)) {
-        end++;
-      }
-      runs.addArray().add(list.get(start)).add(end - start);
-      start = end;
+    for (var run : SlotRuns.of(slots, slot -> true)) {
+      runs.addArray().add(run.first()).add(run.count());
     }
   }
 
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamControlClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamControlClient.java
@@ -1,20 +1,14 @@
 package org.catkinlift.daemon.upstream;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import org.catkinlift.control.UpstreamRequest;
 import org.catkinlift.control.UpstreamRequest.Reply;
+import org.catkinlift.daemon.http.ControlHttpClient;
+import org.catkinlift.daemon.http.ControlHttpClient.Answer;
 import org.catkinlift.model.NetworkAddress;
 
 /** Sends control requests to upstreams over HTTP. */
@@ -34,17 +28,11 @@
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
-  private static final int SERVER_ERRORS = 500;
-
-  /** Stands for a failure of the connection or a time-out, which tells as little as status 503. */
-  private static final Answer NO_ANSWER = new Answer(503, "");
 
-  private final HttpClient client;
-  private final Duration timeout;
+  private final ControlHttpClient client;
 
-  private UpstreamControlClient(HttpClient client, Duration timeout) {
+  private UpstreamControlClient(ControlHttpClient client) {
     this.client = client;
-    this.timeout = timeout;
   }
 
   /**
@@ -55,9 +43,8 @@
    * @return the client
    */
   public static UpstreamControlClient create(Vertx vertx, Duration timeout) {
-    var options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
     var pool = new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM);
-    return new UpstreamControlClient(vertx.createHttpClient(options, pool), timeout);
+    return new UpstreamControlClient(new ControlHttpClient(vertx, pool, timeout));
   }
 
   /**
@@ -80,34 +67,16 @@
 
   /** Closes the connections. */
   public void close() {
-    var unused = client.close();
+    client.close();
   }
 
   private Future<Reply> send(NetworkAddress address, HttpMethod method, String name, String body) {
-    var options =
-        new RequestOptions()
-            .setMethod(method)
-            .setHost(address.ip())
-            .setPort(address.port())
-            .setURI("/_upstream/" + name)
-            .setIdleTimeout(timeout.toMillis());
     return client
-        .request(options)
-        .compose(r -> r.send(Buffer.buffer(body)))
-        .compose(UpstreamControlClient::readAnswer)
-        .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-        .otherwise(NO_ANSWER)
-        .map(UpstreamControlClient::decode);
-  }
-
-  private static Future<Answer> readAnswer(HttpClientResponse response) {
-    return response.body().map(body -> new Answer(response.statusCode(), body.toString(UTF_8)));
+        .send(address, method, "/_upstream/" + name, body)
+        .map(answer -> answer.map(UpstreamControlClient::decode).orElseGet(Reply.NoAnswer::new));
   }
 
   private static Reply decode(Answer answer) {
-    if (answer.status() >= SERVER_ERRORS) {
-      return new Reply.NoAnswer();
-    }
     return switch (answer.status()) {
       case OK, ACCEPTED, CONFLICT -> ControlCodec.decode(answer.body());
       default ->
@@ -116,6 +85,4 @@
               "the upstream answered with status " + answer.status());
     };
   }
-
-  private record Answer(int status, String body) {}
 }
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/platform/RowCodecTest.java
@@ -13,6 +13,8 @@
 import java.util.Collections;
 import java.util.Optional;
 import org.catkinlift.control.RowValue;
+import org.catkinlift.daemon.json.IntentCodec;
+import org.catkinlift.daemon.json.JsonFormat;
 import org.catkinlift.model.Assignment;
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.CellLoad;
@@ -119,7 +121,7 @@
   void keepsDispatcherMaps() {
     var map = new DispatcherMap(SUVA, Epoch.of(1, 2), ImmutableMap.of(U1, HostId.of("h1")));
 
-    assertThat(RowCodec.decodeVersioned(RowCodec.parse(RowCodec.encode(map).toString())))
+    assertThat(VersionedCodec.decode(RowCodec.parse(VersionedCodec.encode(map).toString())))
         .isEqualTo(map);
   }
 
@@ -127,7 +129,7 @@
   void keepsCellLoads() {
     var load = new CellLoad(DESK, SUVA, Epoch.of(1, 2), new CellLoad.Measured(9, 31.5, 0.25, 40));
 
-    assertThat(RowCodec.decodeVersioned(RowCodec.parse(RowCodec.encode(load).toString())))
+    assertThat(VersionedCodec.decode(RowCodec.parse(VersionedCodec.encode(load).toString())))
         .isEqualTo(load);
   }
 
@@ -135,7 +137,7 @@
   void writesOneRunForNeighbouringSlotsOfOneOwner() {
     var homes = new HomeMap(DESK, 1, ImmutableList.copyOf(Collections.nCopies(1 << 20, SUVA)));
 
-    assertThat(RowCodec.encode(homes).toString().length()).isLessThan(200);
+    assertThat(VersionedCodec.encode(homes).toString().length()).isLessThan(200);
   }
 
   @Test
@@ -193,8 +195,9 @@
   }
 
   private static void assertKept(Intent intent) {
-    String json = RowCodec.encodeIntent(intent).toString();
-    assertThat(RowCodec.decodeIntent(RowCodec.parse(json))).isEqualTo(intent);
+    var codec = new IntentCodec(new JsonFormat.Row());
+    String json = codec.encode(intent).toString();
+    assertThat(JsonFields.read(codec.value(), RowCodec.parse(json))).isEqualTo(intent);
   }
 
   private static PlanRecord plan(Intent intent, PlanRecord.State state) {
--- a/catkinlift-protocol/src/main/java/org/catkinlift/protocol/VersionedCodec.java
+++ b/catkinlift-protocol/src/main/java/org/catkinlift/protocol/VersionedCodec.java
@@ -1,5 +1,6 @@
 package org.catkinlift.protocol;
 
+import com.google.common.collect.ContiguousSet;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
@@ -17,6 +18,7 @@
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.SlotRuns;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.Versioned;
 import org.catkinlift.protocol.generated.AssignmentProto;
@@ -59,34 +61,19 @@
     var builder =
         HomeMapProto.newBuilder().setService(map.service().value()).setVersion(map.version());
     Map<CellId, Integer> indexes = new HashMap<>();
-    CellId runCell = null;
-    int runLength = 0;
-    for (CellId home : map.homes()) {
-      if (!home.equals(runCell)) {
-        addRun(builder, indexes, runCell, runLength);
-        runCell = home;
-        runLength = 0;
+    var slots = ContiguousSet.closedOpen(0, map.homes().size());
+    for (var run : SlotRuns.of(slots, map.homes()::get)) {
+      Integer index = indexes.get(run.content());
+      if (index == null) {
+        index = indexes.size();
+        indexes.put(run.content(), index);
+        builder.addCells(run.content().value());
       }
-      runLength++;
+      builder.addRunCell(index).addRunLength(run.count());
     }
-    addRun(builder, indexes, runCell, runLength);
     return builder.build();
   }
 
-  private static void addRun(
-      HomeMapProto.Builder builder, Map<CellId, Integer> indexes, CellId cell, int length) {
-    if (length == 0) {
-      return;
-    }
-    Integer index = indexes.get(cell);
-    if (index == null) {
-      index = indexes.size();
-      indexes.put(cell, index);
-      builder.addCells(cell.value());
-    }
-    builder.addRunCell(index).addRunLength(length);
-  }
-
   private static HomeMap decodeHomes(HomeMapProto proto) {
     List<CellId> cells = proto.getCellsList().stream().map(CellId::of).toList();
     var homes = ImmutableList.<CellId>builder();
