--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipWorld.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipWorld.java
@@ -198,7 +198,10 @@
   }
 
   boolean checksGrants() {
-    return ((ServiceKind.Keyed) service.kind()).grantChecking() instanceof GrantChecking.Checked;
+    return switch (((ServiceKind.Keyed) service.kind()).grantChecking()) {
+      case GrantChecking.Checked c -> true;
+      case GrantChecking.Unchecked u -> false;
+    };
   }
 
   int slotCount() {
--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/traffic/Exchange.java
@@ -101,9 +101,11 @@
     }
     daemon.chooser().finished(target.upstream(), latency, answer.outcome(), now());
     HedgeRace.Step step =
-        answer.outcome() instanceof Outcome.Answered
-            ? race.answered(attempt)
-            : race.failed(attempt, answer.outcome());
+        switch (answer.outcome()) {
+          case Outcome.Answered a -> race.answered(attempt);
+          case Outcome.NotRun notRun -> race.failed(attempt, notRun);
+          case Outcome.Unknown unknown -> race.failed(attempt, unknown);
+        };
     switch (step) {
       case HedgeRace.Step.Deliver deliver -> deliver(deliver, answer);
       case HedgeRace.Step.Fail fail -> failed(fail.outcome());
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/Cli.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/Cli.java
@@ -67,13 +67,19 @@
     OperatorClient client = client(options);
     OperatorReply reply = client.ask(request);
     ExitCode printed = printer(options).print(reply);
-    if (!(reply instanceof OperatorReply.PlanShown shown)) {
-      return printed;
-    }
+    return switch (reply) {
+      case OperatorReply.PlanShown shown ->
+          waitInForce(client, shown.plan().plan().result().version());
+      case OperatorReply.PlansListed r -> printed;
+      case OperatorReply.Facts r -> printed;
+      case OperatorReply.Failed r -> printed;
+    };
+  }
+
+  private ExitCode waitInForce(OperatorClient client, long version) {
     var delay =
         CompletableFuture.delayedExecutor(ConfirmWait.INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-    var wait = new ConfirmWait(client::ask, delay, err);
-    return wait.waitFor(shown.plan().plan().result().version());
+    return new ConfirmWait(client::ask, delay, err).waitFor(version);
   }
 
   private ReplyPrinter printer(CliOptions options) {
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoCommand.java
@@ -14,6 +14,7 @@
 import org.catkinlift.daemon.logging.LoggingSetup;
 import org.catkinlift.daemon.settings.LoggingSettings;
 import org.catkinlift.events.EventCode.Severity;
+import org.catkinlift.standin.load.ReadinessProbe;
 
 /** The command {@code catkinlift demo}: runs a whole site on this machine. */
 @Parameters(
@@ -25,6 +26,7 @@
   private static final int OK = 0;
   private static final int FAILED = 1;
   private static final int READINESS_ROUNDS = 40;
+  private static final double PROBE_DOWNLOAD_SHARE = 0.2;
   private static final Duration STOP_LIMIT = Duration.ofSeconds(40);
 
   /** Time for the site to start, for the load to end and for the site to stop. */
@@ -87,7 +89,8 @@
     return DemoSite.start(vertx)
         .compose(
             site ->
-                ReadinessProbe.await(vertx, site.throughDaemons(), READINESS_ROUNDS)
+                ReadinessProbe.await(
+                        vertx, site.throughDaemons(), PROBE_DOWNLOAD_SHARE, READINESS_ROUNDS)
                     .map(v -> site));
   }
 
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoLayout.java
+++ b/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/DemoLayout.java
@@ -20,6 +20,7 @@
 import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
+import org.catkinlift.standin.FreePorts;
 import org.catkinlift.standin.upstream.UpstreamSettings;
 
 /** Describes the site {@code tavua} at reduced size. */
--- a/catkinlift-cli/src/main/java/org/catkinlift/cli/demo/FreePorts.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/FreePorts.java
@@ -1,4 +1,4 @@
-package org.catkinlift.cli.demo;
+package org.catkinlift.standin;
 
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
@@ -10,12 +10,22 @@
 import org.catkinlift.model.NetworkAddress;
 
 /** Finds free ports, because daemons must know each other's addresses before they start. */
-final class FreePorts {
+public final class FreePorts {
 
   private static final int ANY_BACKLOG = 0;
 
   private FreePorts() {}
 
+  /**
+   * Returns one address that nobody listens on.
+   *
+   * @param ip the loopback IP number
+   * @return the address
+   */
+  public static NetworkAddress findOne(String ip) {
+    return find(ip, 1).get(0);
+  }
+
   /**
    * Returns addresses that nobody listens on.
    *
@@ -23,7 +33,7 @@
    * @param count the number of addresses
    * @return the addresses
    */
-  static ImmutableList<NetworkAddress> find(String ip, int count) {
+  public static ImmutableList<NetworkAddress> find(String ip, int count) {
     List<ServerSocket> sockets = new ArrayList<>();
     try {
       for (int i = 0; i < count; i++) {
