--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -17,6 +17,10 @@
   REQUEST_RETRIED(1004, Severity.INFO, "request retried"),
   /** A repeatable request was sent to a second upstream. */
   REQUEST_HEDGED(1005, Severity.DEBUG, "request hedged"),
+  /** A request was answered by an upstream. */
+  REQUEST_ANSWERED(1006, Severity.DEBUG, "request answered"),
+  /** A caller left before its request ended. */
+  REQUEST_CANCELLED(1007, Severity.INFO, "caller left"),
 
   /** An upstream was found to be cold and its limit was lowered. */
   UPSTREAM_COLD(2001, Severity.WARNING, "upstream starts cold"),
@@ -26,6 +30,10 @@
   CONNECTION_RETIRED(2003, Severity.WARNING, "silent connection retired"),
   /** A late or crossed answer was dropped. */
   ANSWER_DROPPED(2004, Severity.WARNING, "late or crossed answer dropped"),
+  /** A connection to an upstream could not be opened or broke. */
+  UPSTREAM_FAILED(2005, Severity.WARNING, "upstream connection failed"),
+  /** An upstream refused a request; it did not run. */
+  UPSTREAM_REFUSED(2006, Severity.INFO, "upstream refused request"),
 
   /** This daemon became the coordinator of its cell. */
   ROLE_TAKEN(3001, Severity.INFO, "coordinator role taken"),
@@ -45,6 +53,12 @@
   HOME_MOVED(3008, Severity.INFO, "slot gets another home cell"),
   /** A key that was placed apart has cooled down. */
   KEY_RETURNED(3009, Severity.INFO, "cooled key returned to its slot"),
+  /** The coordinator wrote the holders of a service's keys to the store. */
+  RANGE_MAP_WRITTEN(3010, Severity.INFO, "key ranges written"),
+  /** The holders of a service's keys came into force on this daemon. */
+  RANGE_MAP_APPLIED(3011, Severity.INFO, "key ranges applied"),
+  /** A grant or release of keys failed at an upstream. */
+  KEY_CALL_FAILED(3012, Severity.WARNING, "key grant or release failed"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
@@ -52,6 +66,8 @@
   MEMBER_SUSPECTED(4002, Severity.WARNING, "member suspected"),
   /** A daemon left by plan. */
   MEMBER_LEFT(4003, Severity.INFO, "member left"),
+  /** A message of another daemon could not be read. */
+  PEER_MESSAGE_SKIPPED(4004, Severity.WARNING, "unreadable message skipped"),
 
   /** A configuration came into force on this daemon. */
   CONFIGURATION_APPLIED(5001, Severity.INFO, "configuration applied"),
@@ -67,13 +83,21 @@
   PLATFORM_UNREACHABLE(5006, Severity.WARNING, "platform unreachable"),
   /** The platform answers again. */
   PLATFORM_REACHABLE(5007, Severity.INFO, "platform reachable"),
+  /** A row of the platform could not be read and was left out. */
+  ROW_SKIPPED(5008, Severity.WARNING, "unreadable row skipped"),
+  /** Operators took availability zones out or back. */
+  ZONES_OUT_CHANGED(5009, Severity.INFO, "availability zones out of service"),
 
   /** The daemon serves callers. */
   DAEMON_STARTED(6001, Severity.INFO, "daemon started"),
   /** The daemon refuses new requests and finishes the running ones. */
   DAEMON_STOPPING(6002, Severity.INFO, "daemon stopping"),
   /** The daemon ended. */
-  DAEMON_STOPPED(6003, Severity.INFO, "daemon stopped");
+  DAEMON_STOPPED(6003, Severity.INFO, "daemon stopped"),
+  /** The settings were read again. */
+  SETTINGS_RELOADED(6004, Severity.INFO, "settings reloaded"),
+  /** The address for metrics could not be used. */
+  METRICS_NOT_SERVED(6005, Severity.WARNING, "metrics not served");
 
   /** How important an event is. */
   public enum Severity {
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
@@ -0,0 +1,40 @@
+package org.catkinlift.ranges;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** What the coordinator of a service wants done. */
+public sealed interface RangeAction {
+
+  /** Read the map of the service from the store. */
+  record ReadMap() implements RangeAction {}
+
+  /**
+   * Write the map if it still has a version and this daemon still has the role.
+   *
+   * @param map the new map
+   * @param expectedVersion the version that the stored map must have; 0 if there must be none
+   */
+  record WriteMap(RangeMap map, long expectedVersion) implements RangeAction {}
+
+  /**
+   * Grant keys to their holder, or renew the grant.
+   *
+   * @param call identifies the answer
+   * @param assignment the keys, their holder and its fencing token
+   * @param hold how long the holder may use the keys from the arrival of the call
+   * @param handover what the previous holder said when it released the keys
+   */
+  record Grant(long call, RangeAssignment assignment, Duration hold, Optional<String> handover)
+      implements RangeAction {}
+
+  /**
+   * Take keys back from an earlier holder.
+   *
+   * @param call identifies the answer
+   * @param from the earlier holder
+   * @param range the keys
+   * @param fence a fencing token above all that the earlier holder had for these keys
+   */
+  record Release(long call, Holder from, KeyRange range, long fence) implements RangeAction {}
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routes/Route.java
@@ -0,0 +1,127 @@
+package org.catkinlift.routes;
+
+import com.google.common.collect.ImmutableList;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.time.Duration;
+
+/**
+ * Sends the requests of one host and path prefix to services.
+ *
+ * @param name the operators' name of the route
+ * @param host the value of the {@code Host} header
+ * @param prefix the beginning of the path; begins and ends with a slash
+ * @param kind how often a request may be executed
+ * @param targetLatency the time within which an answer has its full worth
+ * @param timeout the longest time that a request is kept waiting
+ * @param maxAttempts on how many upstreams a request may be executed
+ * @param priority the rank; 0 is the highest
+ * @param targets the services with their shares; not empty
+ */
+public record Route(
+    String name,
+    String host,
+    String prefix,
+    RequestKind kind,
+    Duration targetLatency,
+    Duration timeout,
+    int maxAttempts,
+    int priority,
+    ImmutableList<WeightedTarget> targets) {
+
+  /**
+   * Returns a builder without values.
+   *
+   * @return the builder
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Collects the parts of a {@link Route}. */
+  public static final class Builder {
+    private String name = "";
+    private String host = "";
+    private String prefix = "/";
+    private RequestKind kind = RequestKind.NON_IDEMPOTENT;
+    private Duration targetLatency = Duration.ofMillis(500);
+    private Duration timeout = Duration.ofSeconds(2);
+    private int maxAttempts = 1;
+    private int priority;
+    private ImmutableList<WeightedTarget> targets = ImmutableList.of();
+
+    private Builder() {}
+
+    /** Sets the operators' name of the route. */
+    @CanIgnoreReturnValue
+    public Builder name(String value) {
+      name = value;
+      return this;
+    }
+
+    /** Sets the host. */
+    @CanIgnoreReturnValue
+    public Builder host(String value) {
+      host = value;
+      return this;
+    }
+
+    /** Sets the beginning of the path. */
+    @CanIgnoreReturnValue
+    public Builder prefix(String value) {
+      prefix = value;
+      return this;
+    }
+
+    /** Sets how often a request may be executed. */
+    @CanIgnoreReturnValue
+    public Builder kind(RequestKind value) {
+      kind = value;
+      return this;
+    }
+
+    /** Sets the time within which an answer has its full worth. */
+    @CanIgnoreReturnValue
+    public Builder targetLatency(Duration value) {
+      targetLatency = value;
+      return this;
+    }
+
+    /** Sets the longest time that a request is kept waiting. */
+    @CanIgnoreReturnValue
+    public Builder timeout(Duration value) {
+      timeout = value;
+      return this;
+    }
+
+    /** Sets on how many upstreams a request may be executed. */
+    @CanIgnoreReturnValue
+    public Builder maxAttempts(int value) {
+      maxAttempts = value;
+      return this;
+    }
+
+    /** Sets the rank; 0 is the highest. */
+    @CanIgnoreReturnValue
+    public Builder priority(int value) {
+      priority = value;
+      return this;
+    }
+
+    /** Sets the services with their shares. */
+    @CanIgnoreReturnValue
+    public Builder targets(ImmutableList<WeightedTarget> value) {
+      targets = value;
+      return this;
+    }
+
+    /**
+     * Returns the route.
+     *
+     * @return the route
+     */
+    public Route build() {
+      return new Route(
+          name, host, prefix, kind, targetLatency, timeout, maxAttempts, priority, targets);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routes/SplitPicker.java
@@ -0,0 +1,41 @@
+package org.catkinlift.routes;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.catkinlift.model.ServiceName;
+
+/**
+ * Spreads the requests of a route over its services in proportion to their weights.
+ *
+ * <p>Each target collects credit by its weight and the one with the most credit gets the request,
+ * so the shares hold over any short run of requests. Confined to one thread.
+ */
+public final class SplitPicker {
+  private final Map<String, Map<ServiceName, Double>> credits = new HashMap<>();
+
+  /**
+   * Returns the service of the next request of a route.
+   *
+   * @param route the route
+   * @return one of its services
+   */
+  public ServiceName next(Route route) {
+    if (route.targets().size() == 1) {
+      return route.targets().get(0).service();
+    }
+    Map<ServiceName, Double> credit = credits.computeIfAbsent(route.name(), n -> new HashMap<>());
+    double total = 0;
+    WeightedTarget best = route.targets().get(0);
+    double most = Double.NEGATIVE_INFINITY;
+    for (WeightedTarget target : route.targets()) {
+      total += target.weight();
+      double collected = credit.merge(target.service(), target.weight(), Double::sum);
+      if (collected > most) {
+        most = collected;
+        best = target;
+      }
+    }
+    credit.merge(best.service(), -total, Double::sum);
+    return best.service();
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/OwnRows.java
@@ -0,0 +1,14 @@
+package org.catkinlift.gateway.control;
+
+import org.catkinlift.gateway.store.RowKey;
+
+/** The rows in which the daemons keep their state. */
+final class OwnRows {
+  static final String TABLE = "catkinlift";
+  static final String MAP_PREFIX = "ranges-";
+
+  /** Lies in a table of its own, because it changes often and nobody follows it. */
+  static final RowKey LEASE = new RowKey("catkinlift-role", "coordinator");
+
+  private OwnRows() {}
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/Channels.java
@@ -0,0 +1,41 @@
+package org.catkinlift.gateway.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+
+/**
+ * Writes to and closes channels whose failures arrive as the end of the channel, so that the
+ * futures of the single calls need no listener.
+ */
+public final class Channels {
+  private Channels() {}
+
+  /**
+   * Closes a channel.
+   *
+   * @param channel the channel
+   */
+  public static void close(Channel channel) {
+    ChannelFuture unused = channel.close();
+  }
+
+  /**
+   * Writes without flushing.
+   *
+   * @param channel the channel
+   * @param message what to write
+   */
+  public static void write(Channel channel, Object message) {
+    ChannelFuture unused = channel.write(message);
+  }
+
+  /**
+   * Writes and flushes.
+   *
+   * @param channel the channel
+   * @param message what to write
+   */
+  public static void writeAndFlush(Channel channel, Object message) {
+    ChannelFuture unused = channel.writeAndFlush(message);
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/ShortAnswer.java
@@ -0,0 +1,16 @@
+package org.catkinlift.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * An answer of a {@link ShortAnswerServer}.
+ *
+ * @param status the status code
+ * @param body the body
+ */
+public record ShortAnswer(int status, String body) {
+
+  byte[] bytes() {
+    return body.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines on standard output. */
+package org.catkinlift.gateway.logging;
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms, served as text. */
+package org.catkinlift.gateway.metrics;
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
@@ -0,0 +1,16 @@
+package org.catkinlift.gateway.peer;
+
+import org.catkinlift.gateway.store.NewsVersions;
+import org.catkinlift.model.HostId;
+
+/**
+ * The answer to a {@link LoadReport}.
+ *
+ * @param host the host that answers
+ * @param hasRole whether it has the coordinator role
+ * @param leaseVersion the version of its latest write of the role's row
+ * @param daemons the number of daemons that report
+ * @param news up to which version it has seen the store's news
+ */
+public record CoordinatorReply(
+    HostId host, boolean hasRole, long leaseVersion, int daemons, NewsVersions news) {}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -0,0 +1,52 @@
+package org.catkinlift.gateway.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.catkinlift.gateway.store.NewsVersions;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+
+/**
+ * What a daemon tells the coordinator about the traffic since its last report.
+ *
+ * @param host the daemon's host
+ * @param news up to which version the daemon has seen the store's news
+ * @param work the work that arrived, one entry a request
+ * @param speeds how long upstreams worked
+ */
+public record LoadReport(
+    HostId host,
+    NewsVersions news,
+    ImmutableList<KeyWork> work,
+    ImmutableMap<UpstreamId, WorkTimes> speeds) {
+
+  /**
+   * The work of one request.
+   *
+   * @param service the service
+   * @param key the key
+   * @param seconds how long an upstream of usual speed works on it
+   */
+  public record KeyWork(ServiceName service, int key, double seconds) {}
+
+  /**
+   * Measured and usual time of the requests that an upstream answered.
+   *
+   * @param measuredSeconds the time that it took
+   * @param usualSeconds the time that an upstream of usual speed takes
+   */
+  public record WorkTimes(double measuredSeconds, double usualSeconds) {
+
+    /**
+     * Adds other times.
+     *
+     * @param other the other times
+     * @return the sum
+     */
+    public WorkTimes plus(WorkTimes other) {
+      return new WorkTimes(
+          measuredSeconds + other.measuredSeconds, usualSeconds + other.usualSeconds);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -0,0 +1,153 @@
+package org.catkinlift.gateway.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Iterator;
+import org.catkinlift.gateway.store.NewsVersions;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+
+/** Encodes the messages between daemons as lines of words. Lines of unknown kinds are skipped. */
+public final class PeerCodec {
+  private static final double MICROS = 1e6;
+
+  private PeerCodec() {}
+
+  /**
+   * Encodes a report.
+   *
+   * @param report the report
+   * @return the text
+   */
+  public static String encode(LoadReport report) {
+    var text = new StringBuilder();
+    text.append("host ").append(report.host()).append('\n');
+    appendNews(text, report.news());
+    for (LoadReport.KeyWork work : report.work()) {
+      text.append("work ").append(work.service()).append(' ').append(work.key());
+      text.append(' ').append(micros(work.seconds())).append('\n');
+    }
+    report
+        .speeds()
+        .forEach(
+            (upstream, times) ->
+                text.append("speed ")
+                    .append(upstream)
+                    .append(' ')
+                    .append(micros(times.measuredSeconds()))
+                    .append(' ')
+                    .append(micros(times.usualSeconds()))
+                    .append('\n'));
+    return text.toString();
+  }
+
+  /**
+   * Decodes a report.
+   *
+   * @param text the text
+   * @return the report
+   * @throws IllegalArgumentException if a line is malformed
+   */
+  public static LoadReport decodeReport(String text) {
+    HostId host = null;
+    var news = new NewsVersions(0, 0, 0);
+    ImmutableList.Builder<LoadReport.KeyWork> work = ImmutableList.builder();
+    ImmutableMap.Builder<UpstreamId, LoadReport.WorkTimes> speeds = ImmutableMap.builder();
+    for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
+      String[] words = lines.next().split(" ", -1);
+      switch (words[0]) {
+        case "host" -> host = HostId.of(word(words, 1));
+        case "news" -> news = news(words);
+        case "work" ->
+            work.add(
+                new LoadReport.KeyWork(
+                    ServiceName.of(word(words, 1)),
+                    Integer.parseInt(word(words, 2)),
+                    seconds(word(words, 3))));
+        case "speed" ->
+            speeds.put(
+                UpstreamId.of(word(words, 1)),
+                new LoadReport.WorkTimes(seconds(word(words, 2)), seconds(word(words, 3))));
+        default -> {}
+      }
+    }
+    if (host == null) {
+      throw new IllegalArgumentException("report without a host");
+    }
+    return new LoadReport(host, news, work.build(), speeds.buildKeepingLast());
+  }
+
+  /**
+   * Encodes a reply.
+   *
+   * @param reply the reply
+   * @return the text
+   */
+  public static String encode(CoordinatorReply reply) {
+    var text = new StringBuilder();
+    text.append("coordinator ").append(reply.host()).append(' ').append(reply.hasRole());
+    text.append(' ').append(reply.leaseVersion()).append(' ').append(reply.daemons()).append('\n');
+    appendNews(text, reply.news());
+    return text.toString();
+  }
+
+  /**
+   * Decodes a reply.
+   *
+   * @param text the text
+   * @return the reply
+   * @throws IllegalArgumentException if a line is malformed
+   */
+  public static CoordinatorReply decodeReply(String text) {
+    CoordinatorReply reply = null;
+    var news = new NewsVersions(0, 0, 0);
+    for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
+      String[] words = lines.next().split(" ", -1);
+      switch (words[0]) {
+        case "coordinator" ->
+            reply =
+                new CoordinatorReply(
+                    HostId.of(word(words, 1)),
+                    Boolean.parseBoolean(word(words, 2)),
+                    Long.parseLong(word(words, 3)),
+                    Integer.parseInt(word(words, 4)),
+                    news);
+        case "news" -> news = news(words);
+        default -> {}
+      }
+    }
+    if (reply == null) {
+      throw new IllegalArgumentException("reply without a coordinator");
+    }
+    return new CoordinatorReply(
+        reply.host(), reply.hasRole(), reply.leaseVersion(), reply.daemons(), news);
+  }
+
+  private static void appendNews(StringBuilder text, NewsVersions news) {
+    text.append("news ").append(news.operators()).append(' ').append(news.upstreams());
+    text.append(' ').append(news.own()).append('\n');
+  }
+
+  private static NewsVersions news(String[] words) {
+    return new NewsVersions(
+        Long.parseLong(word(words, 1)),
+        Long.parseLong(word(words, 2)),
+        Long.parseLong(word(words, 3)));
+  }
+
+  private static String word(String[] words, int index) {
+    if (index >= words.length) {
+      throw new IllegalArgumentException("line is too short: " + String.join(" ", words));
+    }
+    return words[index];
+  }
+
+  private static long micros(double seconds) {
+    return Math.round(seconds * MICROS);
+  }
+
+  private static double seconds(String micros) {
+    return Long.parseLong(micros) / MICROS;
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The inner protocol between daemons. */
+package org.catkinlift.gateway.peer;
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of one daemon. */
+package org.catkinlift.gateway.settings;
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -0,0 +1,343 @@
+package org.catkinlift.gateway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.catkinlift.gateway.http.Channels;
+import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
+import org.catkinlift.routes.CallerLimits;
+
+/**
+ * One connection of a caller. Requests that were sent without waiting for answers are carried at
+ * the same time; their answers leave in order.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+  private static final int MOST_REQUESTS = 32;
+  private static final HttpVersion OLD_VERSION = HttpVersion.HTTP_1_0;
+
+  private final CallerServer server;
+  private final Traffic traffic;
+  private final Deque<AnswerSlot> slots = new ArrayDeque<>();
+  private final Map<AnswerSlot, RequestFlow> flows = new HashMap<>();
+
+  private Channel channel;
+  private HttpRequest head;
+  private CompositeByteBuf body;
+  private long headNanos;
+  private long lastActivityNanos = System.nanoTime();
+  private long partialSinceNanos;
+  private boolean partial;
+  private boolean closing;
+
+  CallerConnection(CallerServer server, Traffic traffic) {
+    this.server = server;
+    this.traffic = traffic;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = context.channel();
+    server.opened(this);
+  }
+
+  /** Notes that bytes have come; called before they are decoded. */
+  void bytesRead() {
+    lastActivityNanos = System.nanoTime();
+    if (!partial) {
+      partial = true;
+      partialSinceNanos = lastActivityNanos;
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      if (closing) {
+        return;
+      }
+      if (message instanceof HttpRequest request) {
+        headRead(context, request);
+      }
+      if (message instanceof HttpContent content && head != null) {
+        bodyRead(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void headRead(ChannelHandlerContext context, HttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      Throwable cause = request.decoderResult().cause();
+      reject(statusOf(cause), String.valueOf(cause.getMessage()));
+      return;
+    }
+    String fault = faultOf(request);
+    if (!fault.isEmpty()) {
+      reject(HttpResponseStatus.BAD_REQUEST, fault);
+      return;
+    }
+    if (HttpUtil.is100ContinueExpected(request)) {
+      Channels.writeAndFlush(
+          context.channel(),
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+    head = request;
+    headNanos = System.nanoTime();
+    body = channel.alloc().compositeBuffer();
+  }
+
+  private static HttpResponseStatus statusOf(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException) {
+      return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+    }
+    if (cause instanceof TooLongHttpLineException) {
+      return HttpResponseStatus.REQUEST_URI_TOO_LONG;
+    }
+    return HttpResponseStatus.BAD_REQUEST;
+  }
+
+  private static String faultOf(HttpRequest request) {
+    if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+      return "not exactly one host";
+    }
+    if (!request.uri().startsWith("/")) {
+      return "target is not a path";
+    }
+    List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean chunked =
+        encodings.size() == 1
+            && encodings.get(0).trim().equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString());
+    if (!encodings.isEmpty() && !chunked) {
+      return "transfer encoding is not supported";
+    }
+    if (request.method().equals(HttpMethod.CONNECT)) {
+      return "method is not supported";
+    }
+    return "";
+  }
+
+  private void bodyRead(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      reject(HttpResponseStatus.BAD_REQUEST, "malformed body");
+      return;
+    }
+    CallerLimits limits = traffic.snapshot().configuration().limits();
+    if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+      return;
+    }
+    body.addComponent(true, content.content().retain());
+    if (content instanceof LastHttpContent) {
+      requestRead();
+    }
+  }
+
+  private void requestRead() {
+    HttpRequest request = head;
+    ByteBuf whole = body;
+    head = null;
+    body = null;
+    partial = false;
+    boolean last = !HttpUtil.isKeepAlive(request) || request.protocolVersion().equals(OLD_VERSION);
+    var slot = new AnswerSlot(this, request.method().equals(HttpMethod.HEAD), last);
+    slots.add(slot);
+    if (last) {
+      closing = true;
+    }
+    if (slots.size() >= MOST_REQUESTS) {
+      channel.config().setAutoRead(false);
+    }
+    var flow = new RequestFlow(traffic, parsed(request, whole), slot);
+    flows.put(slot, flow);
+    flow.start();
+  }
+
+  private CallerRequest parsed(HttpRequest request, ByteBuf whole) {
+    HeaderNames names = traffic.settings().headers();
+    String target = request.uri();
+    int query = target.indexOf('?');
+    return new CallerRequest(
+        request.headers().get(names.requestId(), ""),
+        request.method().name(),
+        hostOf(request),
+        target,
+        query < 0 ? target : target.substring(0, query),
+        HopHeaders.endToEnd(request.headers(), traffic.ownHeaders()),
+        whole,
+        deadlineOf(request.headers().get(names.deadlineMillis())),
+        headNanos);
+  }
+
+  private static String hostOf(HttpRequest request) {
+    String host = request.headers().get(HttpHeaderNames.HOST).toLowerCase(Locale.ROOT);
+    int colon = host.lastIndexOf(':');
+    return colon < 0 ? host : host.substring(0, colon);
+  }
+
+  private static OptionalLong deadlineOf(String text) {
+    if (text == null) {
+      return OptionalLong.empty();
+    }
+    try {
+      return OptionalLong.of(Math.max(0, Long.parseLong(text.trim())));
+    } catch (NumberFormatException e) {
+      // Without a usable deadline the route's timeout applies.
+      return OptionalLong.empty();
+    }
+  }
+
+  /** Answers bytes that are no proper request, and closes, because what follows is unknown. */
+  private void reject(HttpResponseStatus status, String reason) {
+    traffic.malformed(status.code(), reason);
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+    head = null;
+    partial = false;
+    var slot = new AnswerSlot(this, false, true);
+    slots.add(slot);
+    closing = true;
+    slot.answer(
+        status.code(),
+        DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+        Unpooled.EMPTY_BUFFER);
+  }
+
+  boolean isFirst(AnswerSlot slot) {
+    return slots.peekFirst() == slot;
+  }
+
+  boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  /**
+   * Tells whether the connection closes after an answer. While the daemon stops, the answer to the
+   * newest request is the last one; what the caller sends after it is not read.
+   */
+  boolean closesAfter(AnswerSlot slot) {
+    if (slot.isLastRequest()) {
+      return true;
+    }
+    if (server.isStopping() && slots.peekLast() == slot && head == null && !partial) {
+      closing = true;
+    }
+    return closing && slots.peekLast() == slot;
+  }
+
+  void write(Object part) {
+    lastActivityNanos = System.nanoTime();
+    Channels.write(channel, part);
+  }
+
+  void slotEnded(AnswerSlot slot) {
+    flows.remove(slot);
+    while (!slots.isEmpty() && slots.peekFirst().isEnded()) {
+      slots.pollFirst();
+      AnswerSlot next = slots.peekFirst();
+      if (next == null) {
+        break;
+      }
+      next.waiting().forEach(this::write);
+      next.waiting().clear();
+      next.writable();
+    }
+    if (slots.size() < MOST_REQUESTS && !channel.config().isAutoRead()) {
+      channel.config().setAutoRead(true);
+    }
+    if (slots.isEmpty() && closing) {
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    } else {
+      channel.flush();
+    }
+  }
+
+  void flush() {
+    channel.flush();
+  }
+
+  void breakOff() {
+    Channels.close(channel);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    AnswerSlot first = slots.peekFirst();
+    if (first != null && channel.isWritable()) {
+      first.writable();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    server.closed(this);
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+    head = null;
+    new ArrayList<>(flows.values()).forEach(RequestFlow::callerLeft);
+    flows.clear();
+    slots.forEach(s -> s.waiting().forEach(ReferenceCountUtil::release));
+    slots.clear();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Channels.close(context.channel());
+  }
+
+  /** Closes the connection if it has been idle, or its request incomplete, for too long. */
+  void sweep(long nowNanos, CallerLimits limits) {
+    if (slots.isEmpty() && !partial) {
+      long idle = nowNanos - lastActivityNanos;
+      if (idle > limits.idleTimeout().toNanos()) {
+        Channels.close(channel);
+      }
+      return;
+    }
+    boolean headLate =
+        partial && head == null && nowNanos - partialSinceNanos > limits.headerTimeout().toNanos();
+    boolean bodyLate =
+        head != null && nowNanos - lastActivityNanos > limits.idleTimeout().toNanos();
+    if (headLate || bodyLate) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "request incomplete");
+    }
+  }
+
+  /** Closes the connection if it carries nothing. */
+  void closeIfIdle() {
+    if (slots.isEmpty() && !partial) {
+      closing = true;
+      Channels.close(channel);
+    }
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
@@ -0,0 +1,131 @@
+package org.catkinlift.gateway.traffic;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.timer.TimerService;
+
+/** Takes the connections of callers. Confined to the traffic thread. */
+public final class CallerServer {
+  private static final int BACKLOG = 1_024;
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+
+  private final EventLoop loop;
+  private final TimerService timers;
+  private final Traffic traffic;
+  private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  private boolean stopping;
+
+  /**
+   * Creates the server.
+   *
+   * @param loop the traffic thread
+   * @param timers its timers
+   * @param traffic carries the requests
+   */
+  public CallerServer(EventLoop loop, TimerService timers, Traffic traffic) {
+    this.loop = loop;
+    this.timers = timers;
+    this.traffic = traffic;
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @param address where
+   * @return completes when it listens
+   */
+  public ChannelFuture start(NetworkAddress address) {
+    timers.every(SWEEP_INTERVAL, this::sweep);
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                open(channel);
+              }
+            })
+        .bind(address.ip(), address.port());
+  }
+
+  private void open(Channel channel) {
+    var connection = new CallerConnection(this, traffic);
+    int headerBytes = traffic.snapshot().configuration().limits().maxHeaderBytes();
+    channel
+        .pipeline()
+        .addLast(
+            new ReadNotice(connection),
+            new RequestDecoder(headerBytes),
+            new HttpResponseEncoder(),
+            connection);
+  }
+
+  /** Tells a connection that bytes have come. */
+  private static final class ReadNotice extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    private ReadNotice(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      connection.bytesRead();
+      context.fireChannelRead(message);
+    }
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    var limits = traffic.snapshot().configuration().limits();
+    new ArrayList<>(connections).forEach(c -> c.sweep(now, limits));
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  /** Ends each connection with its next answer from now on. */
+  public void beginStop() {
+    stopping = true;
+  }
+
+  /** Closes the connections that carry nothing. */
+  public void closeIdle() {
+    new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  /**
+   * Returns the number of open connections.
+   *
+   * @return the number
+   */
+  public int openConnections() {
+    return connections.size();
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestDecoder.java
@@ -0,0 +1,27 @@
+package org.catkinlift.gateway.traffic;
+
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Decodes requests; one that states its length in two ways is malformed. */
+final class RequestDecoder extends HttpRequestDecoder {
+  private static final int MOST_LINE_BYTES = 8_192;
+  private static final int MOST_CHUNK_BYTES = 64 << 10;
+
+  RequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(Math.max(MOST_LINE_BYTES, maxHeaderBytes))
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(MOST_CHUNK_BYTES));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    message.setDecoderResult(
+        DecoderResult.failure(
+            new IllegalArgumentException("both a length and a transfer encoding")));
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -0,0 +1,508 @@
+package org.catkinlift.gateway.traffic;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.catkinlift.admission.AdmissionRule;
+import org.catkinlift.admission.Urgency;
+import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.ranges.KeyRange;
+import org.catkinlift.routes.RequestKind;
+import org.catkinlift.routes.Route;
+import org.catkinlift.timer.TimerService;
+
+/**
+ * Carries one request of a caller to its answer or refusal. Confined to the traffic thread.
+ *
+ * <p>A refusal with status 503 states that the request was not executed and will not be; it is
+ * given only if no attempt can have reached an upstream.
+ */
+final class RequestFlow {
+  private static final int UNAVAILABLE = 503;
+  private static final int TIMED_OUT = 504;
+  private static final int BAD_GATEWAY = 502;
+  static final int NO_KEY = -1;
+
+  private static final int NOT_FOUND = 404;
+  private static final int BAD_REQUEST = 400;
+
+  /**
+   * An answer up to this size is passed on when it is complete, so a broken one can be repeated.
+   */
+  private static final int HELD_BYTES = 64 << 10;
+
+  private static final int MOST_TRIES = 8;
+  private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(25);
+  private static final Duration RETURN_WITHOUT_OWNER = Duration.ofMillis(400);
+  private static final Duration RETURN_WITHOUT_CONFIGURATION = Duration.ofMillis(300);
+
+  /** How long a request waits for keys that are on their way to another upstream. */
+  private static final Duration LONGEST_MOVE = Duration.ofMillis(700);
+
+  private final Traffic traffic;
+  private final CallerRequest request;
+  private final AnswerSlot slot;
+  private final Set<UpstreamId> mayHaveRun = new HashSet<>();
+
+  private Route route;
+  private ServiceName service;
+  private int key = NO_KEY;
+  private Urgency urgency;
+  private State state = State.PLACING;
+  private UpstreamGate gate;
+  private UpstreamConnection connection;
+  private HttpResponse answer;
+  private CompositeByteBuf held;
+  private boolean passingOn;
+  private int tries;
+  private long sentNanos;
+  private long waitingForMoveSince;
+  private TimerService.Subscription expiry;
+  private String lastFailure = "";
+
+  /** How far the request has come. */
+  private enum State {
+    PLACING,
+    WAITING_FOR_OWNER,
+    QUEUED,
+    CONNECTING,
+    SENT,
+    ENDED
+  }
+
+  RequestFlow(Traffic traffic, CallerRequest request, AnswerSlot slot) {
+    this.traffic = traffic;
+    this.request = request;
+    this.slot = slot;
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  Urgency urgency() {
+    return urgency;
+  }
+
+  RequestKind kind() {
+    return route.kind();
+  }
+
+  Route route() {
+    return route;
+  }
+
+  ServiceName service() {
+    return service;
+  }
+
+  int key() {
+    return key;
+  }
+
+  /** Finds the route and the first upstream. */
+  void start() {
+    TrafficSnapshot snapshot = traffic.snapshot();
+    if (!snapshot.configuration().isKnown()) {
+      refuse("no configuration", RETURN_WITHOUT_CONFIGURATION);
+      return;
+    }
+    Optional<Route> found = snapshot.routes().find(request.host(), request.path());
+    if (found.isEmpty()) {
+      end(NOT_FOUND, "no route", Optional.empty());
+      return;
+    }
+    route = found.get();
+    service = traffic.pickService(route);
+    if (!readKey(snapshot)) {
+      end(BAD_REQUEST, "no key", Optional.empty());
+      return;
+    }
+    long timeout = route.timeout().toNanos();
+    long deadline =
+        request.deadlineMillis().isPresent()
+            ? Duration.ofMillis(request.deadlineMillis().getAsLong()).toNanos()
+            : timeout;
+    long elapsed = traffic.elapsedBefore(route, request.deadlineMillis());
+    urgency =
+        new Urgency(
+            route.priority(),
+            request.receivedNanos() + route.targetLatency().toNanos() - elapsed,
+            request.receivedNanos() + Math.min(timeout, deadline));
+    expiry = traffic.after(urgency.expiryNanos() - System.nanoTime(), this::expired);
+    traffic.requestSeen(this);
+    place();
+  }
+
+  private boolean readKey(TrafficSnapshot snapshot) {
+    if (!traffic.isKeyed(snapshot, service)) {
+      return true;
+    }
+    String text = request.headers().get(traffic.settings().headers().key());
+    try {
+      key = text == null ? NO_KEY : Integer.parseInt(text.trim());
+    } catch (NumberFormatException e) {
+      // Answered as a malformed request.
+      key = NO_KEY;
+    }
+    return key >= 0 && key < KeyRange.KEY_COUNT;
+  }
+
+  private void place() {
+    if (state == State.ENDED) {
+      return;
+    }
+    state = State.PLACING;
+    switch (traffic.choose(this)) {
+      case Placement.At at -> {
+        gate = at.gate();
+        state = State.QUEUED;
+        gate.offer(this);
+      }
+      case Placement.Moving moving -> waitForMove();
+      case Placement.Nowhere nowhere -> refuse(nowhere.reason(), RETURN_WITHOUT_OWNER);
+    }
+  }
+
+  private void waitForMove() {
+    long now = System.nanoTime();
+    if (waitingForMoveSince == 0) {
+      waitingForMoveSince = now;
+    }
+    if (now - waitingForMoveSince > LONGEST_MOVE.toNanos()) {
+      refuse("keys have no owner", RETURN_WITHOUT_OWNER);
+      return;
+    }
+    state = State.WAITING_FOR_OWNER;
+    traffic.waitForOwner(this, LONGEST_MOVE.toNanos() - (now - waitingForMoveSince));
+  }
+
+  /** Tries again, because the owners of keys have changed or the wait is over. */
+  void ownersChanged() {
+    if (state == State.WAITING_FOR_OWNER) {
+      place();
+    }
+  }
+
+  boolean isConnecting(UpstreamGate by) {
+    return state == State.CONNECTING && gate == by;
+  }
+
+  void connecting(UpstreamGate by) {
+    gate = by;
+    state = State.CONNECTING;
+  }
+
+  /** Sends the request on a connection. */
+  void connected(UpstreamGate by, UpstreamConnection open) {
+    gate = by;
+    connection = open;
+    state = State.SENT;
+    sentNanos = System.nanoTime();
+    answer = null;
+    tries++;
+    mayHaveRun.add(gate.upstream().id());
+    open.send(this, upstreamHeaders());
+  }
+
+  private HttpHeaders upstreamHeaders() {
+    HeaderNames names = traffic.settings().headers();
+    HttpHeaders headers = request.headers().copy();
+    long left = Duration.ofNanos(urgency.expiryNanos() - System.nanoTime()).toMillis();
+    headers.set(names.deadlineMillis(), Math.max(1, left));
+    headers.set(names.expectedUpstream(), gate.upstream().id().value());
+    int length = request.body().readableBytes();
+    if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    }
+    return headers;
+  }
+
+  /** Takes that the upstream got nothing of the request. */
+  void notSent(String reason) {
+    if (state == State.ENDED) {
+      return;
+    }
+    lastFailure = reason;
+    tries++;
+    tryAgain(PAUSE_AFTER_REFUSAL, false);
+  }
+
+  /** Takes that the request would wait too long. */
+  void rejected(String reason, Duration retryAfter, long waitNanos) {
+    lastFailure = reason + " wait_ms=" + Duration.ofNanos(waitNanos).toMillis();
+    if (mayHaveRun.isEmpty()) {
+      refuse(lastFailure, retryAfter);
+    } else {
+      end(BAD_GATEWAY, lastFailure, Optional.empty());
+    }
+  }
+
+  /** Takes that the connection ended before the answer did. */
+  void connectionLost(String reason) {
+    if (state != State.SENT) {
+      return;
+    }
+    connection = null;
+    lastFailure = reason;
+    traffic.upstreamFailed(gate.upstream(), "answer", reason);
+    if (passingOn) {
+      finish("broken off", 0);
+      slot.abort();
+      return;
+    }
+    releaseHeld();
+    if (kind().isRepeatable()) {
+      tryAgain(Duration.ZERO, true);
+    } else {
+      end(BAD_GATEWAY, reason, Optional.empty());
+    }
+  }
+
+  private void tryAgain(Duration pause, boolean arrived) {
+    boolean tooMany = mayHaveRun.size() > route.maxAttempts() || tries >= MOST_TRIES;
+    boolean late = System.nanoTime() + pause.toNanos() >= urgency.expiryNanos();
+    if (tooMany || late || (arrived && !traffic.mayRepeat(service))) {
+      giveUp();
+      return;
+    }
+    state = State.PLACING;
+    if (pause.isZero()) {
+      place();
+    } else {
+      traffic.after(pause.toNanos(), this::placeAgain);
+    }
+  }
+
+  private void placeAgain() {
+    if (state == State.PLACING) {
+      place();
+    }
+  }
+
+  private void giveUp() {
+    if (mayHaveRun.isEmpty()) {
+      long left = urgency.expiryNanos() - System.nanoTime();
+      refuse(
+          lastFailure,
+          AdmissionRule.retryAfter(RETURN_WITHOUT_OWNER.toNanos(), left, traffic.random()));
+    } else {
+      end(BAD_GATEWAY, lastFailure, Optional.empty());
+    }
+  }
+
+  Set<UpstreamId> triedUpstreams() {
+    return mayHaveRun;
+  }
+
+  /** Takes the head of the answer. */
+  void answerBegins(HttpResponse head) {
+    answer = head;
+    held = null;
+  }
+
+  /** Takes part of the answer's body; the bytes are this flow's to release. */
+  void answerContinues(ByteBuf bytes, boolean last) {
+    if (state != State.SENT || answer == null) {
+      bytes.release();
+      return;
+    }
+    if (passingOn) {
+      passOn(bytes, last);
+      return;
+    }
+    if (held == null) {
+      held = traffic.allocator().compositeBuffer();
+    }
+    held.addComponent(true, bytes);
+    if (last) {
+      answered();
+    } else if (held.readableBytes() > HELD_BYTES && isFinalAnswer()) {
+      beginPassingOn();
+    }
+  }
+
+  private boolean isFinalAnswer() {
+    return !isNotExecuted() && (answer.status().code() / 100 != 2 || hasSignature());
+  }
+
+  private boolean isNotExecuted() {
+    return answer.headers().contains(traffic.settings().headers().notExecuted());
+  }
+
+  private boolean hasSignature() {
+    return answer.headers().contains(traffic.settings().headers().signature());
+  }
+
+  private void answered() {
+    traffic.answered(this, gate.upstream(), System.nanoTime() - sentNanos);
+    if (isNotExecuted()) {
+      notExecuted();
+      return;
+    }
+    if (!isFinalAnswer()) {
+      connectionLost("success without signature");
+      return;
+    }
+    HttpHeaders headers = answerHeaders();
+    int status = answer.status().code();
+    ByteBuf body = held;
+    held = null;
+    finish("answered", status);
+    slot.answer(status, headers, body);
+  }
+
+  private void notExecuted() {
+    int status = answer.status().code();
+    releaseHeld();
+    mayHaveRun.remove(gate.upstream().id());
+    connection = null;
+    lastFailure = "upstream refused with " + status;
+    if (status == UNAVAILABLE || status == 429) {
+      gate.full();
+    }
+    traffic.upstreamRefused(this, gate.upstream(), status);
+    if (status == BAD_REQUEST) {
+      end(BAD_REQUEST, lastFailure, Optional.empty());
+      return;
+    }
+    tryAgain(PAUSE_AFTER_REFUSAL, true);
+  }
+
+  private HttpHeaders answerHeaders() {
+    HttpHeaders headers = HopHeaders.endToEnd(answer.headers(), Set.of());
+    if (!headers.contains(traffic.settings().headers().requestId())) {
+      headers.set(traffic.settings().headers().requestId(), request.id());
+    }
+    return headers;
+  }
+
+  private void beginPassingOn() {
+    passingOn = true;
+    slot.begin(answer.status().code(), answerHeaders());
+    slot.onWritable(this::resume);
+    ByteBuf soFar = held;
+    held = null;
+    slot.part(soFar);
+    pauseIfFull();
+  }
+
+  private void passOn(ByteBuf bytes, boolean last) {
+    slot.part(bytes);
+    if (!last) {
+      pauseIfFull();
+      return;
+    }
+    traffic.answered(this, gate.upstream(), System.nanoTime() - sentNanos);
+    finish("answered", answer.status().code());
+    slot.end();
+  }
+
+  private void pauseIfFull() {
+    if (!slot.isWritable() && connection != null) {
+      connection.setReading(false);
+    }
+    slot.flush();
+  }
+
+  private void resume() {
+    if (connection != null && state == State.SENT) {
+      connection.setReading(true);
+    }
+  }
+
+  private void releaseHeld() {
+    if (held != null) {
+      ReferenceCountUtil.release(held);
+      held = null;
+    }
+    answer = null;
+  }
+
+  /** Ends the request because its time is over. */
+  private void expired() {
+    switch (state) {
+      case PLACING, WAITING_FOR_OWNER, QUEUED, CONNECTING -> {
+        withdraw();
+        if (mayHaveRun.isEmpty()) {
+          refuse("deadline in queue " + lastFailure, RETURN_WITHOUT_OWNER);
+        } else {
+          end(TIMED_OUT, "deadline " + lastFailure, Optional.empty());
+        }
+      }
+      case SENT -> {
+        if (!passingOn) {
+          withdraw();
+          end(TIMED_OUT, "no answer in time", Optional.empty());
+        }
+      }
+      case ENDED -> {}
+    }
+  }
+
+  private void withdraw() {
+    switch (state) {
+      case QUEUED -> {
+        boolean unused = gate.withdraw(this);
+      }
+      case SENT -> {
+        if (connection != null) {
+          gate.abandoned(connection);
+          connection = null;
+        }
+      }
+      case PLACING, WAITING_FOR_OWNER, CONNECTING, ENDED -> {}
+    }
+    releaseHeld();
+  }
+
+  /** Ends the request because its caller has gone. */
+  void callerLeft() {
+    if (state == State.ENDED) {
+      return;
+    }
+    withdraw();
+    finish("caller left", 0);
+  }
+
+  private void refuse(String reason, Duration retryAfter) {
+    end(UNAVAILABLE, reason, Optional.of(retryAfter));
+  }
+
+  private void end(int status, String reason, Optional<Duration> retryAfter) {
+    if (state == State.ENDED) {
+      return;
+    }
+    releaseHeld();
+    finish(reason, status);
+    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+    headers.set(traffic.settings().headers().requestId(), request.id());
+    retryAfter.ifPresent(
+        after ->
+            headers.set(
+                HttpHeaderNames.RETRY_AFTER,
+                String.format(Locale.ROOT, "%.3f", after.toMillis() / 1_000.0)));
+    slot.answer(status, headers, AnswerSlot.noBody());
+  }
+
+  private void finish(String reason, int status) {
+    state = State.ENDED;
+    if (expiry != null) {
+      expiry.cancel();
+    }
+    connection = null;
+    traffic.requestEnded(this, gate, status, reason, tries);
+    request.body().release();
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -0,0 +1,363 @@
+package org.catkinlift.gateway.traffic;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.catkinlift.admission.AdmissionRule;
+import org.catkinlift.admission.ColdPacer;
+import org.catkinlift.admission.ConcurrencyLimit;
+import org.catkinlift.admission.ReportedLoad;
+import org.catkinlift.admission.WaitingLine;
+import org.catkinlift.routes.RequestKind;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/**
+ * This daemon's way to one life of one upstream: the requests that wait for it, those that are
+ * there, and its connections. Confined to the traffic thread.
+ */
+final class UpstreamGate {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+  private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
+
+  /** A load report says nothing about a moment so much later. */
+  private static final Duration REPORT_AGE = Duration.ofMillis(400);
+
+  /** An upstream that works but has answered nothing for so long counts as silent. */
+  private static final Duration SILENCE = Duration.ofMillis(1_200);
+
+  private static final Duration SILENT_PROBE_INTERVAL = Duration.ofMillis(400);
+
+  /**
+   * A request that must not be executed twice gets a connection that was used this recently, or a
+   * new one: an upstream may have forgotten an idle connection.
+   */
+  private static final Duration FRESH = Duration.ofMillis(1_500);
+
+  private final Traffic traffic;
+  private final WaitingLine<RequestFlow> line = new WaitingLine<>();
+  private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+  private final ConcurrencyLimit limit;
+
+  private UpstreamRecord upstream;
+  private int atUpstream;
+  private ReportedLoad load;
+  private long loadNanos;
+  private Optional<ColdPacer> pacer = Optional.empty();
+  private long coldUntilNanos;
+  private boolean pumpScheduled;
+  private int connectFailures;
+  private long pausedUntilNanos;
+  private long quietSinceNanos;
+  private long nextProbeNanos;
+  private boolean retired;
+
+  UpstreamGate(Traffic traffic, UpstreamRecord upstream, long nowNanos) {
+    this.traffic = traffic;
+    this.upstream = upstream;
+    this.limit = new ConcurrencyLimit(upstream.slots());
+    this.load = new ReportedLoad(0, 0, upstream.slots(), 1);
+    this.loadNanos = nowNanos - REPORT_AGE.toNanos();
+  }
+
+  UpstreamRecord upstream() {
+    return upstream;
+  }
+
+  int waiting() {
+    return line.size();
+  }
+
+  /** Takes what the upstream states about itself now. */
+  void update(UpstreamRecord next, double coldPerSecond, int daemons, long nowNanos) {
+    upstream = next;
+    if (next.coldLeft().isZero() || coldPerSecond <= 0) {
+      return;
+    }
+    coldUntilNanos = nowNanos + next.coldLeft().toNanos();
+    if (pacer.isEmpty()) {
+      pacer = Optional.of(new ColdPacer(coldPerSecond, daemons, traffic.random(), nowNanos));
+    }
+  }
+
+  private Optional<ColdPacer> pacer(long nowNanos) {
+    if (pacer.isPresent() && nowNanos >= coldUntilNanos) {
+      pacer = Optional.empty();
+    }
+    return pacer;
+  }
+
+  boolean isCold(long nowNanos) {
+    return pacer(nowNanos).isPresent();
+  }
+
+  /** Tells whether requests that can go elsewhere should. */
+  boolean isDoubtful(long nowNanos) {
+    return nowNanos < pausedUntilNanos || isSilent(nowNanos);
+  }
+
+  private boolean isSilent(long nowNanos) {
+    return atUpstream > 0 && nowNanos - quietSinceNanos > SILENCE.toNanos();
+  }
+
+  /** Returns how long a request sent now is expected to take. */
+  long expectedNanos(long nowNanos) {
+    long service = serviceNanos(nowNanos);
+    long own = (long) (service * (line.size() + atUpstream) / (double) slots());
+    return service + Math.max(own, upstreamWaitNanos(nowNanos));
+  }
+
+  private int slots() {
+    return Math.max(1, upstream.slots());
+  }
+
+  private boolean isLoadFresh(long nowNanos) {
+    return nowNanos - loadNanos < REPORT_AGE.toNanos();
+  }
+
+  private long serviceNanos(long nowNanos) {
+    double slowness = isLoadFresh(nowNanos) ? Math.max(0.5, load.slowness()) : 1;
+    return (long) (traffic.serviceNanos(upstream.service()) * slowness);
+  }
+
+  private long upstreamWaitNanos(long nowNanos) {
+    if (!isLoadFresh(nowNanos)) {
+      return 0;
+    }
+    return (long) (load.waiting() * serviceNanos(nowNanos) / (double) slots());
+  }
+
+  /** Takes a request; it is sent, waits or is rejected. */
+  void offer(RequestFlow flow) {
+    long now = System.nanoTime();
+    if (retired || now < pausedUntilNanos || (isSilent(now) && now < nextProbeNanos)) {
+      flow.notSent("upstream does not answer");
+      return;
+    }
+    if (isSilent(now)) {
+      nextProbeNanos = now + SILENT_PROBE_INTERVAL.toNanos();
+    }
+    long service = serviceNanos(now);
+    int before = line.countBefore(flow.urgency(), now, service);
+    long wait = waitNanos(before, service, now);
+    AdmissionRule.Decision decision =
+        AdmissionRule.decide(
+            flow.urgency(), wait, before, limit.value(), service, now, traffic.random());
+    switch (decision) {
+      case AdmissionRule.Decision.Admit admit -> {
+        line.add(flow, flow.urgency());
+        pump();
+      }
+      case AdmissionRule.Decision.Reject reject ->
+          flow.rejected("queue", reject.retryAfter(), wait);
+    }
+  }
+
+  private long waitNanos(int before, long service, long nowNanos) {
+    Optional<ColdPacer> cold = pacer(nowNanos);
+    if (cold.isPresent()) {
+      return cold.get().nanosToNext(nowNanos) + before * cold.get().nanosBetween();
+    }
+    long atOnce = upstreamWaitNanos(nowNanos);
+    if (atUpstream < limit.value() && before == 0) {
+      return atOnce;
+    }
+    return atOnce + (before + 1) * (service + atOnce) / limit.value();
+  }
+
+  private void pump() {
+    long now = System.nanoTime();
+    while (line.size() > 0 && atUpstream < limit.value() && now >= pausedUntilNanos) {
+      Optional<ColdPacer> cold = pacer(now);
+      if (cold.isPresent() && !cold.get().tryTake(now)) {
+        pumpLater(cold.get().nanosToNext(now));
+        return;
+      }
+      line.takeNext(now, serviceNanos(now)).ifPresent(this::dispatch);
+    }
+  }
+
+  private void pumpLater(long nanos) {
+    if (pumpScheduled) {
+      return;
+    }
+    pumpScheduled = true;
+    traffic.after(
+        nanos,
+        () -> {
+          pumpScheduled = false;
+          pump();
+        });
+  }
+
+  /** Removes a request that waits no longer. */
+  boolean withdraw(RequestFlow flow) {
+    return line.remove(flow);
+  }
+
+  private void dispatch(RequestFlow flow) {
+    if (atUpstream == 0) {
+      quietSinceNanos = System.nanoTime();
+    }
+    atUpstream++;
+    UpstreamConnection connection = takeIdle(flow.kind());
+    if (connection != null) {
+      flow.connected(this, connection);
+      return;
+    }
+    connect(flow);
+  }
+
+  private UpstreamConnection takeIdle(RequestKind kind) {
+    long now = System.nanoTime();
+    long mostIdle = kind.isRepeatable() ? Long.MAX_VALUE : FRESH.toNanos();
+    while (!idle.isEmpty()) {
+      UpstreamConnection connection = idle.peek();
+      if (!connection.isUsable(now, Long.MAX_VALUE)) {
+        idle.pop();
+        connection.close();
+      } else if (!connection.isUsable(now, mostIdle)) {
+        return null;
+      } else {
+        return idle.pop();
+      }
+    }
+    return null;
+  }
+
+  private void connect(RequestFlow flow) {
+    var connection = new UpstreamConnection(this, traffic.settings().headers().requestId());
+    flow.connecting(this);
+    traffic.metrics().connectionOpened(upstream.service());
+    ChannelFuture connected =
+        new Bootstrap()
+            .group(traffic.loop())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(connection.decoder(), new HttpRequestEncoder(), connection);
+                  }
+                })
+            .connect(upstream.address().ip(), upstream.address().port());
+    connected.addListener(
+        c -> {
+          if (c.isSuccess()) {
+            connectFailures = 0;
+            connectedTo(flow, connection);
+          } else {
+            connectFailed(flow, c.cause());
+          }
+        });
+  }
+
+  private void connectedTo(RequestFlow flow, UpstreamConnection connection) {
+    if (flow.isConnecting(this)) {
+      flow.connected(this, connection);
+      return;
+    }
+    atUpstream--;
+    connection.markIdle();
+    idle.push(connection);
+    pump();
+  }
+
+  private void connectFailed(RequestFlow flow, Throwable cause) {
+    atUpstream--;
+    connectFailures++;
+    long pause = FIRST_PAUSE.toNanos() << Math.min(connectFailures - 1, 3);
+    pausedUntilNanos = System.nanoTime() + Math.min(pause, LONGEST_PAUSE.toNanos());
+    traffic.upstreamFailed(upstream, "connect", String.valueOf(cause.getMessage()));
+    if (flow.isConnecting(this)) {
+      flow.notSent("connect failed");
+    }
+    line.takeAll().forEach(f -> f.notSent("connect failed"));
+  }
+
+  /** Takes the load that came with the head of an answer. */
+  void answerBegun(HttpHeaders headers) {
+    quietSinceNanos = System.nanoTime();
+    LoadHeader.parse(headers.get(traffic.settings().headers().load()))
+        .ifPresent(
+            reported -> {
+              load = reported;
+              loadNanos = System.nanoTime();
+              limit.reported(reported);
+            });
+  }
+
+  /** Takes that the upstream turned a request away for lack of room. */
+  void full() {
+    limit.full();
+  }
+
+  void strayAnswer(String id, RequestFlow flow) {
+    traffic.strayAnswer(upstream, id, flow.request().id());
+  }
+
+  /** Takes that a request on a connection has ended. */
+  void completed(UpstreamConnection connection, boolean reusable) {
+    atUpstream--;
+    if (reusable && !retired) {
+      idle.push(connection);
+    } else {
+      connection.closeWhenDone();
+    }
+    pump();
+  }
+
+  /** Takes that a connection has closed. */
+  void closed(UpstreamConnection connection, boolean hadRequest) {
+    idle.remove(connection);
+    if (hadRequest) {
+      atUpstream--;
+      pump();
+    }
+  }
+
+  /** Takes that a request was given up while it was at the upstream. */
+  void abandoned(UpstreamConnection connection) {
+    connection.abandon();
+    atUpstream--;
+    pump();
+  }
+
+  /** Ends this way, because the upstream has gone or begun another life. */
+  void retire() {
+    retired = true;
+    idle.forEach(UpstreamConnection::close);
+    idle.clear();
+    line.takeAll().forEach(f -> f.notSent("upstream has left"));
+  }
+
+  /** Moves the waiting requests elsewhere, because the upstream leaves. */
+  void emptyLine() {
+    line.takeAll().forEach(f -> f.notSent("upstream leaves"));
+  }
+
+  /** Closes connections that are too old to be used again. */
+  void sweep(long nowNanos) {
+    idle.removeIf(
+        c -> {
+          boolean old = !c.isUsable(nowNanos, Long.MAX_VALUE);
+          if (old) {
+            c.close();
+          }
+          return old;
+        });
+  }
+}
