--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -172,6 +172,8 @@
     flow = null;
     answering = false;
     idleSinceNanos = System.nanoTime();
+    // The caller may have been too slow for the last part; the next request must be read.
+    setReading(true);
     gate.completed(this, keepAlive && channel.isActive());
   }
 
