Prove ownership under random faults; claim row; move more keys in a round

Balancing moved one piece for each busy upstream in a round; it now moves up to ten, from the busiest at the time. OwnershipRandomFaultTest: 300 seeds of 60 s virtual time with lost, late and refused store and grant calls, kills, freezes, cuts, restarts: no key with two holders.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -34,6 +34,7 @@
 
   private long sequence;
   private long rowVersion;
+  private long claimVersion;
   private Optional<LeaseRow> row = Optional.empty();
   private boolean known;
   private Moment rowSeen;
@@ -44,7 +45,7 @@
   private boolean failing;
   private boolean resigned;
 
-  private record PendingWrite(LeaseRow row, Moment sent) {}
+  private record PendingWrite(LeaseRow row, Moment sent, boolean isClaim) {}
 
   /** What to do about the role. */
   public sealed interface Step {
@@ -59,8 +60,9 @@
      *
      * @param row the new content
      * @param expectedVersion the version that it must have; 0 if it must not exist
+     * @param isClaim whether the role is taken and not only kept
      */
-    record Write(LeaseRow row, long expectedVersion) implements Step {}
+    record Write(LeaseRow row, long expectedVersion, boolean isClaim) implements Step {}
   }
 
   /**
@@ -98,6 +100,16 @@
     return rowVersion;
   }
 
+  /**
+   * Returns the version of the write by which the role was taken. What is written under the
+   * condition of this version is written only while the role is held.
+   *
+   * @return the version
+   */
+  public long claimVersion() {
+    return claimVersion;
+  }
+
   /**
    * Returns the holder that the store named last.
    *
@@ -155,8 +167,9 @@
     callRunning = true;
     lastCall = now;
     var next = new LeaseRow(self, incarnation, ++sequence, peerAddress);
-    pending = Optional.of(new PendingWrite(next, now));
-    return new Step.Write(next, rowVersion);
+    boolean isClaim = confirmed.isEmpty();
+    pending = Optional.of(new PendingWrite(next, now, isClaim));
+    return new Step.Write(next, rowVersion, isClaim);
   }
 
   /**
@@ -183,6 +196,9 @@
   }
 
   private void confirm(PendingWrite write) {
+    if (write.isClaim()) {
+      claimVersion = rowVersion;
+    }
     confirmed = Optional.of(write.sent());
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -186,10 +186,7 @@
     }
     var tenure = new Tenure(assignment, nowNanos);
     for (Tenure before : earlier) {
-      boolean sameGrant =
-          before.assignment().fence() == assignment.fence()
-              && before.assignment().holder().equals(assignment.holder())
-              && before.assignment().range().overlaps(assignment.range());
+      boolean sameGrant = before.covers(assignment);
       if (sameGrant) {
         tenure.inherit(before);
       }
@@ -261,9 +258,10 @@
     return Optional.of(new RangeAction.WriteMap(writing.get(), mapVersion));
   }
 
+  /** Only keys whose holder has its grant are moved, so that no key has two moves at a time. */
   private boolean isMovable(RangeAssignment assignment) {
     return !assignment.isMoving()
-        && tenures.stream().anyMatch(t -> t.assignment().equals(assignment) && t.isGranted());
+        && tenures.stream().anyMatch(t -> t.isGranted() && t.covers(assignment));
   }
 
   /** Drops the earlier holders of assignments whose new holder has its grant. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -5,9 +5,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.upstreams.UpstreamRecord;
@@ -26,12 +28,12 @@
   private static final double LARGEST_PIECE = 0.5;
 
   /** Difference in work per capacity, relative to the mean, that starts a move. */
-  private static final double IMBALANCE = 0.35;
+  private static final double IMBALANCE = 0.4;
 
   /** Work per capacity below which an upstream is never relieved. */
-  private static final double RELIEVED_ABOVE = 0.35;
+  private static final double RELIEVED_ABOVE = 0.25;
 
-  private static final int MOVES_PER_ROUND = 6;
+  private static final int MOVES_PER_ROUND = 10;
 
   /** Bounds the number of grants: an upstream with more ranges gains none by balancing. */
   private static final int MOST_RANGES = 6;
@@ -199,32 +201,38 @@
   private void balance(Predicate<RangeAssignment> movable) {
     double mean =
         load.total() / candidates.values().stream().mapToDouble(Candidate::capacity).sum();
-    List<Candidate> busiestFirst = new ArrayList<>(candidates.values());
-    busiestFirst.sort(Comparator.comparingDouble(this::busyness).reversed());
-    int moves = 0;
-    for (Candidate donor : busiestFirst) {
-      if (moves == MOVES_PER_ROUND) {
+    Set<UpstreamId> done = new HashSet<>();
+    for (int moves = 0; moves < MOVES_PER_ROUND; moves++) {
+      Optional<Candidate> donor = busiest(done);
+      if (donor.isEmpty()) {
         break;
       }
-      Optional<Candidate> receiver = receiver(donor, mean);
-      if (receiver.isPresent() && movePiece(donor, receiver.get(), movable)) {
-        moves++;
+      Optional<Candidate> receiver = receiver(donor.get(), mean);
+      if (receiver.isEmpty() || !movePiece(donor.get(), receiver.get(), movable)) {
+        done.add(donor.get().upstream().id());
       }
     }
     assignments.sort(BY_FIRST_KEY);
     mergeNeighbours(movable);
   }
 
+  private Optional<Candidate> busiest(Set<UpstreamId> except) {
+    return candidates.values().stream()
+        .filter(c -> !except.contains(c.upstream().id()))
+        .max(Comparator.comparingDouble(this::busyness).thenComparing(c -> c.upstream().id()));
+  }
+
   private Optional<Candidate> receiver(Candidate donor, double mean) {
     Optional<Candidate> idle =
         candidates.values().stream()
             .filter(c -> c.mayGain() && rangesOf(c) < MOST_RANGES)
             .min(Comparator.comparingDouble(this::busyness).thenComparing(c -> c.upstream().id()));
+    double difference = IMBALANCE * Math.max(mean, RELIEVED_ABOVE);
     return idle.filter(
         c ->
             rangesOf(c) == 0
                 || (busyness(donor) > RELIEVED_ABOVE
-                    && busyness(donor) - busyness(c) > IMBALANCE * Math.max(mean, RELIEVED_ABOVE)));
+                    && busyness(donor) - busyness(c) > difference));
   }
 
   private long rangesOf(Candidate candidate) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/Tenure.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/Tenure.java
@@ -68,6 +68,13 @@
     return assignment;
   }
 
+  /** Tells whether an assignment is this one or a part of it, under the same grant. */
+  boolean covers(RangeAssignment other) {
+    return assignment.fence() == other.fence()
+        && assignment.holder().equals(other.holder())
+        && assignment.range().overlaps(other.range());
+  }
+
   Map<Holder, Leaving> leaving() {
     return leaving;
   }
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/AdmissionRuleTest.java
@@ -0,0 +1,51 @@
+package org.catkinlift.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that wait in vain, and against callers that return all at once. */
+final class AdmissionRuleTest {
+  private static final long MILLI = Duration.ofMillis(1).toNanos();
+  private static final long SERVICE = 120 * MILLI;
+
+  private static AdmissionRule.Decision decide(long waitMillis, int before, double spread) {
+    var urgency = new Urgency(2, 400 * MILLI, 1_200 * MILLI);
+    return AdmissionRule.decide(urgency, waitMillis * MILLI, before, 2, SERVICE, 0, spread);
+  }
+
+  @Test
+  void admitsWhatCanBeInTime() {
+    assertThat(decide(200, 5, 0)).isInstanceOf(AdmissionRule.Decision.Admit.class);
+  }
+
+  @Test
+  void admitsAFewThatWillBeLate() {
+    assertThat(decide(400, 1, 0)).isInstanceOf(AdmissionRule.Decision.Admit.class);
+  }
+
+  @Test
+  void rejectsBehindALongLine() {
+    assertThat(decide(400, 2, 0)).isInstanceOf(AdmissionRule.Decision.Reject.class);
+  }
+
+  @Test
+  void rejectsWhatWouldWaitUntilItsDeadline() {
+    assertThat(decide(900, 0, 0)).isInstanceOf(AdmissionRule.Decision.Reject.class);
+  }
+
+  @Test
+  void spreadsTheReturnOfRejectedCallers() {
+    Duration early = AdmissionRule.retryAfter(200 * MILLI, 3_000 * MILLI, 0);
+    Duration late = AdmissionRule.retryAfter(200 * MILLI, 3_000 * MILLI, 1);
+
+    assertThat(late.minus(early)).isAtLeast(Duration.ofMillis(100));
+  }
+
+  @Test
+  void asksNobodyToWaitForMoreThanAThirdOfItsTime() {
+    assertThat(AdmissionRule.retryAfter(5_000 * MILLI, 900 * MILLI, 1))
+        .isAtMost(Duration.ofMillis(300));
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
@@ -0,0 +1,124 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two daemons that both believe to have the role. */
+final class CoordinatorLeaseTest {
+  private static final NetworkAddress ADDRESS = NetworkAddress.of("10.0.0.1", 7_000);
+
+  private final CoordinatorLease lease =
+      new CoordinatorLease(HostId.of("host-1"), ADDRESS, 1, at(0));
+
+  private static Moment at(long millis) {
+    return at(millis, millis);
+  }
+
+  private static Moment at(long millis, long wallMillis) {
+    return new Moment(Duration.ofMillis(millis).toNanos(), wallMillis);
+  }
+
+  private void claimAt(long millis) {
+    assertThat(lease.next(at(millis))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    lease.rowRead(Optional.empty(), 0, at(millis));
+    assertThat(lease.next(at(millis))).isInstanceOf(CoordinatorLease.Step.Write.class);
+    lease.rowWritten(7, at(millis + 20));
+  }
+
+  private static Optional<LeaseRow> otherHolder(long sequence) {
+    return Optional.of(new LeaseRow(HostId.of("host-2"), 5, sequence, ADDRESS));
+  }
+
+  @Test
+  void takesAFreeRole() {
+    claimAt(0);
+
+    assertThat(lease.isHeld(at(100))).isTrue();
+    assertThat(lease.claimVersion()).isEqualTo(7);
+  }
+
+  @Test
+  void termCountsFromBeforeTheWrite() {
+    claimAt(0);
+
+    assertThat(lease.isHeld(at(1_790))).isTrue();
+    assertThat(lease.isHeld(at(1_810))).isFalse();
+  }
+
+  @Test
+  void suspensionThatTheMonotonicClockMissesEndsTheRole() {
+    claimAt(0);
+
+    assertThat(lease.isHeld(at(200, 200 + 5_000))).isFalse();
+  }
+
+  @Test
+  void waitsForTheTermOfAnotherHolder() {
+    lease.next(at(0));
+    lease.rowRead(otherHolder(1), 3, at(0));
+    assertThat(lease.next(at(1_000))).isInstanceOf(CoordinatorLease.Step.Idle.class);
+    assertThat(lease.next(at(1_500))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    lease.rowRead(otherHolder(2), 4, at(1_500));
+
+    assertThat(lease.next(at(2_500))).isInstanceOf(CoordinatorLease.Step.Idle.class);
+  }
+
+  @Test
+  void takesTheRoleOfAHolderThatIsSilent() {
+    lease.next(at(0));
+    lease.rowRead(otherHolder(1), 3, at(0));
+    lease.next(at(1_500));
+    lease.rowRead(otherHolder(1), 3, at(1_500));
+
+    assertThat(lease.next(at(2_050)))
+        .isEqualTo(
+            new CoordinatorLease.Step.Write(
+                new LeaseRow(HostId.of("host-1"), 1, 1, ADDRESS), 3, true));
+  }
+
+  @Test
+  void newsFromTheHolderKeepsItsTerm() {
+    lease.next(at(0));
+    lease.rowRead(otherHolder(1), 3, at(0));
+    lease.holderHeard(HostId.of("host-2"), 9, at(1_900));
+
+    assertThat(lease.next(at(2_100))).isInstanceOf(CoordinatorLease.Step.Idle.class);
+  }
+
+  @Test
+  void writeWithoutAnswerIsResolvedByReading() {
+    lease.next(at(0));
+    lease.rowRead(Optional.empty(), 0, at(0));
+    var write = (CoordinatorLease.Step.Write) lease.next(at(0));
+    lease.callFailed();
+    assertThat(lease.isHeld(at(500))).isFalse();
+    assertThat(lease.next(at(500))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    lease.rowRead(Optional.of(write.row()), 7, at(520));
+
+    assertThat(lease.isHeld(at(520))).isTrue();
+    assertThat(lease.isHeld(at(1_810))).isFalse();
+  }
+
+  @Test
+  void aConflictEndsTheRole() {
+    claimAt(0);
+    lease.next(at(700));
+    lease.writeRefused();
+
+    assertThat(lease.isHeld(at(710))).isFalse();
+  }
+
+  @Test
+  void resignedRoleIsNotTakenAgain() {
+    claimAt(0);
+    lease.resign();
+
+    assertThat(lease.isHeld(at(10))).isFalse();
+    assertThat(lease.next(at(5_000))).isInstanceOf(CoordinatorLease.Step.Idle.class);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -0,0 +1,68 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two holders of a key under any mix of faults, judged from the upstreams' side. */
+final class OwnershipRandomFaultTest {
+  private static final int SEEDS = 300;
+  private static final Duration RUN = Duration.ofSeconds(60);
+  private static final Duration STEP = Duration.ofMillis(700);
+
+  @Test
+  void keysAreHeldOnceWithoutFaults() {
+    var simulation = new OwnershipSimulation(1, 0);
+    simulation.run(Duration.ofSeconds(10));
+
+    assertThat(simulation.violations).isEmpty();
+    assertThat(simulation.heldShare()).isEqualTo(1.0);
+  }
+
+  @Test
+  void neverTwoHoldersUnderRandomFaults() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      var simulation = new OwnershipSimulation(seed, 0.05);
+      faultsFor(simulation, RUN);
+      assertWithMessage("seed %s", seed).that(simulation.violations).isEmpty();
+    }
+  }
+
+  @Test
+  void keysAreServedAgainAfterTheFaults() {
+    for (long seed = 1; seed <= 30; seed++) {
+      var simulation = new OwnershipSimulation(seed, 0);
+      faultsFor(simulation, Duration.ofSeconds(20));
+      simulation.store.down = false;
+      simulation.run(Duration.ofSeconds(40));
+
+      assertWithMessage("seed %s", seed).that(simulation.heldShare()).isEqualTo(1.0);
+    }
+  }
+
+  private static void faultsFor(OwnershipSimulation simulation, Duration length) {
+    SplittableRandom random = simulation.random();
+    long steps = length.dividedBy(STEP);
+    for (long i = 0; i < steps; i++) {
+      simulation.run(STEP);
+      var host = simulation.hosts.get(random.nextInt(simulation.hosts.size()));
+      var upstream = simulation.upstreams.get(random.nextInt(simulation.upstreams.size()));
+      var away = Duration.ofMillis(200 + random.nextInt(9_000));
+      switch (random.nextInt(14)) {
+        case 0 -> host.kill(away);
+        case 1 -> host.freeze(away);
+        case 2 -> host.cutFromStore = !host.cutFromStore;
+        case 3 -> upstream.crash(away);
+        case 4 -> upstream.unlist(away);
+        case 5 -> upstream.cut(away);
+        case 6 -> simulation.store.down = !simulation.store.down;
+        case 7 -> simulation.hosts.forEach(h -> h.kill(Duration.ofMillis(800)));
+        default -> {}
+      }
+    }
+    simulation.hosts.forEach(h -> h.cutFromStore = false);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
@@ -0,0 +1,475 @@
+package org.catkinlift.ranges;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.timer.VirtualTimerService;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/**
+ * Hosts, a store and upstreams on virtual time, with the faults that the platform can show. Judges
+ * ownership from what the upstreams hold.
+ */
+final class OwnershipSimulation {
+  static final int HOSTS = 3;
+  private static final int UPSTREAMS = 6;
+  private static final int SAMPLE_STEP = 1_024;
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration LONGEST_HOLD = Duration.ofSeconds(10);
+  private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration THAW_SLACK = Duration.ofMillis(300);
+
+  /** An upstream's clock may run this much slow. */
+  private static final double SLOW_CLOCK = 1.02;
+
+  final VirtualTimerService timers = new VirtualTimerService();
+  final List<String> violations = new ArrayList<>();
+  final Store store = new Store();
+  final List<Host> hosts = new ArrayList<>();
+  final List<Upstream> upstreams = new ArrayList<>();
+  private final SplittableRandom random;
+  private final double faultShare;
+
+  OwnershipSimulation(long seed, double faultShare) {
+    this.random = new SplittableRandom(seed);
+    this.faultShare = faultShare;
+    for (int i = 0; i < UPSTREAMS; i++) {
+      upstreams.add(new Upstream(i));
+    }
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(new Host(i));
+    }
+  }
+
+  void run(Duration duration) {
+    timers.advance(duration);
+  }
+
+  /** Returns the share of sampled keys that some living upstream holds. */
+  double heldShare() {
+    int held = 0;
+    int total = 0;
+    for (int key = 0; key < KeyRange.KEY_COUNT; key += SAMPLE_STEP) {
+      total++;
+      held += holdersOf(key).isEmpty() ? 0 : 1;
+    }
+    return (double) held / total;
+  }
+
+  private List<Upstream> holdersOf(int key) {
+    return upstreams.stream().filter(u -> u.alive && u.holds(key)).toList();
+  }
+
+  private long delay() {
+    return Duration.ofMillis(1).toNanos() + random.nextLong(Duration.ofMillis(8).toNanos());
+  }
+
+  private boolean fault() {
+    return random.nextDouble() < faultShare;
+  }
+
+  private void after(long nanos, Runnable task) {
+    var unused = timers.after(Duration.ofNanos(nanos), task);
+  }
+
+  private long wallMillis() {
+    return timers.nowNanos() / 1_000_000;
+  }
+
+  /** A linearizable store whose answers may be lost and whose work may be done late. */
+  final class Store {
+    boolean down;
+    private long version;
+    private Optional<LeaseRow> lease = Optional.empty();
+    private long leaseVersion;
+    private long claimVersion;
+    private RangeMap map = RangeMap.EMPTY;
+    private long mapVersion;
+
+    private void call(Host from, Runnable work, Runnable lost) {
+      boolean away = down || from.cutFromStore;
+      if (away || fault()) {
+        if (!away && random.nextBoolean()) {
+          long late = random.nextBoolean() ? delay() : Duration.ofSeconds(3).toNanos();
+          after(late, () -> runDetached(work));
+        }
+        after(STORE_TIMEOUT.toNanos(), lost);
+        return;
+      }
+      after(delay(), work);
+    }
+
+    /** Does the work without anyone to hear of it. */
+    private void runDetached(Runnable work) {
+      detached = true;
+      work.run();
+      detached = false;
+    }
+
+    private boolean detached;
+
+    private void reply(Runnable answer) {
+      if (!detached) {
+        after(delay(), answer);
+      }
+    }
+
+    void writeLease(Host from, CoordinatorLease.Step.Write write) {
+      call(
+          from,
+          () -> {
+            if (leaseVersion != write.expectedVersion()) {
+              reply(() -> from.ifUp(from.lease::writeRefused));
+              return;
+            }
+            version++;
+            leaseVersion = version;
+            lease = Optional.of(write.row());
+            if (write.isClaim()) {
+              claimVersion = version;
+            }
+            long written = version;
+            reply(() -> from.ifUp(() -> from.lease.rowWritten(written, from.now())));
+          },
+          () -> from.ifUp(from.lease::callFailed));
+    }
+
+    void readLease(Host from) {
+      call(
+          from,
+          () -> {
+            Optional<LeaseRow> row = lease;
+            long read = leaseVersion;
+            reply(() -> from.ifUp(() -> from.lease.rowRead(row, read, from.now())));
+          },
+          () -> from.ifUp(from.lease::callFailed));
+    }
+
+    void readMap(Host from) {
+      RangeCoordinator asking = from.coordinator;
+      call(
+          from,
+          () -> {
+            RangeMap read = map;
+            long readVersion = mapVersion;
+            reply(() -> from.ifUp(() -> asking.mapRead(read, readVersion, from.nanos())));
+          },
+          () -> from.ifUp(() -> asking.storeCallFailed(from.nanos())));
+    }
+
+    void writeMap(Host from, RangeAction.WriteMap write, long expectedClaim) {
+      RangeCoordinator asking = from.coordinator;
+      call(
+          from,
+          () -> {
+            if (mapVersion != write.expectedVersion() || claimVersion != expectedClaim) {
+              reply(() -> from.ifUp(() -> asking.storeCallFailed(from.nanos())));
+              return;
+            }
+            version++;
+            mapVersion = version;
+            map = write.map();
+            long written = version;
+            reply(() -> from.ifUp(() -> asking.mapWritten(written, from.nanos())));
+          },
+          () -> from.ifUp(() -> asking.storeCallFailed(from.nanos())));
+    }
+  }
+
+  /** A host with its daemon. Its monotonic clock stands still while it is frozen. */
+  final class Host {
+    private final int index;
+    boolean cutFromStore;
+    private boolean up = true;
+    private boolean frozen;
+    private long frozenNanos;
+    private long thawedAtNanos = -Duration.ofSeconds(1).toNanos();
+    private long life;
+    private CoordinatorLease lease;
+    private RangeCoordinator coordinator;
+    private boolean hadRole;
+    private final List<Runnable> whileFrozen = new ArrayList<>();
+
+    private Host(int index) {
+      this.index = index;
+      boot();
+      var unused = timers.every(TICK, this::tick);
+    }
+
+    private void boot() {
+      life++;
+      hadRole = false;
+      lease =
+          new CoordinatorLease(
+              HostId.of("host-" + index),
+              NetworkAddress.of("10.0.0." + (index + 1), 7_000),
+              life,
+              now());
+      coordinator = new RangeCoordinator(LONGEST_HOLD, new KeyLoad(Duration.ofSeconds(3), nanos()));
+    }
+
+    private long nanos() {
+      return timers.nowNanos() - frozenNanos;
+    }
+
+    private Moment now() {
+      return new Moment(nanos(), wallMillis());
+    }
+
+    private void ifUp(Runnable task) {
+      if (frozen) {
+        whileFrozen.add(task);
+      } else if (up) {
+        task.run();
+      }
+    }
+
+    void kill(Duration away) {
+      up = false;
+      after(
+          away.toNanos(),
+          () -> {
+            boot();
+            up = true;
+          });
+    }
+
+    void freeze(Duration length) {
+      if (frozen || !up) {
+        return;
+      }
+      frozen = true;
+      after(
+          length.toNanos(),
+          () -> {
+            frozenNanos += length.toNanos();
+            frozen = false;
+            thawedAtNanos = timers.nowNanos();
+            List<Runnable> held = new ArrayList<>(whileFrozen);
+            whileFrozen.clear();
+            held.forEach(this::ifUp);
+          });
+    }
+
+    boolean hasJustThawed() {
+      return timers.nowNanos() - thawedAtNanos < THAW_SLACK.toNanos();
+    }
+
+    private void tick() {
+      if (!up || frozen) {
+        return;
+      }
+      switch (lease.next(now())) {
+        case CoordinatorLease.Step.Idle idle -> {}
+        case CoordinatorLease.Step.Read read -> store.readLease(this);
+        case CoordinatorLease.Step.Write write -> store.writeLease(this, write);
+      }
+      boolean held = lease.isHeld(now());
+      if (held && !hadRole) {
+        coordinator.start(nanos());
+      } else if (!held && hadRole) {
+        coordinator.stop();
+      }
+      hadRole = held;
+      if (held) {
+        coordinator.storeDoubtful(lease.isStoreFailing(), nanos());
+        decide();
+      }
+    }
+
+    private void decide() {
+      ImmutableList<UpstreamRecord> known =
+          upstreams.stream()
+              .filter(u -> u.listed)
+              .map(u -> u.statedRecord)
+              .collect(ImmutableList.toImmutableList());
+      ImmutableList<Candidate> candidates =
+          known.stream()
+              .map(u -> new Candidate(u, 4, true))
+              .collect(ImmutableList.toImmutableList());
+      for (RangeAction action : coordinator.tick(candidates, known, nanos())) {
+        switch (action) {
+          case RangeAction.ReadMap read -> store.readMap(this);
+          case RangeAction.WriteMap write -> store.writeMap(this, write, lease.claimVersion());
+          case RangeAction.Grant grant ->
+              deliver(
+                  grant.assignment().holder(),
+                  grant.call(),
+                  (upstream, arrived) -> upstream.grant(this, grant, arrived));
+          case RangeAction.Release release ->
+              deliver(
+                  release.from(), release.call(), (upstream, arrived) -> upstream.release(release));
+        }
+      }
+    }
+
+    private interface Work {
+      GrantResult at(Upstream upstream, long arrivedNanos);
+    }
+
+    private void deliver(Holder to, long call, Work work) {
+      RangeCoordinator asking = coordinator;
+      Consumer<GrantResult> done = result -> ifUp(() -> asking.callEnded(call, result, nanos()));
+      Upstream upstream =
+          upstreams.stream().filter(u -> u.id.equals(to.upstream())).findFirst().orElseThrow();
+      if (!upstream.isLife(to) || upstream.unreachable) {
+        after(CALL_TIMEOUT.toNanos(), () -> done.accept(new GrantResult.NotSent()));
+        return;
+      }
+      boolean applied = !fault();
+      boolean answered = applied && !fault();
+      long late = applied ? 0 : Duration.ofMillis(2_000 + random.nextInt(10_000)).toNanos();
+      boolean lost = !applied && random.nextBoolean();
+      after(
+          delay(),
+          () -> {
+            long arrived = timers.nowNanos();
+            after(
+                late,
+                () -> {
+                  if (lost || !upstream.isLife(to)) {
+                    return;
+                  }
+                  GrantResult result = work.at(upstream, arrived);
+                  if (answered) {
+                    after(delay(), () -> done.accept(result));
+                  }
+                });
+          });
+      if (!answered) {
+        after(CALL_TIMEOUT.toNanos(), () -> done.accept(new GrantResult.Unanswered()));
+      }
+    }
+  }
+
+  /** An upstream that keeps its grants by its own slow clock. */
+  final class Upstream {
+    private final UpstreamId id;
+    boolean unreachable;
+    boolean listed = true;
+    private boolean alive = true;
+    private long life = 1;
+    private UpstreamRecord statedRecord;
+    private final Map<Integer, Long> fences = new HashMap<>();
+    private final Map<Integer, Long> grantedFences = new HashMap<>();
+    private final Map<Integer, Long> until = new HashMap<>();
+
+    private Upstream(int index) {
+      this.id = UpstreamId.of("u-" + index);
+      this.statedRecord = record(index);
+    }
+
+    private UpstreamRecord record(int index) {
+      return UpstreamRecord.builder()
+          .id(id)
+          .startedMillis(life)
+          .service(ServiceName.of("desk"))
+          .address(NetworkAddress.of("10.0.1." + (index + 1), 80))
+          .zone(ZoneName.of("z"))
+          .slots(4)
+          .build();
+    }
+
+    private boolean isLife(Holder holder) {
+      return alive && holder.startedMillis() == life;
+    }
+
+    private boolean holds(int key) {
+      return until.getOrDefault(key, 0L) > timers.nowNanos();
+    }
+
+    private List<Integer> samples(KeyRange range) {
+      List<Integer> keys = new ArrayList<>();
+      for (int key = 0; key < KeyRange.KEY_COUNT; key += SAMPLE_STEP) {
+        if (range.contains(key)) {
+          keys.add(key);
+        }
+      }
+      return keys;
+    }
+
+    private GrantResult grant(Host from, RangeAction.Grant grant, long arrivedNanos) {
+      long fence = grant.assignment().fence();
+      List<Integer> keys = samples(grant.assignment().range());
+      if (keys.stream().anyMatch(k -> fences.getOrDefault(k, 0L) > fence)) {
+        return new GrantResult.Outdated();
+      }
+      long end = arrivedNanos + (long) (grant.hold().toNanos() * SLOW_CLOCK);
+      for (int key : keys) {
+        fences.put(key, fence);
+        grantedFences.put(key, fence);
+        until.merge(key, end, Math::max);
+        if (end > timers.nowNanos() && !from.hasJustThawed()) {
+          check(key, fence);
+        }
+      }
+      return new GrantResult.Done(Optional.empty());
+    }
+
+    private void check(int key, long fence) {
+      for (Upstream other : upstreams) {
+        if (other == this || !other.alive) {
+          continue;
+        }
+        if (other.holds(key)) {
+          violations.add(
+              "key " + key + " held by " + other.id + " and " + id + " at " + wallMillis());
+        }
+        if (other.grantedFences.getOrDefault(key, 0L) >= fence) {
+          violations.add("key " + key + " fence " + fence + " is not above that of " + other.id);
+        }
+      }
+    }
+
+    private GrantResult release(RangeAction.Release release) {
+      for (int key : samples(release.range())) {
+        fences.merge(key, release.fence(), Math::max);
+        until.put(key, 0L);
+      }
+      return new GrantResult.Done(Optional.of("handover"));
+    }
+
+    void crash(Duration away) {
+      alive = false;
+      listed = false;
+      fences.clear();
+      grantedFences.clear();
+      until.clear();
+      after(
+          away.toNanos(),
+          () -> {
+            life++;
+            alive = true;
+            statedRecord = record(upstreams.indexOf(this));
+            listed = true;
+          });
+    }
+
+    /** The store forgets the upstream although it lives. */
+    void unlist(Duration length) {
+      listed = false;
+      after(length.toNanos(), () -> listed = alive);
+    }
+
+    void cut(Duration length) {
+      unreachable = true;
+      after(length.toNanos(), () -> unreachable = false);
+    }
+  }
+
+  SplittableRandom random() {
+    return random;
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -0,0 +1,156 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.upstreams.UpstreamRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards against keys without a holder, lost earlier holders, and moves that relieve nobody. */
+final class RangePlannerTest {
+  private final KeyLoad load = new KeyLoad(Duration.ofSeconds(3), 0);
+
+  private static UpstreamRecord upstream(int number, long started) {
+    return UpstreamRecord.builder()
+        .id(UpstreamId.of("u-" + number))
+        .startedMillis(started)
+        .service(ServiceName.of("desk"))
+        .address(NetworkAddress.of("10.0.0." + number, 80))
+        .zone(ZoneName.of("z"))
+        .slots(4)
+        .build();
+  }
+
+  private static Candidate candidate(int number) {
+    return new Candidate(upstream(number, 1), 4, true);
+  }
+
+  private Optional<RangeMap> plan(RangeMap map, Candidate... candidates) {
+    List<UpstreamRecord> known = List.of(candidates).stream().map(Candidate::upstream).toList();
+    return RangePlanner.plan(
+        map, ImmutableList.copyOf(candidates), known, load, a -> !a.isMoving());
+  }
+
+  private static int keysOf(RangeMap map) {
+    return map.assignments().stream().mapToInt(a -> a.range().size()).sum();
+  }
+
+  private static long rangesOf(RangeMap map, int number) {
+    return map.assignments().stream()
+        .filter(a -> a.holder().upstream().value().equals("u-" + number))
+        .count();
+  }
+
+  @Test
+  void firstMapCoversAllKeysWithEqualShares() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2), candidate(3)).orElseThrow();
+
+    assertThat(keysOf(map)).isEqualTo(KeyRange.KEY_COUNT);
+    assertThat(map.assignments()).hasSize(3);
+    assertThat(map.assignments().get(0).range().size()).isAtLeast(KeyRange.KEY_COUNT / 4);
+    assertThat(map.assignments().stream().anyMatch(RangeAssignment::isMoving)).isFalse();
+  }
+
+  @Test
+  void keepsASettledMapWithoutLoad() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
+
+    assertThat(plan(map, candidate(1), candidate(2))).isEmpty();
+  }
+
+  @Test
+  void keysOfALostUpstreamWaitForIt() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2), candidate(3)).orElseThrow();
+    RangeMap next = plan(map, candidate(1), candidate(2)).orElseThrow();
+
+    assertThat(keysOf(next)).isEqualTo(KeyRange.KEY_COUNT);
+    assertThat(rangesOf(next, 3)).isEqualTo(0);
+    for (RangeAssignment assignment : next.assignments()) {
+      boolean kept = map.assignments().contains(assignment);
+      assertThat(assignment.isMoving()).isEqualTo(!kept);
+      assertThat(kept || assignment.fence() >= map.nextFence()).isTrue();
+    }
+  }
+
+  @Test
+  void nextLifeGetsItsKeysWithoutWaitingForTheEarlierOne() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
+    RangeMap next = plan(map, candidate(1), new Candidate(upstream(2, 50), 4, true)).orElseThrow();
+
+    assertThat(next.assignments().stream().anyMatch(RangeAssignment::isMoving)).isFalse();
+    assertThat(rangesOf(next, 2)).isEqualTo(1);
+    assertThat(next.nextFence()).isGreaterThan(map.nextFence());
+  }
+
+  @Test
+  void movesWorkFromTheBusiestToTheLeastBusy() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
+    KeyRange busy = map.assignments().get(0).range();
+    for (int key = busy.first(); key <= busy.last(); key += 100) {
+      load.add(key, 0.05);
+    }
+    RangeMap next = plan(map, candidate(1), candidate(2)).orElseThrow();
+
+    assertThat(keysOf(next)).isEqualTo(KeyRange.KEY_COUNT);
+    assertThat(next.assignments().stream().filter(RangeAssignment::isMoving).count()).isEqualTo(1);
+  }
+
+  @Test
+  void aSingleBusyKeyIsLeftAloneWithItsHolder() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
+    KeyRange range = map.assignments().get(0).range();
+    int busyKey = range.first() + range.size() / 2;
+    for (int key = range.first(); key <= range.last(); key += 100) {
+      load.add(key, 0.01);
+    }
+    load.add(busyKey, 12);
+    RangeMap present = map;
+    for (int round = 0; round < 10; round++) {
+      Optional<RangeMap> next = plan(present, candidate(1), candidate(2));
+      if (next.isEmpty()) {
+        break;
+      }
+      present = settled(next.get());
+    }
+
+    Holder holder = present.find(busyKey).orElseThrow().holder();
+    double others =
+        present.assignments().stream()
+            .filter(a -> a.holder().equals(holder) && !a.range().contains(busyKey))
+            .mapToDouble(a -> load.of(a.range()))
+            .sum();
+    assertThat(holder).isEqualTo(map.assignments().get(0).holder());
+    assertThat(others).isLessThan(0.5);
+  }
+
+  private static RangeMap settled(RangeMap map) {
+    return new RangeMap(
+        map.nextFence(),
+        map.assignments().stream()
+            .map(RangeAssignment::settled)
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  @Test
+  void joinsSettledNeighboursOfOneHolder() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1)).orElseThrow();
+    RangeAssignment whole = map.assignments().get(0);
+    var split =
+        new RangeMap(
+            map.nextFence() + 1,
+            ImmutableList.of(
+                whole.withRange(new KeyRange(0, 999)),
+                whole.withRange(new KeyRange(1_000, KeyRange.KEY_COUNT - 1))));
+    RangeMap next = plan(split, candidate(1)).orElseThrow();
+
+    assertThat(next.assignments()).hasSize(1);
+    assertThat(next.assignments().get(0).fence()).isAtLeast(split.nextFence());
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
@@ -0,0 +1,96 @@
+package org.catkinlift.upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against work for upstreams that leave, and against losing those that an outage unlists.
+ */
+final class UpstreamDirectoryTest {
+  private static final UpstreamId ID = UpstreamId.of("u-1");
+  private static final ZoneName ZONE = ZoneName.of("z");
+
+  private final UpstreamDirectory directory = new UpstreamDirectory();
+
+  private static long seconds(double value) {
+    return (long) (value * Duration.ofSeconds(1).toNanos());
+  }
+
+  private static ImmutableMap<UpstreamId, UpstreamRecord> listed(boolean draining) {
+    return ImmutableMap.of(
+        ID,
+        UpstreamRecord.builder()
+            .id(ID)
+            .startedMillis(1)
+            .service(ServiceName.of("desk"))
+            .address(NetworkAddress.of("10.0.0.1", 80))
+            .zone(ZONE)
+            .draining(draining)
+            .build());
+  }
+
+  private UpstreamStatus status() {
+    return directory.entries().get(0).status();
+  }
+
+  @Test
+  void drainingCountsFromWhenItWasFirstSeen() {
+    directory.listed(listed(true), seconds(1));
+    directory.listed(listed(true), seconds(2));
+
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(1), UpstreamStatus.Cause.DRAINING));
+  }
+
+  @Test
+  void unlistedUpstreamLeavesAtOnceWhileTheStoreAnswers() {
+    directory.listed(listed(false), seconds(1));
+    directory.listed(ImmutableMap.of(), seconds(2));
+
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(2), UpstreamStatus.Cause.UNLISTED));
+  }
+
+  @Test
+  void unlistedByAnOutageStaysUntilItHadTimeToComeBack() {
+    directory.listed(listed(false), seconds(1));
+    directory.storeAnswers(false, seconds(2));
+    directory.storeAnswers(true, seconds(10));
+    directory.listed(ImmutableMap.of(), seconds(10));
+    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+
+    directory.refresh(seconds(12));
+    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+
+    directory.refresh(seconds(12.5));
+    assertThat(status()).isInstanceOf(UpstreamStatus.Leaving.class);
+  }
+
+  @Test
+  void zoneOutAndBack() {
+    directory.listed(listed(false), seconds(1));
+    directory.zonesOut(ImmutableSet.of(ZONE), seconds(2));
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(2), UpstreamStatus.Cause.ZONE_OUT));
+
+    directory.zonesOut(ImmutableSet.of(), seconds(3));
+    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+  }
+
+  @Test
+  void forgetsWhatHasLeftLongAgo() {
+    directory.listed(listed(false), seconds(1));
+    directory.listed(ImmutableMap.of(), seconds(2));
+    directory.refresh(seconds(20));
+
+    assertThat(directory.entries()).isEmpty();
+  }
+}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -21,6 +21,7 @@
 import org.catkinlift.gateway.settings.GatewaySettings;
 import org.catkinlift.gateway.store.KeyGrants;
 import org.catkinlift.gateway.store.MetadataStore;
+import org.catkinlift.gateway.store.RowKey;
 import org.catkinlift.gateway.store.StoreNews;
 import org.catkinlift.gateway.store.StoreReply;
 import org.catkinlift.gateway.store.StoredRow;
@@ -201,7 +202,7 @@
     }
     if (held) {
       keyed.storeDoubtful(lease.isStoreFailing(), now.nanos());
-      keyed.tick(configuration, directory.entries(), lease.rowVersion(), now.nanos());
+      keyed.tick(configuration, directory.entries(), lease.claimVersion(), now.nanos());
     }
   }
 
@@ -219,16 +220,24 @@
     switch (step) {
       case CoordinatorLease.Step.Idle idle -> {}
       case CoordinatorLease.Step.Read read -> store.read(OwnRows.LEASE, this::leaseRead);
-      case CoordinatorLease.Step.Write write ->
-          store.commit(
-              new Transaction(
-                  ImmutableMap.of(OwnRows.LEASE, write.expectedVersion()),
-                  ImmutableMap.of(OwnRows.LEASE, LeaseRowCodec.encode(write.row())),
-                  ImmutableSet.of()),
-              this::leaseWritten);
+      case CoordinatorLease.Step.Write write -> writeLease(write);
     }
   }
 
+  private void writeLease(CoordinatorLease.Step.Write write) {
+    ImmutableMap.Builder<RowKey, String> puts = ImmutableMap.builder();
+    puts.put(OwnRows.LEASE, LeaseRowCodec.encode(write.row()));
+    if (write.isClaim()) {
+      puts.put(OwnRows.CLAIM, settings.host().value());
+    }
+    store.commit(
+        new Transaction(
+            ImmutableMap.of(OwnRows.LEASE, write.expectedVersion()),
+            puts.buildOrThrow(),
+            ImmutableSet.of()),
+        this::leaseWritten);
+  }
+
   private void leaseRead(StoreReply<StoredRow> reply) {
     switch (reply) {
       case StoreReply.Done<StoredRow> done ->
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -105,7 +105,7 @@
   void tick(
       RouteConfiguration configuration,
       ImmutableList<UpstreamDirectory.Entry> upstreams,
-      long leaseVersion,
+      long claimVersion,
       long nowNanos) {
     for (ServiceProfile service : configuration.services().values()) {
       if (service.keyed() && !coordinators.containsKey(service.name())) {
@@ -125,7 +125,7 @@
           ImmutableList<Candidate> candidates =
               candidates(service, coordinator, upstreams, nowNanos);
           for (RangeAction action : coordinator.tick(candidates, known, nowNanos)) {
-            execute(service, coordinator, action, leaseVersion);
+            execute(service, coordinator, action, claimVersion);
           }
         });
   }
@@ -166,11 +166,11 @@
   }
 
   private void execute(
-      ServiceName service, RangeCoordinator coordinator, RangeAction action, long leaseVersion) {
+      ServiceName service, RangeCoordinator coordinator, RangeAction action, long claimVersion) {
     switch (action) {
       case RangeAction.ReadMap read ->
           store.read(rowOf(service), reply -> mapRead(service, coordinator, reply));
-      case RangeAction.WriteMap write -> write(service, coordinator, write, leaseVersion);
+      case RangeAction.WriteMap write -> write(service, coordinator, write, claimVersion);
       case RangeAction.Grant grant ->
           grants.grant(grant, result -> grantEnded(coordinator, grant, result));
       case RangeAction.Release release ->
@@ -200,10 +200,10 @@
       ServiceName service,
       RangeCoordinator coordinator,
       RangeAction.WriteMap write,
-      long leaseVersion) {
+      long claimVersion) {
     var transaction =
         new Transaction(
-            ImmutableMap.of(rowOf(service), write.expectedVersion(), OwnRows.LEASE, leaseVersion),
+            ImmutableMap.of(rowOf(service), write.expectedVersion(), OwnRows.CLAIM, claimVersion),
             ImmutableMap.of(rowOf(service), RangeMapCodec.encode(write.map())),
             ImmutableSet.of());
     store.commit(transaction, reply -> mapWritten(service, coordinator, write, reply));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/OwnRows.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/OwnRows.java
@@ -10,5 +10,8 @@
   /** Lies in a table of its own, because it changes often and nobody follows it. */
   static final RowKey LEASE = new RowKey("catkinlift-role", "coordinator");
 
+  /** Written only when the role is taken, so that keeping it does not disturb other writes. */
+  static final RowKey CLAIM = new RowKey("catkinlift-role", "claim");
+
   private OwnRows() {}
 }
