Reset given-up calls, refuse late in a stop, be ready only with holders

From 3.2 s on new requests are refused at once. An answer without a request id no longer counts as the answer to the request that waits.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -43,6 +43,7 @@
   private boolean callRunning;
   private Moment lastCall;
   private boolean failing;
+  private boolean mustReadSoon;
   private boolean resigned;
 
   private record PendingWrite(LeaseRow row, Moment sent, boolean isClaim) {}
@@ -150,7 +151,9 @@
       return write(now);
     }
     boolean newsIsOld = now.since(rowSeen).compareTo(NEWS_AGE) >= 0;
-    return newsIsOld && sinceCall.compareTo(READ_INTERVAL) >= 0 ? read(now) : new Step.Idle();
+    return (newsIsOld || mustReadSoon) && sinceCall.compareTo(READ_INTERVAL) >= 0
+        ? read(now)
+        : new Step.Idle();
   }
 
   private boolean isOwnRow() {
@@ -159,6 +162,7 @@
 
   private Step read(Moment now) {
     callRunning = true;
+    mustReadSoon = false;
     lastCall = now;
     return new Step.Read();
   }
@@ -236,6 +240,11 @@
     }
   }
 
+  /** Takes that the holder did not confirm its role; the row is read soon. */
+  public void holderDoubtful() {
+    mustReadSoon = true;
+  }
+
   /** Takes that a call had no answer or was turned away; a write may have been done. */
   public void callFailed() {
     callRunning = false;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -23,6 +23,8 @@
 import org.catkinlift.gateway.traffic.CallerServer;
 import org.catkinlift.gateway.traffic.Traffic;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.timer.TimerService;
 
 /** One daemon: its control thread, its traffic thread and its servers. */
@@ -35,6 +37,9 @@
   /** Between the end of the daemon's own stop and the forced one. */
   private static final Duration STOP_RESERVE = Duration.ofMillis(700);
 
+  /** From the stop signal on, requests are taken for so long; they end well within the grace. */
+  private static final Duration TAKING_REQUESTS = Duration.ofMillis(3_200);
+
   private static final Duration STOP_CHECK = Duration.ofMillis(100);
 
   private final GatewaySettings settings;
@@ -142,10 +147,15 @@
     boolean known = snapshot.configuration().isKnown();
     boolean assigned =
         snapshot.configuration().services().values().stream()
-            .allMatch(s -> !s.keyed() || snapshot.maps().containsKey(s.name()));
+            .allMatch(s -> !s.keyed() || hasHolders(snapshot, s.name()));
     ready = ready || (known && assigned);
   }
 
+  private static boolean hasHolders(TrafficSnapshot snapshot, ServiceName service) {
+    RangeMap map = snapshot.maps().getOrDefault(service, RangeMap.EMPTY);
+    return !map.assignments().isEmpty();
+  }
+
   private void reportTraffic() {
     Traffic.Seen seen = traffic.takeSeen();
     controlLoop.execute(() -> control.trafficSeen(seen.work(), seen.speeds()));
@@ -165,6 +175,7 @@
           stopping = true;
           callers.beginStop();
           trafficTimers.after(BALANCER_NOTICE, () -> awaitEnd(start));
+          trafficTimers.after(TAKING_REQUESTS, callers::beginRefusing);
         });
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -301,15 +301,16 @@
     switch (result) {
       case CallResult.Answered answered when answered.isSuccess() ->
           replied(PeerCodec.decodeReply(answered.text()));
-      case CallResult.Answered refused -> {}
-      case CallResult.NotSent notSent -> {}
-      case CallResult.Unanswered unanswered -> {}
+      case CallResult.Answered refused -> lease.holderDoubtful();
+      case CallResult.NotSent notSent -> lease.holderDoubtful();
+      case CallResult.Unanswered unanswered -> lease.holderDoubtful();
     }
   }
 
   private void replied(CoordinatorReply reply) {
     store.peerHasSeen(reply.news());
     if (!reply.hasRole()) {
+      lease.holderDoubtful();
       return;
     }
     lease.holderHeard(reply.host(), reply.leaseVersion(), now());
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
@@ -13,7 +13,8 @@
  * @param target the path with its query
  * @param headers headers besides those of the transport
  * @param body the body as text, empty for none
- * @param timeout from the call to the end of the answer
+ * @param timeout from sending to the end of the answer
+ * @param sendWithin if there is no connection by then, the call is not sent
  */
 public record HttpCall(
     NetworkAddress address,
@@ -21,7 +22,8 @@
     String target,
     ImmutableMap<String, String> headers,
     String body,
-    Duration timeout) {
+    Duration timeout,
+    Duration sendWithin) {
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(1);
 
   /**
@@ -42,6 +44,7 @@
     private ImmutableMap<String, String> headers = ImmutableMap.of();
     private String body = "";
     private Duration timeout = DEFAULT_TIMEOUT;
+    private Duration sendWithin = DEFAULT_TIMEOUT;
 
     private Builder(NetworkAddress address) {
       this.address = address;
@@ -69,20 +72,27 @@
       return this;
     }
 
-    /** Sets the time from the call to the end of the answer. */
+    /** Sets the time from sending to the end of the answer. */
     @CanIgnoreReturnValue
     public Builder timeout(Duration value) {
       timeout = value;
       return this;
     }
 
+    /** Sets the time after which the call is not sent any more. */
+    @CanIgnoreReturnValue
+    public Builder sendWithin(Duration value) {
+      sendWithin = value;
+      return this;
+    }
+
     /**
      * Returns the call.
      *
      * @return the call
      */
     public HttpCall build() {
-      return new HttpCall(address, method, target, headers, body, timeout);
+      return new HttpCall(address, method, target, headers, body, timeout, sendWithin);
     }
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCaller.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCaller.java
@@ -44,6 +44,9 @@
   /** Shorter than the time after which any peer closes an idle connection. */
   private static final Duration LONGEST_IDLE = Duration.ofSeconds(3);
 
+  /** Closing resets the connection and discards what was not delivered. */
+  private static final int DISCARD_ON_CLOSE = 0;
+
   private final EventLoop loop;
   private final Map<NetworkAddress, Deque<Link>> idle = new HashMap<>();
 
@@ -97,18 +100,25 @@
 
   private void connect(HttpCall call, Consumer<CallResult> done) {
     var link = new Link(call.address());
-    long limit = Math.min(CONNECT_TIMEOUT.toMillis(), call.timeout().toMillis());
+    long limit = Math.min(CONNECT_TIMEOUT.toMillis(), call.sendWithin().toMillis());
+    long startNanos = System.nanoTime();
     ChannelFuture connected =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, limit))
             .option(ChannelOption.TCP_NODELAY, true)
+            // A call that was given up must not arrive once a partition has healed.
+            .option(ChannelOption.SO_LINGER, DISCARD_ON_CLOSE)
             .handler(new LinkInitializer(link))
             .connect(call.address().ip(), call.address().port());
     connected.addListener(
         c -> {
-          if (c.isSuccess()) {
+          boolean late = System.nanoTime() - startNanos > call.sendWithin().toNanos();
+          if (c.isSuccess() && late) {
+            Channels.close(connected.channel());
+            done.accept(new CallResult.NotSent("connected too late"));
+          } else if (c.isSuccess()) {
             link.channel = connected.channel();
             link.begin(call, done);
           } else {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -176,7 +176,11 @@
     }
     var flow = new RequestFlow(traffic, parsed(request, whole), slot);
     flows.put(slot, flow);
-    flow.start();
+    if (server.isRefusing()) {
+      flow.refuseStopping();
+    } else {
+      flow.start();
+    }
   }
 
   private CallerRequest parsed(HttpRequest request, ByteBuf whole) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
@@ -27,6 +27,7 @@
   private final Traffic traffic;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private boolean stopping;
+  private boolean refusing;
 
   /**
    * Creates the server.
@@ -115,6 +116,15 @@
     stopping = true;
   }
 
+  boolean isRefusing() {
+    return refusing;
+  }
+
+  /** Refuses each new request from now on, because it could not end before the daemon does. */
+  public void beginRefusing() {
+    refusing = true;
+  }
+
   /** Closes the connections that carry nothing. */
   public void closeIdle() {
     new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -45,6 +45,7 @@
   private static final int MOST_TRIES = 8;
   private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(25);
   private static final Duration RETURN_WITHOUT_OWNER = Duration.ofMillis(400);
+  private static final Duration RETURN_ELSEWHERE = Duration.ofMillis(20);
   private static final Duration RETURN_WITHOUT_CONFIGURATION = Duration.ofMillis(300);
 
   /** How long a request waits for keys that are on their way to another upstream. */
@@ -145,6 +146,11 @@
     place();
   }
 
+  /** Refuses the request, because the daemon is about to end; another one can take it at once. */
+  void refuseStopping() {
+    refuse("daemon is stopping", RETURN_ELSEWHERE);
+  }
+
   private boolean readKey(TrafficSnapshot snapshot) {
     if (!traffic.isKeyed(snapshot, service)) {
       return true;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import org.catkinlift.gateway.http.Channels;
+import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 
 /**
  * One connection to an upstream; carries one request at a time.
@@ -34,6 +35,7 @@
 
   private final UpstreamGate gate;
   private final String requestIdHeader;
+  private final String notExecutedHeader;
   private final AnswerDecoder decoder = new AnswerDecoder();
 
   private Channel channel;
@@ -55,9 +57,10 @@
     }
   }
 
-  UpstreamConnection(UpstreamGate gate, String requestIdHeader) {
+  UpstreamConnection(UpstreamGate gate, HeaderNames names) {
     this.gate = gate;
-    this.requestIdHeader = requestIdHeader;
+    this.requestIdHeader = names.requestId();
+    this.notExecutedHeader = names.notExecuted();
   }
 
   AnswerDecoder decoder() {
@@ -112,10 +115,10 @@
   private void headRead(HttpResponse answer) {
     boolean informational = answer.status().code() / 100 == 1;
     String id = answer.headers().get(requestIdHeader);
-    boolean foreign = id != null && !id.equals(flow.request().id());
+    boolean foreign = !informational && !isOwn(id, answer);
     skipping = informational || foreign;
     if (foreign) {
-      gate.strayAnswer(id, flow);
+      gate.strayAnswer(String.valueOf(id), flow);
     }
     if (skipping) {
       return;
@@ -127,6 +130,14 @@
     flow.answerBegins(answer);
   }
 
+  /** Only a refusal may come without the id of its request. */
+  private boolean isOwn(String id, HttpResponse answer) {
+    if (id == null) {
+      return answer.headers().contains(notExecutedHeader);
+    }
+    return id.equals(flow.request().id());
+  }
+
   private boolean hasOwnEnd(HttpResponse answer) {
     return decoder.isContentAlwaysEmpty(answer)
         || HttpUtil.isTransferEncodingChunked(answer)
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -43,6 +43,9 @@
    */
   private static final Duration FRESH = Duration.ofMillis(1_500);
 
+  /** Closing resets the connection and discards what was not delivered. */
+  private static final int DISCARD_ON_CLOSE = 0;
+
   private final Traffic traffic;
   private final WaitingLine<RequestFlow> line = new WaitingLine<>();
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
@@ -235,7 +238,7 @@
   }
 
   private void connect(RequestFlow flow) {
-    var connection = new UpstreamConnection(this, traffic.settings().headers().requestId());
+    var connection = new UpstreamConnection(this, traffic.settings().headers());
     flow.connecting(this);
     traffic.metrics().connectionOpened(upstream.service());
     ChannelFuture connected =
@@ -244,6 +247,8 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
             .option(ChannelOption.TCP_NODELAY, true)
+            // A request that was given up must not arrive once a partition has healed.
+            .option(ChannelOption.SO_LINGER, DISCARD_ON_CLOSE)
             .handler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- /dev/null
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewaySite.java
@@ -0,0 +1,246 @@
+package org.catkinlift.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.catkinlift.gateway.logging.EventLog;
+import org.catkinlift.gateway.settings.GatewaySettings;
+import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
+import org.catkinlift.gateway.settings.GatewaySettings.Bounds;
+import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
+import org.catkinlift.gateway.settings.GatewaySettings.Repeats;
+import org.catkinlift.gateway.store.KeyGrants;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.ranges.GrantResult;
+import org.catkinlift.ranges.RangeAction;
+import org.catkinlift.routes.CallerLimits;
+import org.catkinlift.routes.RequestKind;
+import org.catkinlift.routes.Route;
+import org.catkinlift.routes.RouteConfiguration;
+import org.catkinlift.routes.ServiceProfile;
+import org.catkinlift.routes.WeightedTarget;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/** A daemon with a store in memory, for tests of whole requests. */
+final class GatewaySite {
+  static final ServiceName SHARED = ServiceName.of("shared");
+  static final ServiceName KEYED = ServiceName.of("keyed");
+  private static final ZoneName ZONE = ZoneName.of("z");
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+  private static final int READY_ATTEMPTS = 400;
+
+  private final GatewaySettings settings = settings();
+  private MemoryStore store;
+  final Gateway gateway;
+
+  GatewaySite() {
+    EventLog log = EventLog.start("test", OutputStream.nullOutputStream());
+    gateway =
+        Gateway.start(
+            settings,
+            log,
+            new Gateway.Outside(
+                loop -> {
+                  store = new MemoryStore(loop);
+                  return store;
+                },
+                caller -> new AgreeableUpstreams()));
+  }
+
+  /** Grants and releases always succeed. */
+  private static final class AgreeableUpstreams implements KeyGrants {
+    @Override
+    public void grant(RangeAction.Grant grant, Consumer<GrantResult> done) {
+      done.accept(new GrantResult.Done(Optional.empty()));
+    }
+
+    @Override
+    public void release(RangeAction.Release release, Consumer<GrantResult> done) {
+      done.accept(new GrantResult.Done(Optional.of("h")));
+    }
+  }
+
+  MemoryStore store() {
+    return store;
+  }
+
+  private static NetworkAddress free() {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return NetworkAddress.of("127.0.0.1", socket.getLocalPort());
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static GatewaySettings settings() {
+    return new GatewaySettings(
+        HostId.of("host-1"),
+        ZONE,
+        new Addresses(free(), free(), "/ready", free(), free(), free()),
+        new Bounds(
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(6),
+            Duration.ofSeconds(10)),
+        new Repeats(0.2, 100, Duration.ofSeconds(10)),
+        new HeaderNames(
+            "x-request-id",
+            "x-deadline-ms",
+            "x-shard-key",
+            "x-server-signature",
+            "x-expect-instance",
+            "x-not-executed",
+            "x-server-load"));
+  }
+
+  static UpstreamRecord upstream(String id, ServiceName service, NetworkAddress address) {
+    return UpstreamRecord.builder()
+        .id(UpstreamId.of(id))
+        .startedMillis(1)
+        .service(service)
+        .address(address)
+        .zone(ZONE)
+        .slots(4)
+        .build();
+  }
+
+  private static Route route(String prefix, RequestKind kind, ServiceName service) {
+    return Route.builder()
+        .name("r" + prefix.replace('/', '-'))
+        .host("a.example")
+        .prefix(prefix)
+        .kind(kind)
+        .targetLatency(Duration.ofSeconds(5))
+        .timeout(Duration.ofSeconds(10))
+        .maxAttempts(2)
+        .targets(ImmutableList.of(new WeightedTarget(service, 1)))
+        .build();
+  }
+
+  private static ServiceProfile profile(ServiceName name) {
+    return new ServiceProfile(name, "/health", 100, 10, name.equals(KEYED), Duration.ZERO);
+  }
+
+  /** Brings a configuration and upstreams into force and waits until the daemon is ready. */
+  void serve(UpstreamRecord... upstreams) throws Exception {
+    store.configure(
+        new RouteConfiguration(
+            1,
+            CallerLimits.DEFAULT,
+            ImmutableList.of(
+                route("/lookup/", RequestKind.IDEMPOTENT, SHARED),
+                route("/order/", RequestKind.NON_IDEMPOTENT, SHARED),
+                route("/keyed/", RequestKind.IDEMPOTENT, KEYED)),
+            ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED))));
+    store.list(upstreams);
+    for (int i = 0; i < READY_ATTEMPTS; i++) {
+      if (health() == 200) {
+        return;
+      }
+      Thread.sleep(25);
+    }
+    throw new AssertionError("the daemon is not ready");
+  }
+
+  int health() throws IOException {
+    try (var connection = new Connection(settings.addresses().health())) {
+      connection.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+      return connection.read().status();
+    }
+  }
+
+  Connection connect() throws IOException {
+    return new Connection(settings.addresses().callers());
+  }
+
+  static String get(String path, String id, String more) {
+    return "GET "
+        + path
+        + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "
+        + id
+        + "\r\nX-Deadline-Ms: 8000\r\n"
+        + more
+        + "\r\n";
+  }
+
+  /** One answer as its caller sees it. */
+  record Answer(int status, String head, String body) {}
+
+  /** One connection of a caller. */
+  static final class Connection implements Closeable {
+    private final Socket socket;
+
+    Connection(NetworkAddress address) throws IOException {
+      socket = new Socket(InetAddress.getLoopbackAddress(), address.port());
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    }
+
+    void send(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+
+    /** Reads an answer with a length. */
+    Answer read() throws IOException {
+      var head = new StringBuilder();
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int next = socket.getInputStream().read();
+        if (next < 0) {
+          throw new IOException("closed after: " + head);
+        }
+        head.append((char) next);
+      }
+      int length =
+          head.toString()
+              .lines()
+              .filter(l -> l.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+              .mapToInt(l -> Integer.parseInt(l.substring(15).trim()))
+              .findFirst()
+              .orElse(0);
+      byte[] body = socket.getInputStream().readNBytes(length);
+      return new Answer(
+          Integer.parseInt(head.substring(9, 12)),
+          head.toString(),
+          new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    boolean isClosedByServer() throws IOException {
+      return socket.getInputStream().read() < 0;
+    }
+
+    /** Reads all that comes until the connection ends, complete or not. */
+    String readToEnd() {
+      var text = new StringBuilder();
+      try {
+        int next = socket.getInputStream().read();
+        while (next >= 0) {
+          text.append((char) next);
+          next = socket.getInputStream().read();
+        }
+      } catch (IOException e) {
+        // A reset ends the connection as well.
+        text.append("");
+      }
+      return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
