Run a request on no more upstreams than its route allows

The slack of the repeat budget is now divided by the number of daemons at the time of use; before, by that at the first request.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/RepeatBudget.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/RepeatBudget.java
@@ -12,7 +12,6 @@
   private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
   private final double ratio;
-  private final double slack;
   private final double windowSeconds;
   private double repeats;
   private double requests;
@@ -22,13 +21,11 @@
    * Creates a budget.
    *
    * @param ratio the allowed repeats per request
-   * @param slack the repeats that are allowed besides, in one window
    * @param window the time over which both are counted
    * @param nowNanos the time
    */
-  public RepeatBudget(double ratio, double slack, Duration window, long nowNanos) {
+  public RepeatBudget(double ratio, Duration window, long nowNanos) {
     this.ratio = ratio;
-    this.slack = slack;
     this.windowSeconds = window.toNanos() / SECOND_NANOS;
     this.agedAtNanos = nowNanos;
   }
@@ -46,10 +43,11 @@
   /**
    * Takes the right to send a request once more.
    *
+   * @param slack this daemon's share of the repeats that are allowed besides, in one window
    * @param nowNanos the time
    * @return false if too many were sent once more already
    */
-  public boolean tryTake(long nowNanos) {
+  public boolean tryTake(double slack, long nowNanos) {
     age(nowNanos);
     if (repeats + 1 > requests * ratio + slack) {
       return false;
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/LimitsTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/LimitsTest.java
@@ -35,12 +35,12 @@
 
   @Test
   void repeatsAreAShareOfRequests() {
-    var budget = new RepeatBudget(0.1, 2, Duration.ofSeconds(10), 0);
+    var budget = new RepeatBudget(0.1, Duration.ofSeconds(10), 0);
     for (int i = 0; i < 100; i++) {
       budget.requestSeen(0);
     }
     int allowed = 0;
-    while (budget.tryTake(0)) {
+    while (budget.tryTake(2, 0)) {
       allowed++;
     }
     assertThat(allowed).isEqualTo(12);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -277,7 +277,7 @@
   }
 
   private void tryAgain(Duration pause, boolean arrived) {
-    boolean tooMany = mayHaveRun.size() > route.maxAttempts() || tries >= MOST_TRIES;
+    boolean tooMany = mayHaveRun.size() >= route.maxAttempts() || tries >= MOST_TRIES;
     boolean late = System.nanoTime() + pause.toNanos() >= urgency.expiryNanos();
     if (tooMany || late || (arrived && !traffic.mayRepeat(service))) {
       giveUp();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
@@ -42,7 +42,7 @@
   private static final Duration FIRST_SERVICE_TIME = Duration.ofMillis(120);
 
   /** Share of the site's budget that is used; the rest covers uneven traffic between daemons. */
-  private static final double USED_BUDGET = 0.6;
+  private static final double USED_BUDGET = 0.5;
 
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
@@ -252,13 +252,13 @@
         s ->
             new RepeatBudget(
                 settings.repeats().ratio() * USED_BUDGET,
-                settings.repeats().slack() * USED_BUDGET / Math.max(1, snapshot.daemons()),
                 settings.repeats().window(),
                 System.nanoTime()));
   }
 
   boolean mayRepeat(ServiceName service) {
-    return budget(service).tryTake(System.nanoTime());
+    double slack = settings.repeats().slack() * USED_BUDGET / Math.max(1, snapshot.daemons());
+    return budget(service).tryTake(slack, System.nanoTime());
   }
 
   /**
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
@@ -152,6 +152,28 @@
     }
   }
 
+  @Test
+  void aRequestRunsOnNoMoreUpstreamsThanItsRouteAllows() throws Exception {
+    ScriptedUpstream.Script breaking =
+        (n, id, out) -> {
+          write(out, ok(id, "whole body").substring(0, 85));
+          return false;
+        };
+    try (var first = new ScriptedUpstream(breaking);
+        var second = new ScriptedUpstream(breaking);
+        var third = new ScriptedUpstream(breaking)) {
+      site.serve(
+          upstream("u-1", SHARED, first.address()),
+          upstream("u-2", SHARED, second.address()),
+          upstream("u-3", SHARED, third.address()),
+          upstream("u-4", KEYED, third.address()));
+
+      assertThat(ask(get("/lookup/a", "r1", "")).status()).isEqualTo(502);
+      int runs = first.heads().size() + second.heads().size() + third.heads().size();
+      assertThat(runs).isEqualTo(2);
+    }
+  }
+
   @Test
   void brokenAnswerOfAnOrderIsUnknownAndNotRepeated() throws Exception {
     try (var shared =
