--- /dev/null
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/logging/EventLogTest.java
@@ -0,0 +1,64 @@
+package org.catkinlift.gateway.logging;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.catkinlift.events.EventCode;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a log that blocks the thread that logs, or that breaks one event into lines. */
+final class EventLogTest {
+  private static final int MORE_THAN_FIT = 20_000;
+
+  /** A reader of standard output that has stopped reading. */
+  private static final class StuckOutput extends OutputStream {
+    private final CountDownLatch released = new CountDownLatch(1);
+    private final CountDownLatch reached = new CountDownLatch(1);
+
+    @Override
+    public void write(int b) {
+      reached.countDown();
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  @Test
+  void aStuckReaderBlocksNobodyAndDropsSuccessesBeforeFailures() throws Exception {
+    var output = new StuckOutput();
+    EventLog log = EventLog.start("host-1", output);
+    log.log(EventCode.REQUEST_ANSWERED, ImmutableMap.of());
+    output.reached.await();
+    for (int i = 0; i < MORE_THAN_FIT; i++) {
+      log.log(EventCode.REQUEST_ANSWERED, ImmutableMap.of("request", i));
+    }
+    long dropped = log.droppedLines();
+    log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("request", "r1"));
+
+    assertThat(dropped).isGreaterThan(0);
+    assertThat(log.droppedLines()).isEqualTo(dropped);
+    output.released.countDown();
+  }
+
+  @Test
+  void oneEventIsOneLine() throws Exception {
+    var output = new ByteArrayOutputStream();
+    EventLog log = EventLog.start("host-1", output);
+    log.log(
+        EventCode.REQUEST_REFUSED,
+        ImmutableMap.of("request", "r 1", "reason", "a\nb\"c", "status", 503));
+    log.close();
+
+    String text = output.toString(StandardCharsets.UTF_8);
+    assertThat(text.lines().count()).isEqualTo(1);
+    assertThat(text).contains("event=1002 severity=INFO text=\"request refused\"");
+    assertThat(text).contains("request=\"r 1\" reason=\"a'b'c\" status=503");
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -0,0 +1,51 @@
+package org.catkinlift.gateway.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.catkinlift.gateway.store.NewsVersions;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against messages between daemons that are misread, also across versions. */
+final class PeerCodecTest {
+  private static final NewsVersions NEWS = new NewsVersions(1, 2, 3);
+
+  @Test
+  void reportsComeBackAsTheyWere() {
+    var report =
+        new LoadReport(
+            HostId.of("host-1"),
+            NEWS,
+            ImmutableList.of(new LoadReport.KeyWork(ServiceName.of("desk"), 77, 0.125)),
+            ImmutableMap.of(UpstreamId.of("u-1"), new LoadReport.WorkTimes(0.5, 0.25)));
+
+    assertThat(PeerCodec.decodeReport(PeerCodec.encode(report))).isEqualTo(report);
+  }
+
+  @Test
+  void repliesComeBackAsTheyWere() {
+    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, NEWS);
+
+    assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
+  }
+
+  @Test
+  void linesOfAnotherVersionAreSkipped() {
+    LoadReport report = PeerCodec.decodeReport("later things\nhost host-1\n");
+
+    assertThat(report.host()).isEqualTo(HostId.of("host-1"));
+  }
+
+  @Test
+  void malformedLinesAreErrors() {
+    assertThrows(
+        IllegalArgumentException.class, () -> PeerCodec.decodeReport("host host-1\nwork desk\n"));
+    assertThrows(IllegalArgumentException.class, () -> PeerCodec.decodeReport(""));
+    assertThrows(IllegalArgumentException.class, () -> PeerCodec.decodeReply("news 1 2 3\n"));
+  }
+}
--- /dev/null
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -0,0 +1,56 @@
+package org.catkinlift.gateway.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import org.catkinlift.model.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a daemon that starts with settings that are missing or wrong. */
+final class GatewaySettingsReaderTest {
+  private static final String GOOD =
+      """
+      {"host":"h-1","zone":"z","later":{"a":1},
+       "addresses":{"callers":"10.0.0.1:1","health":"10.0.0.1:2","healthPath":"/ready",
+                    "peers":"10.0.0.1:3","metrics":"10.0.0.1:4","store":"10.0.0.9:5"},
+       "bounds":{"drain":"2000ms","evacuate":"5s","stopGrace":"6s","longestHold":"10s"},
+       "repeats":{"ratio":0.2,"slack":62,"window":"10s"},
+       "headers":{"requestId":"X-Request-Id","deadlineMillis":"d","key":"k","signature":"s",
+                  "expectedUpstream":"e","notExecuted":"n","load":"l"}}
+      """;
+
+  @Test
+  void readsAllFieldsAndIgnoresOthers() {
+    GatewaySettings settings = GatewaySettingsReader.parse(GOOD);
+
+    assertThat(settings.addresses().store()).isEqualTo(NetworkAddress.of("10.0.0.9", 5));
+    assertThat(settings.bounds().drain()).isEqualTo(Duration.ofSeconds(2));
+    assertThat(settings.repeats().slack()).isEqualTo(62);
+    assertThat(settings.headers().requestId()).isEqualTo("x-request-id");
+  }
+
+  @Test
+  void eachMissingOrWrongFieldIsNamed() {
+    String[][] changes = {
+      {"\"host\":\"h-1\",", "", "host"},
+      {"\"zone\":\"z\"", "\"zone\":null", "zone"},
+      {"10.0.0.1:1\"", "10.0.0.1\"", "callers"},
+      {"10.0.0.9:5", "10.0.0.9:99999", "store"},
+      {"\"2000ms\"", "\"2000\"", "drain"},
+      {"\"5s\"", "\"-5s\"", "evacuate"},
+      {"\"ratio\":0.2", "\"ratio\":\"much\"", "ratio"},
+      {"\"load\":\"l\"", "\"load\":[]", "load"},
+      {"\"repeats\"", "\"other\"", "ratio"},
+    };
+    for (String[] change : changes) {
+      String json = GOOD.replace(change[0], change[1]);
+      assertThat(json).isNotEqualTo(GOOD);
+      var thrown =
+          assertThrows(
+              GatewaySettingsException.class, () -> GatewaySettingsReader.parse(json), change[2]);
+      assertThat(thrown).hasMessageThat().contains("'" + change[2] + "'");
+    }
+    assertThrows(GatewaySettingsException.class, () -> GatewaySettingsReader.parse("{"));
+  }
+}
