--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -147,7 +147,8 @@
       Duration interval = failing ? RETRY_INTERVAL : RENEW_INTERVAL;
       return sinceCall.compareTo(interval) >= 0 ? write(now) : new Step.Idle();
     }
-    if (row.isEmpty() || now.since(rowSeen).compareTo(TERM) >= 0 || isOwnRow()) {
+    boolean termIsOver = now.since(rowSeen).compareTo(TERM) >= 0;
+    if (row.isEmpty() || termIsOver || isOwnRow() || isOwnEarlierLife()) {
       return write(now);
     }
     boolean newsIsOld = now.since(rowSeen).compareTo(NEWS_AGE) >= 0;
@@ -160,6 +161,12 @@
     return row.filter(r -> r.holder().equals(self) && r.incarnation() == incarnation).isPresent();
   }
 
+  /** A host runs one daemon at a time, so an earlier life at the same place has ended. */
+  private boolean isOwnEarlierLife() {
+    return row.filter(r -> r.holder().equals(self) && r.peerAddress().equals(peerAddress))
+        .isPresent();
+  }
+
   private Step read(Moment now) {
     callRunning = true;
     mustReadSoon = false;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyLoad.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyLoad.java
@@ -11,12 +11,16 @@
   /** Part of the load that is spread evenly, so that a range without recent work is not free. */
   private static final double EVEN_SHARE = 0.1;
 
+  /** Work of a shorter time says too little about the rate. */
+  private static final double SHORTEST_AGE_SECONDS = 0.5;
+
   private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
   private final double meanAgeSeconds;
   private final double[] work = new double[KeyRange.KEY_COUNT];
   private final double[] cumulative = new double[KeyRange.KEY_COUNT + 1];
   private double total;
+  private final long createdAtNanos;
   private long decayedAtNanos;
   private boolean cumulativeValid;
 
@@ -28,6 +32,7 @@
    */
   public KeyLoad(Duration meanAge, long nowNanos) {
     this.meanAgeSeconds = meanAge.toNanos() / SECOND_NANOS;
+    this.createdAtNanos = nowNanos;
     this.decayedAtNanos = nowNanos;
   }
 
@@ -111,18 +116,25 @@
     return count;
   }
 
+  /** Share of its full weight that steady work has reached, less than 1 soon after the start. */
+  private double completeness() {
+    double age = (decayedAtNanos - createdAtNanos) / SECOND_NANOS;
+    return 1 - Math.exp(-Math.max(age, SHORTEST_AGE_SECONDS) / meanAgeSeconds);
+  }
+
   private void refresh() {
     if (cumulativeValid) {
       return;
     }
+    double complete = completeness();
     double sum = 0;
     for (double w : work) {
-      sum += w;
+      sum += w / complete;
     }
     // Without any work all keys count the same.
     double even = sum > 0 ? sum * EVEN_SHARE / work.length : 1.0 / work.length;
     for (int i = 0; i < work.length; i++) {
-      cumulative[i + 1] = cumulative[i] + work[i] + even;
+      cumulative[i + 1] = cumulative[i] + work[i] / complete + even;
     }
     total = cumulative[work.length];
     cumulativeValid = true;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -24,8 +24,8 @@
   private static final Duration HOLD = Duration.ofSeconds(5);
 
   private static final Duration RENEW_INTERVAL = Duration.ofMillis(1_300);
-  private static final Duration PLAN_INTERVAL = Duration.ofMillis(800);
-  private static final Duration REPLAN_SOON = Duration.ofMillis(20);
+  private static final Duration PLAN_INTERVAL = Duration.ofMillis(500);
+  private static final Duration REPLAN_SOON = Duration.ofMillis(50);
   private static final Duration READ_RETRY = Duration.ofMillis(200);
 
   /** An upstream's clock may run 2 % slow; the rest covers the way of the call. */
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
@@ -81,6 +81,25 @@
                 new LeaseRow(HostId.of("host-1"), 1, 1, ADDRESS), 3, true));
   }
 
+  @Test
+  void takesTheRoleOfItsOwnEarlierLifeAtOnce() {
+    lease.next(at(0));
+    lease.rowRead(Optional.of(new LeaseRow(HostId.of("host-1"), 99, 4, ADDRESS)), 3, at(10));
+
+    assertThat(lease.next(at(20))).isInstanceOf(CoordinatorLease.Step.Write.class);
+  }
+
+  @Test
+  void waitsForAHolderOfItsNameAtAnotherAddress() {
+    lease.next(at(0));
+    lease.rowRead(
+        Optional.of(new LeaseRow(HostId.of("host-1"), 99, 4, NetworkAddress.of("10.0.0.2", 7_000))),
+        3,
+        at(10));
+
+    assertThat(lease.next(at(20))).isInstanceOf(CoordinatorLease.Step.Idle.class);
+  }
+
   @Test
   void newsFromTheHolderKeepsItsTerm() {
     lease.next(at(0));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -46,7 +46,7 @@
  */
 public final class GatewayControl {
   private static final Duration TICK = Duration.ofMillis(50);
-  private static final Duration REPORT_INTERVAL = Duration.ofMillis(400);
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
   private static final Duration REPORT_TIMEOUT = Duration.ofMillis(600);
 
   /** Share of the site's time limits that is used; the rest covers the way of the news. */
