--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorServer.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/operator/OperatorServer.java
@@ -29,6 +29,8 @@
   /**
    * Longer than the bound for a change to be in force (7 s), so that a slow platform can answer.
    */
+  private static final Duration REPLY_READ_TIME = Duration.ofMillis(500);
+
   private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(10);
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -175,12 +177,15 @@
   }
 
   /** Sends a response and closes the connection, so that the rest of the body is not read. */
-  private static void refuse(HttpServerRequest request, HttpReply reply) {
+  private void refuse(HttpServerRequest request, HttpReply reply) {
     if (request.response().ended() || request.response().closed()) {
       return;
     }
     request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
     send(request, reply);
+    // The header alone closes the connection only once the whole body has come. Closing at once
+    // would reset it under an operator that still sends, before the reply is read.
+    vertx.setTimer(REPLY_READ_TIME.toMillis(), t -> request.connection().close());
   }
 
   private static void send(HttpServerRequest request, HttpReply reply) {
