--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -6,12 +6,9 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.catkinlift.events.EventCode;
-import org.catkinlift.gateway.http.CallResult;
-import org.catkinlift.gateway.http.HttpCall;
 import org.catkinlift.gateway.http.HttpCaller;
 import org.catkinlift.gateway.http.ShortAnswer;
 import org.catkinlift.gateway.logging.EventLog;
@@ -31,7 +28,6 @@
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.CoordinatorLease;
-import org.catkinlift.ranges.LeaseRow;
 import org.catkinlift.ranges.Moment;
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
@@ -47,18 +43,13 @@
 public final class GatewayControl {
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
-  private static final Duration REPORT_TIMEOUT = Duration.ofMillis(600);
 
   /** Share of the site's time limits that is used; the rest covers the way of the news. */
   private static final double USED_SHARE = 0.6;
 
-  /** Assumed before the coordinator has said how many daemons there are. */
-  private static final int DAEMONS_AT_FIRST = 12;
-
   private final GatewaySettings settings;
   private final TimerService timers;
   private final MetadataStore store;
-  private final HttpCaller peers;
   private final EventLog log;
   private final Consumer<TrafficSnapshot> publish;
   private final UpstreamDirectory directory = new UpstreamDirectory();
@@ -67,14 +58,12 @@
   private final Map<ServiceName, Long> mapVersions = new HashMap<>();
   private final CoordinatorLease lease;
   private final KeyedServices keyed;
+  private final PeerReports reports;
 
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
-  private LoadReport nextReport;
-  private int daemons = DAEMONS_AT_FIRST;
   private boolean firstReadDone;
   private boolean hasRole;
-  private boolean reportRunning;
   private boolean publishPending;
 
   /**
@@ -101,19 +90,15 @@
     this.settings = settings;
     this.timers = timers;
     this.store = store;
-    this.peers = peers;
     this.log = log;
     this.publish = publish;
     this.lease =
-        new CoordinatorLease(settings.host(), settings.addresses().peers(), incarnation, now());
+        new CoordinatorLease(
+            settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
     this.keyed =
         new KeyedServices(
             store, grants, log, settings.bounds().longestHold(), service -> publishSoon());
-    this.nextReport = emptyReport();
-  }
-
-  private static Moment now() {
-    return new Moment(System.nanoTime(), System.currentTimeMillis());
+    this.reports = new PeerReports(settings.host(), store, peers, lease, this::publishSoon);
   }
 
   /** Begins to follow the store and to decide. */
@@ -187,7 +172,7 @@
   }
 
   private void tick() {
-    Moment now = now();
+    Moment now = HostClock.now();
     if (directory.refresh(now.nanos())) {
       keyed.upstreamsChanged();
       publishSoon();
@@ -241,7 +226,8 @@
   private void leaseRead(StoreReply<StoredRow> reply) {
     switch (reply) {
       case StoreReply.Done<StoredRow> done ->
-          lease.rowRead(LeaseRowCodec.decode(done.value().value()), done.value().version(), now());
+          lease.rowRead(
+              LeaseRowCodec.decode(done.value().value()), done.value().version(), HostClock.now());
       case StoreReply.Conflict<StoredRow> conflict -> lease.callFailed();
       case StoreReply.Refused<StoredRow> refused -> lease.callFailed();
       case StoreReply.Unknown<StoredRow> unknown -> lease.callFailed();
@@ -250,18 +236,13 @@
 
   private void leaseWritten(StoreReply<Long> reply) {
     switch (reply) {
-      case StoreReply.Done<Long> done -> lease.rowWritten(done.value(), now());
+      case StoreReply.Done<Long> done -> lease.rowWritten(done.value(), HostClock.now());
       case StoreReply.Conflict<Long> conflict -> lease.writeRefused();
       case StoreReply.Refused<Long> refused -> lease.callFailed();
       case StoreReply.Unknown<Long> unknown -> lease.callFailed();
     }
   }
 
-  private LoadReport emptyReport() {
-    return new LoadReport(
-        settings.host(), store.newsVersions(), ImmutableList.of(), ImmutableMap.of());
-  }
-
   /**
    * Takes the traffic since the last call.
    *
@@ -271,52 +252,16 @@
   public void trafficSeen(
       ImmutableList<LoadReport.KeyWork> work,
       ImmutableMap<UpstreamId, LoadReport.WorkTimes> speeds) {
-    nextReport = new LoadReport(settings.host(), store.newsVersions(), work, speeds);
+    reports.trafficSeen(work, speeds);
   }
 
   private void report() {
-    LoadReport report = nextReport;
-    nextReport = emptyReport();
+    LoadReport report = reports.take();
     if (hasRole) {
       keyed.reported(report);
-      daemons = reporters.count(System.nanoTime());
-      return;
-    }
-    Optional<LeaseRow> holder = lease.row();
-    if (reportRunning || holder.isEmpty() || holder.get().holder().equals(settings.host())) {
-      return;
-    }
-    reportRunning = true;
-    peers.call(
-        HttpCall.to(holder.get().peerAddress())
-            .request("POST", "/report")
-            .body(PeerCodec.encode(report))
-            .timeout(REPORT_TIMEOUT)
-            .build(),
-        this::reportAnswered);
-  }
-
-  private void reportAnswered(CallResult result) {
-    reportRunning = false;
-    switch (result) {
-      case CallResult.Answered answered when answered.isSuccess() ->
-          replied(PeerCodec.decodeReply(answered.text()));
-      case CallResult.Answered refused -> lease.holderDoubtful();
-      case CallResult.NotSent notSent -> lease.holderDoubtful();
-      case CallResult.Unanswered unanswered -> lease.holderDoubtful();
-    }
-  }
-
-  private void replied(CoordinatorReply reply) {
-    store.peerHasSeen(reply.news());
-    if (!reply.hasRole()) {
-      lease.holderDoubtful();
-      return;
-    }
-    lease.holderHeard(reply.host(), reply.leaseVersion(), now());
-    if (daemons != reply.daemons()) {
-      daemons = reply.daemons();
-      publishSoon();
+      reports.counted(reporters.count(System.nanoTime()));
+    } else {
+      reports.send(report);
     }
   }
 
@@ -328,7 +273,7 @@
    * @return the answer
    */
   public ShortAnswer answerPeer(String path, String body) {
-    if (!path.equals("/report")) {
+    if (!path.equals(PeerCodec.REPORT_PATH)) {
       return new ShortAnswer(404, "");
     }
     LoadReport report;
@@ -341,7 +286,7 @@
     long nanos = System.nanoTime();
     store.peerHasSeen(report.news());
     reporters.reported(report.host(), nanos);
-    boolean held = lease.isHeld(now());
+    boolean held = lease.isHeld(HostClock.now());
     if (held) {
       keyed.reported(report);
     }
@@ -371,7 +316,8 @@
       upstreams.put(entry.upstream().id(), view(entry));
     }
     publish.accept(
-        new TrafficSnapshot(configuration, routes, upstreams.buildOrThrow(), maps(), daemons));
+        new TrafficSnapshot(
+            configuration, routes, upstreams.buildOrThrow(), maps(), reports.daemons()));
   }
 
   private ImmutableMap<ServiceName, RangeMap> maps() {
@@ -401,7 +347,7 @@
 
   /** Gives up the coordinator role before the daemon ends, so that another one can take it. */
   public void resign() {
-    boolean held = lease.isHeld(now());
+    boolean held = lease.isHeld(HostClock.now());
     long version = lease.rowVersion();
     lease.resign();
     if (!held) {
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
@@ -0,0 +1,119 @@
+package org.catkinlift.gateway.control;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.Optional;
+import org.catkinlift.gateway.http.CallResult;
+import org.catkinlift.gateway.http.HttpCall;
+import org.catkinlift.gateway.http.HttpCaller;
+import org.catkinlift.gateway.peer.CoordinatorReply;
+import org.catkinlift.gateway.peer.LoadReport;
+import org.catkinlift.gateway.peer.PeerCodec;
+import org.catkinlift.gateway.store.MetadataStore;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.ranges.CoordinatorLease;
+import org.catkinlift.ranges.LeaseRow;
+
+/**
+ * Reports this daemon's traffic to the coordinator and takes its replies as news of the role and of
+ * the number of daemons. Confined to the control thread.
+ */
+final class PeerReports {
+  private static final Duration TIMEOUT = Duration.ofMillis(600);
+
+  /** Assumed before the coordinator has said how many daemons there are. */
+  private static final int DAEMONS_AT_FIRST = 12;
+
+  private final HostId self;
+  private final MetadataStore store;
+  private final HttpCaller peers;
+  private final CoordinatorLease lease;
+  private final Runnable daemonsChanged;
+
+  private LoadReport next;
+  private int daemons = DAEMONS_AT_FIRST;
+  private boolean running;
+
+  PeerReports(
+      HostId self,
+      MetadataStore store,
+      HttpCaller peers,
+      CoordinatorLease lease,
+      Runnable daemonsChanged) {
+    this.self = self;
+    this.store = store;
+    this.peers = peers;
+    this.lease = lease;
+    this.daemonsChanged = daemonsChanged;
+    this.next = empty();
+  }
+
+  private LoadReport empty() {
+    return new LoadReport(self, store.newsVersions(), ImmutableList.of(), ImmutableMap.of());
+  }
+
+  /** Takes the traffic since the last call. */
+  void trafficSeen(
+      ImmutableList<LoadReport.KeyWork> work,
+      ImmutableMap<UpstreamId, LoadReport.WorkTimes> speeds) {
+    next = new LoadReport(self, store.newsVersions(), work, speeds);
+  }
+
+  /** Returns the report that is due and begins another one. */
+  LoadReport take() {
+    LoadReport report = next;
+    next = empty();
+    return report;
+  }
+
+  int daemons() {
+    return daemons;
+  }
+
+  /** Takes the number of daemons that this daemon counted as coordinator. */
+  void counted(int number) {
+    daemons = number;
+  }
+
+  /** Sends a report to the holder of the role. */
+  void send(LoadReport report) {
+    Optional<LeaseRow> holder = lease.row();
+    if (running || holder.isEmpty() || holder.get().holder().equals(self)) {
+      return;
+    }
+    running = true;
+    peers.call(
+        HttpCall.to(holder.get().peerAddress())
+            .request("POST", PeerCodec.REPORT_PATH)
+            .body(PeerCodec.encode(report))
+            .timeout(TIMEOUT)
+            .build(),
+        this::answered);
+  }
+
+  private void answered(CallResult result) {
+    running = false;
+    switch (result) {
+      case CallResult.Answered answered when answered.isSuccess() ->
+          replied(PeerCodec.decodeReply(answered.text()));
+      case CallResult.Answered refused -> lease.holderDoubtful();
+      case CallResult.NotSent notSent -> lease.holderDoubtful();
+      case CallResult.Unanswered unanswered -> lease.holderDoubtful();
+    }
+  }
+
+  private void replied(CoordinatorReply reply) {
+    store.peerHasSeen(reply.news());
+    if (!reply.hasRole()) {
+      lease.holderDoubtful();
+      return;
+    }
+    lease.holderHeard(reply.host(), reply.leaseVersion(), HostClock.now());
+    if (daemons != reply.daemons()) {
+      daemons = reply.daemons();
+      daemonsChanged.run();
+    }
+  }
+}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -10,6 +10,9 @@
 
 /** Encodes the messages between daemons as lines of words. Lines of unknown kinds are skipped. */
 public final class PeerCodec {
+  /** Where a daemon takes reports. */
+  public static final String REPORT_PATH = "/report";
+
   private static final double MICROS = 1e6;
 
   private PeerCodec() {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -63,7 +63,7 @@
   private State state = State.PLACING;
   private UpstreamGate gate;
   private UpstreamConnection connection;
-  private HttpResponse answer;
+  private AnswerHead answer;
   private CompositeByteBuf held;
   private boolean passingOn;
   private int tries;
@@ -135,7 +135,7 @@
         request.deadlineMillis().isPresent()
             ? Duration.ofMillis(request.deadlineMillis().getAsLong()).toNanos()
             : timeout;
-    long elapsed = traffic.elapsedBefore(route, request.deadlineMillis());
+    long elapsed = traffic.measurements().elapsedBefore(route, request.deadlineMillis());
     urgency =
         new Urgency(
             route.priority(),
@@ -314,7 +314,7 @@
 
   /** Takes the head of the answer. */
   void answerBegins(HttpResponse head) {
-    answer = head;
+    answer = new AnswerHead(head, traffic.settings().headers());
     held = null;
   }
 
@@ -334,35 +334,23 @@
     held.addComponent(true, bytes);
     if (last) {
       answered();
-    } else if (held.readableBytes() > HELD_BYTES && isFinalAnswer()) {
+    } else if (held.readableBytes() > HELD_BYTES && answer.isFinal()) {
       beginPassingOn();
     }
   }
 
-  private boolean isFinalAnswer() {
-    return !isNotExecuted() && (answer.status().code() / 100 != 2 || hasSignature());
-  }
-
-  private boolean isNotExecuted() {
-    return answer.headers().contains(traffic.settings().headers().notExecuted());
-  }
-
-  private boolean hasSignature() {
-    return answer.headers().contains(traffic.settings().headers().signature());
-  }
-
   private void answered() {
-    traffic.answered(this, gate.upstream(), System.nanoTime() - sentNanos);
-    if (isNotExecuted()) {
+    traffic.measurements().answered(this, gate.upstream().id(), System.nanoTime() - sentNanos);
+    if (answer.isNotExecuted()) {
       notExecuted();
       return;
     }
-    if (!isFinalAnswer()) {
+    if (!answer.isFinal()) {
       connectionLost("success without signature");
       return;
     }
-    HttpHeaders headers = answerHeaders();
-    int status = answer.status().code();
+    HttpHeaders headers = answer.headersFor(request.id());
+    int status = answer.status();
     ByteBuf body = held;
     held = null;
     finish("answered", status);
@@ -370,7 +358,7 @@
   }
 
   private void notExecuted() {
-    int status = answer.status().code();
+    int status = answer.status();
     releaseHeld();
     mayHaveRun.remove(gate.upstream().id());
     connection = null;
@@ -386,17 +374,9 @@
     tryAgain(PAUSE_AFTER_REFUSAL, true);
   }
 
-  private HttpHeaders answerHeaders() {
-    HttpHeaders headers = HopHeaders.endToEnd(answer.headers(), Set.of());
-    if (!headers.contains(traffic.settings().headers().requestId())) {
-      headers.set(traffic.settings().headers().requestId(), request.id());
-    }
-    return headers;
-  }
-
   private void beginPassingOn() {
     passingOn = true;
-    slot.begin(answer.status().code(), answerHeaders());
+    slot.begin(answer.status(), answer.headersFor(request.id()));
     slot.onWritable(this::resume);
     ByteBuf soFar = held;
     held = null;
@@ -410,8 +390,8 @@
       pauseIfFull();
       return;
     }
-    traffic.answered(this, gate.upstream(), System.nanoTime() - sentNanos);
-    finish("answered", answer.status().code());
+    traffic.measurements().answered(this, gate.upstream().id(), System.nanoTime() - sentNanos);
+    finish("answered", answer.status());
     slot.end();
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
@@ -12,12 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.catkinlift.admission.PlacementRule;
 import org.catkinlift.admission.RepeatBudget;
-import org.catkinlift.admission.ServiceTime;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.metrics.GatewayMetrics;
@@ -39,8 +37,6 @@
  * measurements. Confined to the traffic thread.
  */
 public final class Traffic {
-  private static final Duration FIRST_SERVICE_TIME = Duration.ofMillis(120);
-
   /** Share of the site's budget that is used; the rest covers uneven traffic between daemons. */
   private static final double USED_BUDGET = 0.5;
 
@@ -57,14 +53,10 @@
   private final SplitPicker splits = new SplitPicker();
   private final Map<UpstreamId, UpstreamGate> gates = new HashMap<>();
   private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
-  private final Map<ServiceName, ServiceTime> serviceTimes = new HashMap<>();
-  private final Map<String, ServiceTime> routeTimes = new HashMap<>();
-  private final Map<String, Long> longestDeadlines = new HashMap<>();
+  private final TrafficMeasurements measurements = new TrafficMeasurements();
   private final Set<RequestFlow> waitingForOwner = new LinkedHashSet<>();
 
   private TrafficSnapshot snapshot = TrafficSnapshot.EMPTY;
-  private List<LoadReport.KeyWork> work = new ArrayList<>();
-  private Map<UpstreamId, LoadReport.WorkTimes> speeds = new HashMap<>();
   private int running;
 
   /**
@@ -239,11 +231,7 @@
   void requestSeen(RequestFlow flow) {
     running++;
     budget(flow.service()).requestSeen(System.nanoTime());
-    if (flow.key() != RequestFlow.NO_KEY) {
-      work.add(
-          new LoadReport.KeyWork(
-              flow.service(), flow.key(), routeTime(flow.route()).expectedNanos() / 1e9));
-    }
+    measurements.requestSeen(flow);
   }
 
   private RepeatBudget budget(ServiceName service) {
@@ -261,41 +249,6 @@
     return budget(service).tryTake(slack, System.nanoTime());
   }
 
-  /**
-   * Returns how long the caller has waited in earlier attempts. Callers state what is left of their
-   * time, so the longest time that was ever stated on a route is that of first attempts.
-   */
-  long elapsedBefore(Route route, OptionalLong deadlineMillis) {
-    if (deadlineMillis.isEmpty()) {
-      return 0;
-    }
-    long longest = longestDeadlines.merge(route.name(), deadlineMillis.getAsLong(), Math::max);
-    return Duration.ofMillis(longest - deadlineMillis.getAsLong()).toNanos();
-  }
-
-  long serviceNanos(ServiceName service) {
-    return serviceTime(service).expectedNanos();
-  }
-
-  private ServiceTime serviceTime(ServiceName service) {
-    return serviceTimes.computeIfAbsent(
-        service, s -> new ServiceTime(FIRST_SERVICE_TIME.toNanos()));
-  }
-
-  private ServiceTime routeTime(Route route) {
-    return routeTimes.computeIfAbsent(
-        route.name(), r -> new ServiceTime(FIRST_SERVICE_TIME.toNanos()));
-  }
-
-  /** Takes how long an upstream took for an answer. */
-  void answered(RequestFlow flow, UpstreamRecord upstream, long nanos) {
-    double usual = routeTime(flow.route()).expectedNanos() / 1e9;
-    speeds.merge(
-        upstream.id(), new LoadReport.WorkTimes(nanos / 1e9, usual), LoadReport.WorkTimes::plus);
-    serviceTime(flow.service()).measured(nanos);
-    routeTime(flow.route()).measured(nanos);
-  }
-
   /** Takes the end of a request. */
   void requestEnded(RequestFlow flow, UpstreamGate gate, int status, String reason, int tries) {
     long took = System.nanoTime() - flow.request().receivedNanos();
@@ -361,10 +314,7 @@
    * @return the traffic
    */
   public Seen takeSeen() {
-    var seen = new Seen(ImmutableList.copyOf(work), ImmutableMap.copyOf(speeds));
-    work = new ArrayList<>();
-    speeds = new HashMap<>();
-    return seen;
+    return measurements.takeSeen();
   }
 
   /**
@@ -376,6 +326,10 @@
     return running;
   }
 
+  TrafficMeasurements measurements() {
+    return measurements;
+  }
+
   TrafficSnapshot snapshot() {
     return snapshot;
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -129,7 +129,7 @@
 
   private long serviceNanos(long nowNanos) {
     double slowness = isLoadFresh(nowNanos) ? Math.max(0.5, load.slowness()) : 1;
-    return (long) (traffic.serviceNanos(upstream.service()) * slowness);
+    return (long) (traffic.measurements().serviceNanos(upstream.service()) * slowness);
   }
 
   private long upstreamWaitNanos(long nowNanos) {
