--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
@@ -328,7 +328,7 @@
         assertThat(connection.read().head()).doesNotContain("close");
         site.gateway.stop();
         while (site.health() == 200) {
-          Thread.onSpinWait();
+          Thread.sleep(20);
         }
         connection.send(get("/lookup/a", "r2", ""));
         Answer answer = connection.read();
