Close an idle caller's connection only after its last answer has left

One carried no request any more, but the end of a 90 KB answer still waited in the process to be written, and the close discarded it. Ruled out: the end of the process (it came later), the upstream (its run had ended well).

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/Channels.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/Channels.java
@@ -1,7 +1,9 @@
 package org.catkinlift.gateway.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 
 /**
  * Writes to and closes channels whose failures arrive as the end of the channel, so that the
@@ -19,6 +21,15 @@
     ChannelFuture unused = channel.close();
   }
 
+  /**
+   * Closes a channel once everything that was written to it has left this process.
+   *
+   * @param channel the channel
+   */
+  public static void closeAfterWrites(Channel channel) {
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
   /**
    * Writes without flushing.
    *
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -278,7 +277,7 @@
       channel.config().setAutoRead(true);
     }
     if (slots.isEmpty() && closing) {
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      Channels.closeAfterWrites(channel);
     } else {
       channel.flush();
     }
@@ -341,7 +340,8 @@
   void closeIfIdle() {
     if (slots.isEmpty() && !partial) {
       closing = true;
-      Channels.close(channel);
+      // The end of the last answer may still be on its way out.
+      Channels.closeAfterWrites(channel);
     }
   }
 }
