--- /dev/null
+++ b/catkinlift-standin/src/test/java/org/catkinlift/standin/FreePortsTest.java
@@ -0,0 +1,49 @@
+package org.catkinlift.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import org.catkinlift.model.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a port that somebody else takes before the daemon that was to listen on it: by an
+ * outgoing connection, or by another search.
+ */
+final class FreePortsTest {
+  private static final String LOOPBACK = "127.0.0.1";
+
+  /** The kernel's default for the first port of outgoing connections. */
+  private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
+  @Test
+  void neverReturnsAnAddressTwice() {
+    Set<NetworkAddress> seen = new HashSet<>();
+
+    for (int i = 0; i < 300; i++) {
+      assertThat(seen.add(FreePorts.findOne(LOOPBACK))).isTrue();
+    }
+  }
+
+  @Test
+  void portsAreNotThoseOfOutgoingConnections() {
+    ImmutableList<NetworkAddress> found = FreePorts.find(LOOPBACK, 20);
+
+    assertThat(found).hasSize(20);
+    for (NetworkAddress address : found) {
+      assertThat(address.port()).isLessThan(FIRST_EPHEMERAL_PORT);
+    }
+  }
+
+  @Test
+  void skipsPortsThatAreInUse() throws Exception {
+    int after = FreePorts.findOne(LOOPBACK).port() + 1;
+    try (var user = new ServerSocket(after, 1, InetAddress.getLoopbackAddress())) {
+      assertThat(FreePorts.findOne(LOOPBACK).port()).isNotEqualTo(user.getLocalPort());
+    }
+  }
+}
