--- a/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerTransportTest.java
+++ b/catkinlift-protocol/src/test/java/org/catkinlift/protocol/PeerTransportTest.java
@@ -18,6 +18,7 @@
 import org.catkinlift.model.CellId;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ZoneName;
 import org.catkinlift.standin.FreePorts;
 import org.junit.jupiter.api.Test;
