Share out the room of overloaded upstreams; give a busy key to a faster upstream

Load pattern: one busy key whose requests arrive at many daemons; each sees too few of them to notice that the holder is overloaded, its queue fills, it resets connections, and all its keys are served late. The coordinator now computes from all reports which share of each rank an overloaded holder can take, and tells it in its replies; daemons reject the rest at once. Times that include a wait in the upstream's queue no longer count as its speed. A busy key moves to an upstream that is less busy by a third with it (before: no piece larger than the difference moved, so such a key stayed with a slow holder).

--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.Iterables;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
@@ -44,7 +45,11 @@
   /** Makes an execution last until it is cancelled. */
   private static final double ENDLESS = 1e6;
 
-  private final Vertx vertx = Vertx.vertx();
+  /**
+   * One event loop, so that a connection is back in its pool before the next step of a test runs.
+   */
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
   private final UpstreamControlClient client = UpstreamControlClient.create(vertx, PATIENT);
   private final HttpClient httpClient = vertx.createHttpClient();
   private UpstreamStandin standin;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyLoad.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyLoad.java
@@ -116,6 +116,17 @@
     return count;
   }
 
+  /** Returns the key of a range that causes most work. */
+  int busiestKey(KeyRange range) {
+    int busiest = range.first();
+    for (int key = range.first(); key <= range.last(); key++) {
+      if (work[key] > work[busiest]) {
+        busiest = key;
+      }
+    }
+    return busiest;
+  }
+
   /** Share of its full weight that steady work has reached, less than 1 soon after the start. */
   private double completeness() {
     double age = (decayedAtNanos - createdAtNanos) / SECOND_NANOS;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -33,6 +33,12 @@
   /** Work per capacity below which an upstream is never relieved. */
   private static final double RELIEVED_ABOVE = 0.25;
 
+  /** Work per capacity above which requests have to be rejected. */
+  private static final double OVERLOADED = 1;
+
+  /** A busy key moves if its new holder would be less busy by this factor. */
+  private static final double FASTER_ENOUGH = 0.65;
+
   private static final int MOVES_PER_ROUND = 10;
 
   /** Bounds the number of grants: an upstream with more ranges gains none by balancing. */
@@ -208,7 +214,10 @@
         break;
       }
       Optional<Candidate> receiver = receiver(donor.get(), mean);
-      if (receiver.isEmpty() || !movePiece(donor.get(), receiver.get(), movable)) {
+      boolean moved =
+          (receiver.isPresent() && movePiece(donor.get(), receiver.get(), movable))
+              || moveToFaster(donor.get(), movable);
+      if (!moved) {
         done.add(donor.get().upstream().id());
       }
     }
@@ -278,6 +287,51 @@
     return true;
   }
 
+  /**
+   * Moves the busiest single key of an overloaded upstream to one that can do more of its work.
+   * Such a key cannot be divided, so its holder decides how many of its requests are served.
+   */
+  private boolean moveToFaster(Candidate donor, Predicate<RangeAssignment> movable) {
+    if (busyness(donor) <= OVERLOADED) {
+      return false;
+    }
+    Optional<RangeAssignment> busiest =
+        assignments.stream()
+            .filter(a -> a.holder().upstream().equals(donor.upstream().id()))
+            .filter(movable)
+            .max(Comparator.comparingDouble(a -> load.of(a.range())));
+    if (busiest.isEmpty()) {
+      return false;
+    }
+    int key = load.busiestKey(busiest.get().range());
+    double work = load.of(new KeyRange(key, key));
+    Optional<Candidate> faster =
+        candidates.values().stream()
+            .filter(Candidate::mayGain)
+            .filter(c -> !c.upstream().id().equals(donor.upstream().id()))
+            .min(Comparator.comparingDouble(c -> busyness(c) + work / c.capacity()));
+    if (faster.isEmpty()
+        || busyness(faster.get()) + work / faster.get().capacity()
+            > busyness(donor) * FASTER_ENOUGH) {
+      return false;
+    }
+    cutOut(busiest.get(), key, faster.get());
+    return true;
+  }
+
+  private void cutOut(RangeAssignment assignment, int key, Candidate receiver) {
+    KeyRange range = assignment.range();
+    assignments.remove(assignment);
+    planned.merge(assignment.holder().upstream(), -load.of(range), Double::sum);
+    place(new KeyRange(key, key), receiver, remaining(assignment));
+    if (key > range.first()) {
+      keep(assignment.withRange(new KeyRange(range.first(), key - 1)));
+    }
+    if (key < range.last()) {
+      keep(assignment.withRange(new KeyRange(key + 1, range.last())));
+    }
+  }
+
   private double workAtStart(KeyRange range, int count) {
     return load.of(new KeyRange(range.first(), range.first() + count - 1));
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -130,6 +130,25 @@
     assertThat(others).isLessThan(0.5);
   }
 
+  @Test
+  void aBusyKeyMovesToAnUpstreamThatIsMuchFaster() {
+    RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
+    int busyKey = map.assignments().get(0).range().first() + 7;
+    load.add(busyKey, 60);
+    var slow = new Candidate(upstream(1, 1), 2, true);
+    var fast = new Candidate(upstream(2, 1), 6, true);
+    RangeMap present = map;
+    for (int round = 0; round < 10; round++) {
+      Optional<RangeMap> next = plan(present, slow, fast);
+      if (next.isEmpty()) {
+        break;
+      }
+      present = settled(next.get());
+    }
+
+    assertThat(present.find(busyKey).orElseThrow().holder()).isEqualTo(Holder.of(fast.upstream()));
+  }
+
   private static RangeMap settled(RangeMap map) {
     return new RangeMap(
         map.nextFence(),
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetAddress;
 import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -83,7 +84,8 @@
             peers,
             log,
             random.nextLong(Long.MAX_VALUE),
-            snapshot -> trafficLoop.execute(() -> applied(snapshot)));
+            snapshot -> trafficLoop.execute(() -> applied(snapshot)),
+            shares -> trafficLoop.execute(() -> traffic.apply(shares)));
   }
 
   private static EventLoop newLoop(String name) {
@@ -101,6 +103,7 @@
    * @return the daemon
    */
   public static Gateway start(GatewaySettings settings, EventLog log, Outside outside) {
+    readNetworkProperties();
     var gateway = new Gateway(settings, log, outside);
     gateway.listen();
     gateway.controlLoop.execute(gateway.control::start);
@@ -111,6 +114,14 @@
     return gateway;
   }
 
+  /**
+   * Lets the JDK read its files of network and security properties before other threads run. On the
+   * users' platform a process was ended when it read them while its event loops started.
+   */
+  private static void readNetworkProperties() {
+    InetAddress unused = InetAddress.getLoopbackAddress();
+  }
+
   private void listen() {
     callers.start(settings.addresses().callers()).syncUninterruptibly();
     ShortAnswerServer.start(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.http.HttpCaller;
 import org.catkinlift.gateway.http.ShortAnswer;
@@ -52,6 +53,7 @@
   private final MetadataStore store;
   private final EventLog log;
   private final Consumer<TrafficSnapshot> publish;
+  private final Consumer<AdmissionShares> publishShares;
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private final ReporterList reporters = new ReporterList();
   private final Map<ServiceName, RangeMap> storedMaps = new HashMap<>();
@@ -77,6 +79,7 @@
    * @param log takes decisions
    * @param incarnation tells lives of this daemon apart
    * @param publish takes each new snapshot
+   * @param publishShares takes what overloaded upstreams can take
    */
   public GatewayControl(
       GatewaySettings settings,
@@ -86,19 +89,22 @@
       HttpCaller peers,
       EventLog log,
       long incarnation,
-      Consumer<TrafficSnapshot> publish) {
+      Consumer<TrafficSnapshot> publish,
+      Consumer<AdmissionShares> publishShares) {
     this.settings = settings;
     this.timers = timers;
     this.store = store;
     this.log = log;
     this.publish = publish;
+    this.publishShares = publishShares;
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
     this.keyed =
         new KeyedServices(
             store, grants, log, settings.bounds().longestHold(), service -> publishSoon());
-    this.reports = new PeerReports(settings.host(), store, peers, lease, this::publishSoon);
+    this.reports =
+        new PeerReports(settings.host(), store, peers, lease, this::publishSoon, publishShares);
   }
 
   /** Begins to follow the store and to decide. */
@@ -260,6 +266,7 @@
     if (hasRole) {
       keyed.reported(report);
       reports.counted(reporters.count(System.nanoTime()));
+      publishShares.accept(keyed.shares());
     } else {
       reports.send(report);
     }
@@ -298,7 +305,8 @@
                 held,
                 lease.rowVersion(),
                 reporters.count(nanos),
-                store.newsVersions())));
+                store.newsVersions(),
+                held ? keyed.shares() : AdmissionShares.ALL)));
   }
 
   /** Publishes once after all news of this turn have been taken. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -3,10 +3,15 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.catkinlift.admission.AdmissionShares;
+import org.catkinlift.admission.DemandMeter;
+import org.catkinlift.admission.ShareRule;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.peer.LoadReport;
@@ -38,6 +43,8 @@
 final class KeyedServices {
   private static final Duration LOAD_MEAN_AGE = Duration.ofSeconds(3);
 
+  private static final Duration SHARES_INTERVAL = Duration.ofMillis(200);
+
   /** How long an upstream that answers no grants gets no keys. */
   private static final Duration UNREACHABLE_FOR = Duration.ofSeconds(3);
 
@@ -53,6 +60,11 @@
   private final Map<ServiceName, RangeCoordinator> coordinators = new HashMap<>();
   private final Map<ServiceName, KeyLoad> loads = new HashMap<>();
   private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
+  private final DemandMeter demand = new DemandMeter(System.nanoTime());
+  private final Map<UpstreamId, Double> capacities = new HashMap<>();
+
+  private AdmissionShares shares = AdmissionShares.ALL;
+  private long sharesNanos;
 
   KeyedServices(
       MetadataStore store,
@@ -76,15 +88,45 @@
       KeyLoad load = loads.get(work.service());
       if (load != null) {
         load.add(work.key(), work.seconds());
+        holderOf(work).ifPresent(h -> demand.add(h, work.priority(), work.seconds()));
       }
     }
     report.speeds().forEach(speeds::measured);
   }
 
+  private Optional<UpstreamId> holderOf(LoadReport.KeyWork work) {
+    return coordinators
+        .get(work.service())
+        .map()
+        .flatMap(m -> m.find(work.key()))
+        .map(a -> a.holder().upstream());
+  }
+
+  /** Returns what overloaded upstreams can take. */
+  AdmissionShares shares() {
+    return shares;
+  }
+
+  private AdmissionShares sharesNow() {
+    ImmutableMap.Builder<UpstreamId, ImmutableSortedMap<Integer, Double>> overloaded =
+        ImmutableMap.builder();
+    capacities.forEach(
+        (upstream, capacity) -> {
+          ImmutableSortedMap<Integer, Double> ranks =
+              ShareRule.shares(demand.of(upstream), capacity);
+          if (!ranks.isEmpty()) {
+            overloaded.put(upstream, ranks);
+          }
+        });
+    return new AdmissionShares(overloaded.buildOrThrow());
+  }
+
   void stop() {
     coordinators.values().forEach(RangeCoordinator::stop);
     coordinators.clear();
     loads.clear();
+    capacities.clear();
+    shares = AdmissionShares.ALL;
   }
 
   void storeDoubtful(boolean doubtful, long nowNanos) {
@@ -116,6 +158,11 @@
         coordinator.start(nowNanos);
       }
     }
+    if (nowNanos - sharesNanos > SHARES_INTERVAL.toNanos()) {
+      sharesNanos = nowNanos;
+      demand.age(nowNanos);
+      shares = sharesNow();
+    }
     ImmutableList<UpstreamRecord> known =
         upstreams.stream()
             .map(UpstreamDirectory.Entry::upstream)
@@ -144,15 +191,17 @@
     noteUnreachable(coordinator.unreachable(), nowNanos);
     long away = inService.stream().filter(u -> unreachableUntil.containsKey(u.id())).count();
     boolean ownFault = away > inService.size() * MOST_UNREACHABLE;
+    inService.forEach(u -> capacities.put(u.id(), capacity(u)));
     return inService.stream()
         .filter(u -> ownFault || !unreachableUntil.containsKey(u.id()))
-        .map(
-            u ->
-                new Candidate(
-                    u, Math.max(1, u.slots()) / speeds.slowness(u.id()), u.coldLeft().isZero()))
+        .map(u -> new Candidate(u, capacity(u), u.coldLeft().isZero()))
         .collect(ImmutableList.toImmutableList());
   }
 
+  private double capacity(UpstreamRecord upstream) {
+    return Math.max(1, upstream.slots()) / speeds.slowness(upstream.id());
+  }
+
   private void noteUnreachable(ImmutableSet<UpstreamId> unreachable, long nowNanos) {
     unreachableUntil.values().removeIf(until -> nowNanos > until);
     unreachable.forEach(u -> unreachableUntil.put(u, nowNanos + UNREACHABLE_FOR.toNanos()));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
@@ -4,6 +4,8 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.gateway.http.CallResult;
 import org.catkinlift.gateway.http.HttpCall;
 import org.catkinlift.gateway.http.HttpCaller;
@@ -31,6 +33,7 @@
   private final HttpCaller peers;
   private final CoordinatorLease lease;
   private final Runnable daemonsChanged;
+  private final Consumer<AdmissionShares> sharesLearned;
 
   private LoadReport next;
   private int daemons = DAEMONS_AT_FIRST;
@@ -41,12 +44,14 @@
       MetadataStore store,
       HttpCaller peers,
       CoordinatorLease lease,
-      Runnable daemonsChanged) {
+      Runnable daemonsChanged,
+      Consumer<AdmissionShares> sharesLearned) {
     this.self = self;
     this.store = store;
     this.peers = peers;
     this.lease = lease;
     this.daemonsChanged = daemonsChanged;
+    this.sharesLearned = sharesLearned;
     this.next = empty();
   }
 
@@ -111,6 +116,7 @@
       return;
     }
     lease.holderHeard(reply.host(), reply.leaseVersion(), HostClock.now());
+    sharesLearned.accept(reply.shares());
     if (daemons != reply.daemons()) {
       daemons = reply.daemons();
       daemonsChanged.run();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
@@ -1,5 +1,6 @@
 package org.catkinlift.gateway.peer;
 
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 
@@ -11,6 +12,12 @@
  * @param leaseVersion the version of its latest write of the role's row
  * @param daemons the number of daemons that report
  * @param news up to which version it has seen the store's news
+ * @param shares what overloaded upstreams can take
  */
 public record CoordinatorReply(
-    HostId host, boolean hasRole, long leaseVersion, int daemons, NewsVersions news) {}
+    HostId host,
+    boolean hasRole,
+    long leaseVersion,
+    int daemons,
+    NewsVersions news,
+    AdmissionShares shares) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -26,9 +26,10 @@
    *
    * @param service the service
    * @param key the key
+   * @param priority its rank; 0 is the highest
    * @param seconds how long an upstream of usual speed works on it
    */
-  public record KeyWork(ServiceName service, int key, double seconds) {}
+  public record KeyWork(ServiceName service, int key, int priority, double seconds) {}
 
   /**
    * Measured and usual time of the requests that an upstream answered.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -2,7 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.HashMap;
 import java.util.Iterator;
+import java.util.Map;
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -14,6 +18,7 @@
   public static final String REPORT_PATH = "/report";
 
   private static final double MICROS = 1e6;
+  private static final double PER_MILLE = 1e3;
 
   private PeerCodec() {}
 
@@ -29,6 +34,7 @@
     appendNews(text, report.news());
     for (LoadReport.KeyWork work : report.work()) {
       text.append("work ").append(work.service()).append(' ').append(work.key());
+      text.append(' ').append(work.priority());
       text.append(' ').append(micros(work.seconds())).append('\n');
     }
     report
@@ -67,7 +73,8 @@
                 new LoadReport.KeyWork(
                     ServiceName.of(word(words, 1)),
                     Integer.parseInt(word(words, 2)),
-                    seconds(word(words, 3))));
+                    Integer.parseInt(word(words, 3)),
+                    seconds(word(words, 4))));
         case "speed" ->
             speeds.put(
                 UpstreamId.of(word(words, 1)),
@@ -92,6 +99,20 @@
     text.append("coordinator ").append(reply.host()).append(' ').append(reply.hasRole());
     text.append(' ').append(reply.leaseVersion()).append(' ').append(reply.daemons()).append('\n');
     appendNews(text, reply.news());
+    reply
+        .shares()
+        .byUpstream()
+        .forEach(
+            (upstream, ranks) ->
+                ranks.forEach(
+                    (rank, share) ->
+                        text.append("share ")
+                            .append(upstream)
+                            .append(' ')
+                            .append(rank)
+                            .append(' ')
+                            .append(Math.round(share * PER_MILLE))
+                            .append('\n')));
     return text.toString();
   }
 
@@ -105,9 +126,16 @@
   public static CoordinatorReply decodeReply(String text) {
     CoordinatorReply reply = null;
     var news = new NewsVersions(0, 0, 0);
+    Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares = new HashMap<>();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] words = lines.next().split(" ", -1);
       switch (words[0]) {
+        case "share" ->
+            shares
+                .computeIfAbsent(
+                    UpstreamId.of(word(words, 1)), u -> ImmutableSortedMap.naturalOrder())
+                .put(
+                    Integer.parseInt(word(words, 2)), Integer.parseInt(word(words, 3)) / PER_MILLE);
         case "coordinator" ->
             reply =
                 new CoordinatorReply(
@@ -115,7 +143,8 @@
                     Boolean.parseBoolean(word(words, 2)),
                     Long.parseLong(word(words, 3)),
                     Integer.parseInt(word(words, 4)),
-                    news);
+                    news,
+                    AdmissionShares.ALL);
         case "news" -> news = news(words);
         default -> {}
       }
@@ -124,7 +153,20 @@
       throw new IllegalArgumentException("reply without a coordinator");
     }
     return new CoordinatorReply(
-        reply.host(), reply.hasRole(), reply.leaseVersion(), reply.daemons(), news);
+        reply.host(),
+        reply.hasRole(),
+        reply.leaseVersion(),
+        reply.daemons(),
+        news,
+        sharesOf(shares));
+  }
+
+  private static AdmissionShares sharesOf(
+      Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares) {
+    ImmutableMap.Builder<UpstreamId, ImmutableSortedMap<Integer, Double>> built =
+        ImmutableMap.builder();
+    shares.forEach((upstream, ranks) -> built.put(upstream, ranks.buildOrThrow()));
+    return new AdmissionShares(built.buildOrThrow());
   }
 
   private static void appendNews(StringBuilder text, NewsVersions news) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -201,6 +201,11 @@
     }
   }
 
+  /** Tells whether nothing was sent anywhere yet. */
+  boolean isFirstTry() {
+    return tries == 0;
+  }
+
   boolean isConnecting(UpstreamGate by) {
     return state == State.CONNECTING && gate == by;
   }
@@ -340,7 +345,7 @@
   }
 
   private void answered() {
-    traffic.measurements().answered(this, gate.upstream().id(), System.nanoTime() - sentNanos);
+    measured();
     if (answer.isNotExecuted()) {
       notExecuted();
       return;
@@ -357,6 +362,11 @@
     slot.answer(status, headers, body);
   }
 
+  private void measured() {
+    long took = System.nanoTime() - sentNanos;
+    traffic.measurements().answered(this, gate.upstream().id(), took, gate.hasQueue());
+  }
+
   private void notExecuted() {
     int status = answer.status();
     releaseHeld();
@@ -390,7 +400,7 @@
       pauseIfFull();
       return;
     }
-    traffic.measurements().answered(this, gate.upstream().id(), System.nanoTime() - sentNanos);
+    measured();
     finish("answered", answer.status());
     slot.end();
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/Traffic.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.admission.PlacementRule;
 import org.catkinlift.admission.RepeatBudget;
 import org.catkinlift.events.EventCode;
@@ -40,6 +41,9 @@
   /** Share of the site's budget that is used; the rest covers uneven traffic between daemons. */
   private static final double USED_BUDGET = 0.5;
 
+  /** Older shares say nothing, because the coordinator may be lost. */
+  private static final Duration SHARES_VALID_FOR = Duration.ofMillis(1_500);
+
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
   private final EventLoop loop;
@@ -57,6 +61,8 @@
   private final Set<RequestFlow> waitingForOwner = new LinkedHashSet<>();
 
   private TrafficSnapshot snapshot = TrafficSnapshot.EMPTY;
+  private AdmissionShares shares = AdmissionShares.ALL;
+  private long sharesNanos;
   private int running;
 
   /**
@@ -145,6 +151,22 @@
     return one.isSameLife(other) && one.address().equals(other.address());
   }
 
+  /**
+   * Takes what overloaded upstreams can take.
+   *
+   * @param next the shares
+   */
+  public void apply(AdmissionShares next) {
+    shares = next;
+    sharesNanos = System.nanoTime();
+  }
+
+  /** Tells whether a request of some rank is among those that its upstream can take. */
+  boolean admits(UpstreamRecord upstream, int priority) {
+    boolean current = System.nanoTime() - sharesNanos < SHARES_VALID_FOR.toNanos();
+    return !current || shares.admits(upstream.id(), priority, random.nextDouble());
+  }
+
   /** Chooses where a request goes. */
   Placement choose(RequestFlow flow) {
     return isKeyed(snapshot, flow.service()) ? ownerOf(flow) : leastBusy(flow);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
@@ -31,12 +31,21 @@
   void requestSeen(RequestFlow flow) {
     if (flow.key() != RequestFlow.NO_KEY) {
       double seconds = routeTime(flow.route()).expectedNanos() / SECOND_NANOS;
-      work.add(new LoadReport.KeyWork(flow.service(), flow.key(), seconds));
+      work.add(
+          new LoadReport.KeyWork(flow.service(), flow.key(), flow.urgency().priority(), seconds));
     }
   }
 
-  /** Takes how long an upstream took for an answer. */
-  void answered(RequestFlow flow, UpstreamId upstream, long nanos) {
+  /**
+   * Takes how long an upstream took for an answer.
+   *
+   * @param hadQueue whether requests waited at the upstream; the time then says little about its
+   *     speed
+   */
+  void answered(RequestFlow flow, UpstreamId upstream, long nanos, boolean hadQueue) {
+    if (hadQueue) {
+      return;
+    }
     double usual = routeTime(flow.route()).expectedNanos() / SECOND_NANOS;
     speeds.merge(
         upstream,
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -43,6 +43,11 @@
    */
   private static final Duration FRESH = Duration.ofMillis(1_500);
 
+  /**
+   * A caller that an overloaded upstream cannot take comes back after about this part of its time.
+   */
+  private static final int OVERLOAD_RETURN_PARTS = 4;
+
   /** Closing resets the connection and discards what was not delivered. */
   private static final int DISCARD_ON_CLOSE = 0;
 
@@ -149,6 +154,14 @@
     if (isSilent(now)) {
       nextProbeNanos = now + SILENT_PROBE_INTERVAL.toNanos();
     }
+    if (flow.isFirstTry() && !traffic.admits(upstream, flow.urgency().priority())) {
+      long left = flow.urgency().expiryNanos() - now;
+      flow.rejected(
+          "overloaded upstream",
+          AdmissionRule.retryAfter(left / OVERLOAD_RETURN_PARTS, left, traffic.random()),
+          0);
+      return;
+    }
     long service = serviceNanos(now);
     int before = line.countBefore(flow.urgency(), now, service);
     long wait = waitNanos(before, service, now);
@@ -305,6 +318,11 @@
             });
   }
 
+  /** Tells whether requests wait at the upstream, as far as its last answer said. */
+  boolean hasQueue() {
+    return isLoadFresh(System.nanoTime()) && load.waiting() > 0;
+  }
+
   /** Takes that the upstream turned a request away for lack of room. */
   void full() {
     limit.full();
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -5,6 +5,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -21,7 +23,7 @@
         new LoadReport(
             HostId.of("host-1"),
             NEWS,
-            ImmutableList.of(new LoadReport.KeyWork(ServiceName.of("desk"), 77, 0.125)),
+            ImmutableList.of(new LoadReport.KeyWork(ServiceName.of("desk"), 77, 2, 0.125)),
             ImmutableMap.of(UpstreamId.of("u-1"), new LoadReport.WorkTimes(0.5, 0.25)));
 
     assertThat(PeerCodec.decodeReport(PeerCodec.encode(report))).isEqualTo(report);
@@ -29,7 +31,10 @@
 
   @Test
   void repliesComeBackAsTheyWere() {
-    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, NEWS);
+    var shares =
+        new AdmissionShares(
+            ImmutableMap.of(UpstreamId.of("u-1"), ImmutableSortedMap.of(1, 1.0, 2, 0.25)));
+    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, NEWS, shares);
 
     assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
   }
