Leave the coordinator role to strong hosts; split the relay of answers from the flow of a request

Cause: at the grown sites most hosts have 0.3 of a core, and the first to start takes the role; by count (175 upstreams, a grant for each range every 1.3 s, four reports a second from 66 daemons) its work is more than such a host has. Hosts state their processor time in reports; a holder that hears of one with 1.5 times its own steps down, and weak hosts leave a free role alone for 0.7 s.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -59,6 +59,8 @@
   RANGE_MAP_APPLIED(3011, Severity.INFO, "key ranges applied"),
   /** A grant or release of keys failed at an upstream. */
   KEY_CALL_FAILED(3012, Severity.WARNING, "key grant or release failed"),
+  /** This daemon gave the coordinator role up, so that a stronger host takes it. */
+  ROLE_YIELDED(3013, Severity.INFO, "coordinator role left to a stronger host"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.NetworkAddress;
 
@@ -20,6 +21,9 @@
   /** The holder stops earlier than others may begin; covers clock rates and a late timer. */
   private static final Duration MARGIN = Duration.ofMillis(200);
 
+  /** A weak host leaves a free role to stronger ones for so long. */
+  private static final Duration DEFERENCE = Duration.ofMillis(700);
+
   private static final Duration RENEW_INTERVAL = Duration.ofMillis(600);
 
   /** Without news of the holder from peers for this long, the row is read. */
@@ -45,6 +49,7 @@
   private boolean failing;
   private boolean mustReadSoon;
   private boolean resigned;
+  private boolean strongerKnown;
 
   private record PendingWrite(LeaseRow row, Moment sent, boolean isClaim) {}
 
@@ -147,8 +152,7 @@
       Duration interval = failing ? RETRY_INTERVAL : RENEW_INTERVAL;
       return sinceCall.compareTo(interval) >= 0 ? write(now) : new Step.Idle();
     }
-    boolean termIsOver = now.since(rowSeen).compareTo(TERM) >= 0;
-    if (row.isEmpty() || termIsOver || isOwnRow() || isOwnEarlierLife()) {
+    if (isOwnRow() || isOwnEarlierLife() || isFree(now)) {
       return write(now);
     }
     boolean newsIsOld = now.since(rowSeen).compareTo(NEWS_AGE) >= 0;
@@ -157,6 +161,39 @@
         : new Step.Idle();
   }
 
+  /** Tells whether nobody can have the role, and no stronger host is about to take it. */
+  private boolean isFree(Moment now) {
+    Duration term = row.isEmpty() ? Duration.ZERO : TERM;
+    Duration deference = strongerKnown ? DEFERENCE : Duration.ZERO;
+    return now.since(rowSeen).compareTo(term.plus(deference)) >= 0;
+  }
+
+  /**
+   * Notes whether a stronger host takes part; this one then leaves it the first chance of taking a
+   * free role.
+   *
+   * @param known whether there is one
+   */
+  public void strongerHostKnown(boolean known) {
+    strongerKnown = known;
+  }
+
+  /**
+   * Gives the role up so that a stronger host can take it; this one goes on taking part.
+   *
+   * @return the version of the row that the caller is to clear; empty if a call is on its way
+   */
+  public OptionalLong stepDown() {
+    if (callRunning || !isOwnRow()) {
+      return OptionalLong.empty();
+    }
+    long version = rowVersion;
+    known = false;
+    confirmed = Optional.empty();
+    pending = Optional.empty();
+    return OptionalLong.of(version);
+  }
+
   private boolean isOwnRow() {
     return row.filter(r -> r.holder().equals(self) && r.incarnation() == incarnation).isPresent();
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
@@ -50,6 +50,37 @@
     assertThat(lease.isHeld(at(1_810))).isFalse();
   }
 
+  @Test
+  void aWeakHostLeavesAFreeRoleToStrongerOnesForAWhile() {
+    lease.strongerHostKnown(true);
+    lease.next(at(0));
+    lease.rowRead(Optional.empty(), 0, at(0));
+
+    assertThat(lease.next(at(300))).isNotInstanceOf(CoordinatorLease.Step.Write.class);
+    assertThat(lease.next(at(800))).isInstanceOf(CoordinatorLease.Step.Write.class);
+  }
+
+  @Test
+  void aWeakHostTakesTheRoleLaterThanOthersWhenItsTermIsOver() {
+    lease.strongerHostKnown(true);
+    lease.next(at(0));
+    lease.rowRead(otherHolder(1), 7, at(0));
+
+    assertThat(lease.next(at(2_100))).isNotInstanceOf(CoordinatorLease.Step.Write.class);
+    lease.rowRead(otherHolder(1), 7, at(2_110));
+    assertThat(lease.next(at(2_800))).isInstanceOf(CoordinatorLease.Step.Write.class);
+  }
+
+  @Test
+  void aHostThatStepsDownHasTheRoleNoMoreAndReadsTheRowAgain() {
+    claimAt(0);
+
+    assertThat(lease.stepDown()).hasValue(7);
+    assertThat(lease.isHeld(at(100))).isFalse();
+    assertThat(lease.next(at(100))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    assertThat(lease.stepDown()).isEmpty();
+  }
+
   @Test
   void suspensionThatTheMonotonicClockMissesEndsTheRole() {
     claimAt(0);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -45,6 +45,12 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
 
+  /** A new holder first keeps the role for so long, in which all hosts report. */
+  private static final Duration FIRST_YIELD = Duration.ofSeconds(1);
+
+  /** A stronger host may be unable to take the role; it gets the next chance only after this. */
+  private static final Duration YIELD_INTERVAL = Duration.ofSeconds(30);
+
   /** Share of the site's time limits that is used; the rest covers the way of the news. */
   private static final double USED_SHARE = 0.6;
 
@@ -67,6 +73,7 @@
   private boolean firstReadDone;
   private boolean hasRole;
   private boolean publishPending;
+  private long mayYieldNanos;
 
   /**
    * Creates the control state.
@@ -104,7 +111,14 @@
         new KeyedServices(
             store, grants, log, settings.bounds().longestHold(), service -> publishSoon());
     this.reports =
-        new PeerReports(settings.host(), store, peers, lease, this::publishSoon, publishShares);
+        new PeerReports(
+            settings.host(),
+            settings.processor(),
+            store,
+            peers,
+            lease,
+            this::publishSoon,
+            publishShares);
   }
 
   /** Begins to follow the store and to decide. */
@@ -194,11 +208,38 @@
     if (held) {
       keyed.storeDoubtful(lease.isStoreFailing(), now.nanos());
       keyed.tick(configuration, directory.entries(), lease.claimVersion(), now.nanos());
+      yieldToStronger(now.nanos());
+    }
+  }
+
+  /** Leaves the role to a stronger host, because its work would take too much of a small one. */
+  private void yieldToStronger(long nowNanos) {
+    boolean tooSoon = nowNanos < mayYieldNanos || lease.isStoreFailing();
+    if (tooSoon || !reports.isStronger(reporters.strongest())) {
+      return;
+    }
+    OptionalLong version = lease.stepDown();
+    if (version.isEmpty()) {
+      return;
     }
+    mayYieldNanos = nowNanos + YIELD_INTERVAL.toNanos();
+    lease.strongerHostKnown(true);
+    log.log(EventCode.ROLE_YIELDED, ImmutableMap.of("row_version", version.getAsLong()));
+    clearLease(version.getAsLong());
+  }
+
+  private void clearLease(long version) {
+    store.commit(
+        new Transaction(
+            ImmutableMap.of(OwnRows.LEASE, version),
+            ImmutableMap.of(OwnRows.LEASE, ""),
+            ImmutableSet.of()),
+        reply -> log.log(EventCode.ROLE_LOST, ImmutableMap.of("cause", "given up")));
   }
 
   private void roleChanged(boolean held) {
     hasRole = held;
+    mayYieldNanos = Math.max(mayYieldNanos, System.nanoTime() + FIRST_YIELD.toNanos());
     log.log(
         held ? EventCode.ROLE_TAKEN : EventCode.ROLE_LOST,
         ImmutableMap.of("row_version", lease.rowVersion()));
@@ -292,7 +333,7 @@
     }
     long nanos = System.nanoTime();
     store.peerHasSeen(report.news());
-    reporters.reported(report.host(), nanos);
+    reporters.reported(report, nanos);
     boolean held = lease.isHeld(HostClock.now());
     if (held) {
       keyed.reported(report);
@@ -305,6 +346,7 @@
                 held,
                 lease.rowVersion(),
                 reporters.count(nanos),
+                Math.max(settings.processor(), reporters.strongest()),
                 store.newsVersions(),
                 held ? keyed.shares() : AdmissionShares.ALL)));
   }
@@ -361,11 +403,6 @@
     if (!held) {
       return;
     }
-    store.commit(
-        new Transaction(
-            ImmutableMap.of(OwnRows.LEASE, version),
-            ImmutableMap.of(OwnRows.LEASE, ""),
-            ImmutableSet.of()),
-        reply -> log.log(EventCode.ROLE_LOST, ImmutableMap.of("cause", "stopping")));
+    clearLease(version);
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
@@ -25,10 +25,13 @@
 final class PeerReports {
   private static final Duration TIMEOUT = Duration.ofMillis(600);
 
+  private static final double STRONGER_BY = 1.5;
+
   /** Assumed before the coordinator has said how many daemons there are. */
   private static final int DAEMONS_AT_FIRST = 12;
 
   private final HostId self;
+  private final double processor;
   private final MetadataStore store;
   private final HttpCaller peers;
   private final CoordinatorLease lease;
@@ -41,12 +44,14 @@
 
   PeerReports(
       HostId self,
+      double processor,
       MetadataStore store,
       HttpCaller peers,
       CoordinatorLease lease,
       Runnable daemonsChanged,
       Consumer<AdmissionShares> sharesLearned) {
     this.self = self;
+    this.processor = processor;
     this.store = store;
     this.peers = peers;
     this.lease = lease;
@@ -56,14 +61,15 @@
   }
 
   private LoadReport empty() {
-    return new LoadReport(self, store.newsVersions(), ImmutableList.of(), ImmutableMap.of());
+    return new LoadReport(
+        self, processor, store.newsVersions(), ImmutableList.of(), ImmutableMap.of());
   }
 
   /** Takes the traffic since the last call. */
   void trafficSeen(
       ImmutableList<LoadReport.KeyWork> work,
       ImmutableMap<UpstreamId, LoadReport.WorkTimes> speeds) {
-    next = new LoadReport(self, store.newsVersions(), work, speeds);
+    next = new LoadReport(self, processor, store.newsVersions(), work, speeds);
   }
 
   /** Returns the report that is due and begins another one. */
@@ -98,6 +104,11 @@
         this::answered);
   }
 
+  /** Tells whether a host is so much stronger that it should have the role instead. */
+  boolean isStronger(double otherProcessor) {
+    return otherProcessor >= processor * STRONGER_BY;
+  }
+
   private void answered(CallResult result) {
     running = false;
     switch (result) {
@@ -116,6 +127,7 @@
       return;
     }
     lease.holderHeard(reply.host(), reply.leaseVersion(), HostClock.now());
+    lease.strongerHostKnown(isStronger(reply.strongestProcessor()));
     sharesLearned.accept(reply.shares());
     if (daemons != reply.daemons()) {
       daemons = reply.daemons();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
@@ -11,6 +11,7 @@
  * @param hasRole whether it has the coordinator role
  * @param leaseVersion the version of its latest write of the role's row
  * @param daemons the number of daemons that report
+ * @param strongestProcessor the processor time of the strongest host that reports, in cores
  * @param news up to which version it has seen the store's news
  * @param shares what overloaded upstreams can take
  */
@@ -19,5 +20,6 @@
     boolean hasRole,
     long leaseVersion,
     int daemons,
+    double strongestProcessor,
     NewsVersions news,
     AdmissionShares shares) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -11,12 +11,14 @@
  * What a daemon tells the coordinator about the traffic since its last report.
  *
  * @param host the daemon's host
+ * @param processor the processor time of the daemon's host, in cores
  * @param news up to which version the daemon has seen the store's news
  * @param work the work that arrived, one entry a request
  * @param speeds how long upstreams worked
  */
 public record LoadReport(
     HostId host,
+    double processor,
     NewsVersions news,
     ImmutableList<KeyWork> work,
     ImmutableMap<UpstreamId, WorkTimes> speeds) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -17,7 +17,7 @@
   /** Where a daemon takes reports. */
   public static final String REPORT_PATH = "/report";
 
-  private static final double MICROS = 1e6;
+  private static final double MILLIONTHS = 1e6;
   private static final double PER_MILLE = 1e3;
 
   private PeerCodec() {}
@@ -30,12 +30,13 @@
    */
   public static String encode(LoadReport report) {
     var text = new StringBuilder();
-    text.append("host ").append(report.host()).append('\n');
+    text.append("host ").append(report.host());
+    text.append(' ').append(inMillionths(report.processor())).append('\n');
     appendNews(text, report.news());
     for (LoadReport.KeyWork work : report.work()) {
       text.append("work ").append(work.service()).append(' ').append(work.key());
       text.append(' ').append(work.priority());
-      text.append(' ').append(micros(work.seconds())).append('\n');
+      text.append(' ').append(inMillionths(work.seconds())).append('\n');
     }
     report
         .speeds()
@@ -44,9 +45,9 @@
                 text.append("speed ")
                     .append(upstream)
                     .append(' ')
-                    .append(micros(times.measuredSeconds()))
+                    .append(inMillionths(times.measuredSeconds()))
                     .append(' ')
-                    .append(micros(times.usualSeconds()))
+                    .append(inMillionths(times.usualSeconds()))
                     .append('\n'));
     return text.toString();
   }
@@ -60,13 +61,17 @@
    */
   public static LoadReport decodeReport(String text) {
     HostId host = null;
+    double processor = 0;
     var news = new NewsVersions(0, 0, 0);
     ImmutableList.Builder<LoadReport.KeyWork> work = ImmutableList.builder();
     ImmutableMap.Builder<UpstreamId, LoadReport.WorkTimes> speeds = ImmutableMap.builder();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] words = lines.next().split(" ", -1);
       switch (words[0]) {
-        case "host" -> host = HostId.of(word(words, 1));
+        case "host" -> {
+          host = HostId.of(word(words, 1));
+          processor = fromMillionths(word(words, 2));
+        }
         case "news" -> news = news(words);
         case "work" ->
             work.add(
@@ -74,18 +79,19 @@
                     ServiceName.of(word(words, 1)),
                     Integer.parseInt(word(words, 2)),
                     Integer.parseInt(word(words, 3)),
-                    seconds(word(words, 4))));
+                    fromMillionths(word(words, 4))));
         case "speed" ->
             speeds.put(
                 UpstreamId.of(word(words, 1)),
-                new LoadReport.WorkTimes(seconds(word(words, 2)), seconds(word(words, 3))));
+                new LoadReport.WorkTimes(
+                    fromMillionths(word(words, 2)), fromMillionths(word(words, 3))));
         default -> {}
       }
     }
     if (host == null) {
       throw new IllegalArgumentException("report without a host");
     }
-    return new LoadReport(host, news, work.build(), speeds.buildKeepingLast());
+    return new LoadReport(host, processor, news, work.build(), speeds.buildKeepingLast());
   }
 
   /**
@@ -97,7 +103,8 @@
   public static String encode(CoordinatorReply reply) {
     var text = new StringBuilder();
     text.append("coordinator ").append(reply.host()).append(' ').append(reply.hasRole());
-    text.append(' ').append(reply.leaseVersion()).append(' ').append(reply.daemons()).append('\n');
+    text.append(' ').append(reply.leaseVersion()).append(' ').append(reply.daemons());
+    text.append(' ').append(inMillionths(reply.strongestProcessor())).append('\n');
     appendNews(text, reply.news());
     reply
         .shares()
@@ -143,6 +150,7 @@
                     Boolean.parseBoolean(word(words, 2)),
                     Long.parseLong(word(words, 3)),
                     Integer.parseInt(word(words, 4)),
+                    fromMillionths(word(words, 5)),
                     news,
                     AdmissionShares.ALL);
         case "news" -> news = news(words);
@@ -157,6 +165,7 @@
         reply.hasRole(),
         reply.leaseVersion(),
         reply.daemons(),
+        reply.strongestProcessor(),
         news,
         sharesOf(shares));
   }
@@ -188,11 +197,11 @@
     return words[index];
   }
 
-  private static long micros(double seconds) {
-    return Math.round(seconds * MICROS);
+  private static long inMillionths(double units) {
+    return Math.round(units * MILLIONTHS);
   }
 
-  private static double seconds(String micros) {
-    return Long.parseLong(micros) / MICROS;
+  private static double fromMillionths(String millionths) {
+    return Long.parseLong(millionths) / MILLIONTHS;
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -10,6 +10,7 @@
  *
  * @param host the name of this host
  * @param zone its availability zone
+ * @param processor the processor time of this host, in cores of usual speed
  * @param addresses where the daemon listens and where the store is
  * @param bounds the times that the site demands
  * @param repeats the budget of second sends, of all daemons together
@@ -18,6 +19,7 @@
 public record GatewaySettings(
     HostId host,
     ZoneName zone,
+    double processor,
     Addresses addresses,
     Bounds bounds,
     Repeats repeats,
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -56,12 +56,26 @@
     return new GatewaySettings(
         field(root, "host", HostId::of),
         field(root, "zone", ZoneName::of),
+        processor(root.path("processor")),
         addresses(root.path("addresses")),
         bounds(root.path("bounds")),
         repeats(root.path("repeats")),
         headers(root.path("headers")));
   }
 
+  private static double processor(JsonNode node) {
+    double share = field(node, "share", GatewaySettingsReader::positive);
+    return share * field(node, "cores", GatewaySettingsReader::positive);
+  }
+
+  private static double positive(String text) {
+    double value = Double.parseDouble(text);
+    if (!(value > 0)) {
+      throw new IllegalArgumentException("expected a number above 0");
+    }
+    return value;
+  }
+
   private static Addresses addresses(JsonNode node) {
     return new Addresses(
         field(node, "callers", GatewaySettingsReader::address),
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -1,12 +1,10 @@
 package org.catkinlift.gateway.traffic;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Locale;
@@ -37,11 +35,6 @@
   private static final int NOT_FOUND = 404;
   private static final int BAD_REQUEST = 400;
 
-  /**
-   * An answer up to this size is passed on when it is complete, so a broken one can be repeated.
-   */
-  private static final int HELD_BYTES = 64 << 10;
-
   private static final int MOST_TRIES = 8;
   private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(25);
   private static final Duration RETURN_WITHOUT_OWNER = Duration.ofMillis(400);
@@ -54,6 +47,7 @@
   private final Traffic traffic;
   private final CallerRequest request;
   private final AnswerSlot slot;
+  private final AnswerRelay relay;
   private final Set<UpstreamId> mayHaveRun = new HashSet<>();
 
   private Route route;
@@ -63,9 +57,6 @@
   private State state = State.PLACING;
   private UpstreamGate gate;
   private UpstreamConnection connection;
-  private AnswerHead answer;
-  private CompositeByteBuf held;
-  private boolean passingOn;
   private int tries;
   private long sentNanos;
   private long waitingForMoveSince;
@@ -86,6 +77,7 @@
     this.traffic = traffic;
     this.request = request;
     this.slot = slot;
+    this.relay = new AnswerRelay(traffic, slot, request.id());
   }
 
   CallerRequest request() {
@@ -221,7 +213,7 @@
     connection = open;
     state = State.SENT;
     sentNanos = System.nanoTime();
-    answer = null;
+    relay.expect(open);
     tries++;
     mayHaveRun.add(gate.upstream().id());
     open.send(this, upstreamHeaders());
@@ -268,12 +260,13 @@
     connection = null;
     lastFailure = reason;
     traffic.upstreamFailed(gate.upstream(), "answer", reason);
-    if (passingOn) {
+    relay.detach();
+    if (relay.isPassingOn()) {
       finish("broken off", 0);
       slot.abort();
       return;
     }
-    releaseHeld();
+    relay.discard();
     if (kind().isRepeatable()) {
       tryAgain(Duration.ZERO, true);
     } else {
@@ -319,32 +312,28 @@
 
   /** Takes the head of the answer. */
   void answerBegins(HttpResponse head) {
-    answer = new AnswerHead(head, traffic.settings().headers());
-    held = null;
+    relay.begins(head);
   }
 
   /** Takes part of the answer's body; the bytes are this flow's to release. */
   void answerContinues(ByteBuf bytes, boolean last) {
-    if (state != State.SENT || answer == null) {
+    if (state != State.SENT || !relay.hasHead()) {
       bytes.release();
       return;
     }
-    if (passingOn) {
-      passOn(bytes, last);
-      return;
-    }
-    if (held == null) {
-      held = traffic.allocator().compositeBuffer();
-    }
-    held.addComponent(true, bytes);
-    if (last) {
-      answered();
-    } else if (held.readableBytes() > HELD_BYTES && answer.isFinal()) {
-      beginPassingOn();
+    switch (relay.continues(bytes, last)) {
+      case INCOMPLETE -> {}
+      case HELD -> answered();
+      case PASSED_ON -> {
+        measured();
+        finish("answered", relay.head().status());
+        slot.end();
+      }
     }
   }
 
   private void answered() {
+    AnswerHead answer = relay.head();
     measured();
     if (answer.isNotExecuted()) {
       notExecuted();
@@ -355,11 +344,9 @@
       return;
     }
     HttpHeaders headers = answer.headersFor(request.id());
-    int status = answer.status();
-    ByteBuf body = held;
-    held = null;
-    finish("answered", status);
-    slot.answer(status, headers, body);
+    ByteBuf body = relay.takeBody();
+    finish("answered", answer.status());
+    slot.answer(answer.status(), headers, body);
   }
 
   private void measured() {
@@ -368,8 +355,8 @@
   }
 
   private void notExecuted() {
-    int status = answer.status();
-    releaseHeld();
+    int status = relay.head().status();
+    relay.discard();
     mayHaveRun.remove(gate.upstream().id());
     connection = null;
     lastFailure = "upstream refused with " + status;
@@ -384,48 +371,6 @@
     tryAgain(PAUSE_AFTER_REFUSAL, true);
   }
 
-  private void beginPassingOn() {
-    passingOn = true;
-    slot.begin(answer.status(), answer.headersFor(request.id()));
-    slot.onWritable(this::resume);
-    ByteBuf soFar = held;
-    held = null;
-    slot.part(soFar);
-    pauseIfFull();
-  }
-
-  private void passOn(ByteBuf bytes, boolean last) {
-    slot.part(bytes);
-    if (!last) {
-      pauseIfFull();
-      return;
-    }
-    measured();
-    finish("answered", answer.status());
-    slot.end();
-  }
-
-  private void pauseIfFull() {
-    if (!slot.isWritable() && connection != null) {
-      connection.setReading(false);
-    }
-    slot.flush();
-  }
-
-  private void resume() {
-    if (connection != null && state == State.SENT) {
-      connection.setReading(true);
-    }
-  }
-
-  private void releaseHeld() {
-    if (held != null) {
-      ReferenceCountUtil.release(held);
-      held = null;
-    }
-    answer = null;
-  }
-
   /** Ends the request because its time is over. */
   private void expired() {
     switch (state) {
@@ -438,7 +383,7 @@
         }
       }
       case SENT -> {
-        if (!passingOn) {
+        if (!relay.isPassingOn()) {
           withdraw();
           end(TIMED_OUT, "no answer in time", Optional.empty());
         }
@@ -460,7 +405,7 @@
       }
       case PLACING, WAITING_FOR_OWNER, CONNECTING, ENDED -> {}
     }
-    releaseHeld();
+    relay.discard();
   }
 
   /** Ends the request because its caller has gone. */
@@ -480,7 +425,7 @@
     if (state == State.ENDED) {
       return;
     }
-    releaseHeld();
+    relay.discard();
     finish(reason, status);
     HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
     headers.set(traffic.settings().headers().requestId(), request.id());
@@ -498,6 +443,7 @@
       expiry.cancel();
     }
     connection = null;
+    relay.detach();
     traffic.requestEnded(this, gate, status, reason, tries);
     request.body().release();
   }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewaySite.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewaySite.java
@@ -86,6 +86,7 @@
     return new GatewaySettings(
         HostId.of("host-1"),
         ZONE,
+        1,
         new Addresses(free(), free(), "/ready", free(), free(), free()),
         new Bounds(
             Duration.ofSeconds(2),
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -22,6 +22,7 @@
     var report =
         new LoadReport(
             HostId.of("host-1"),
+            1.5,
             NEWS,
             ImmutableList.of(new LoadReport.KeyWork(ServiceName.of("desk"), 77, 2, 0.125)),
             ImmutableMap.of(UpstreamId.of("u-1"), new LoadReport.WorkTimes(0.5, 0.25)));
@@ -34,14 +35,14 @@
     var shares =
         new AdmissionShares(
             ImmutableMap.of(UpstreamId.of("u-1"), ImmutableSortedMap.of(1, 1.0, 2, 0.25)));
-    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, NEWS, shares);
+    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, 1.5, NEWS, shares);
 
     assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
   }
 
   @Test
   void linesOfAnotherVersionAreSkipped() {
-    LoadReport report = PeerCodec.decodeReport("later things\nhost host-1\n");
+    LoadReport report = PeerCodec.decodeReport("later things\nhost host-1 600000\n");
 
     assertThat(report.host()).isEqualTo(HostId.of("host-1"));
   }
@@ -49,7 +50,8 @@
   @Test
   void malformedLinesAreErrors() {
     assertThrows(
-        IllegalArgumentException.class, () -> PeerCodec.decodeReport("host host-1\nwork desk\n"));
+        IllegalArgumentException.class,
+        () -> PeerCodec.decodeReport("host host-1 600000\nwork desk\n"));
     assertThrows(IllegalArgumentException.class, () -> PeerCodec.decodeReport(""));
     assertThrows(IllegalArgumentException.class, () -> PeerCodec.decodeReply("news 1 2 3\n"));
   }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -11,7 +11,7 @@
 final class GatewaySettingsReaderTest {
   private static final String GOOD =
       """
-      {"host":"h-1","zone":"z","later":{"a":1},
+      {"host":"h-1","zone":"z","processor":{"share":0.75,"cores":2},"later":{"a":1},
        "addresses":{"callers":"10.0.0.1:1","health":"10.0.0.1:2","healthPath":"/ready",
                     "peers":"10.0.0.1:3","metrics":"10.0.0.1:4","store":"10.0.0.9:5"},
        "bounds":{"drain":"2000ms","evacuate":"5s","stopGrace":"6s","longestHold":"10s"},
@@ -26,6 +26,7 @@
 
     assertThat(settings.addresses().store()).isEqualTo(NetworkAddress.of("10.0.0.9", 5));
     assertThat(settings.bounds().drain()).isEqualTo(Duration.ofSeconds(2));
+    assertThat(settings.processor()).isEqualTo(1.5);
     assertThat(settings.repeats().slack()).isEqualTo(62);
     assertThat(settings.headers().requestId()).isEqualTo("x-request-id");
   }
@@ -35,6 +36,8 @@
     String[][] changes = {
       {"\"host\":\"h-1\",", "", "host"},
       {"\"zone\":\"z\"", "\"zone\":null", "zone"},
+      {"\"cores\":2", "\"cores\":0", "cores"},
+      {"\"share\":0.75", "\"share\":\"half\"", "share"},
       {"10.0.0.1:1\"", "10.0.0.1\"", "callers"},
       {"10.0.0.9:5", "10.0.0.9:99999", "store"},
       {"\"2000ms\"", "\"2000\"", "drain"},
