--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCaller.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCaller.java
@@ -74,18 +74,6 @@
     connect(call, done);
   }
 
-  /**
-   * Closes the idle connections to an address, so that the next call opens a new one.
-   *
-   * @param address the address
-   */
-  public void forget(NetworkAddress address) {
-    Deque<Link> links = idle.remove(address);
-    if (links != null) {
-      links.forEach(l -> Channels.close(l.channel));
-    }
-  }
-
   private Link takeIdle(NetworkAddress address) {
     Deque<Link> links = idle.get(address);
     while (links != null && !links.isEmpty()) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
@@ -1,14 +1,12 @@
 package org.catkinlift.gateway.metrics;
 
 import com.codahale.metrics.Counter;
-import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.UniformReservoir;
 import java.time.Duration;
 import java.util.Map;
-import java.util.function.Supplier;
 import org.catkinlift.model.ServiceName;
 
 /** Counts what the daemon does and prints it as text, one metric a line. Thread-safe. */
@@ -58,16 +56,6 @@
     counter.inc();
   }
 
-  /**
-   * Shows a value at the time of printing.
-   *
-   * @param name the metric
-   * @param value reads the value; called on the thread that prints
-   */
-  public void gauge(String name, Supplier<Long> value) {
-    registry.gauge(name, () -> (Gauge<Long>) value::get);
-  }
-
   private Histogram histogram(String name) {
     return registry.histogram(name, () -> new Histogram(new UniformReservoir(SAMPLES)));
   }
@@ -79,7 +67,6 @@
    */
   public String print() {
     var text = new StringBuilder();
-    registry.getGauges().forEach((name, gauge) -> line(text, name, gauge.getValue()));
     registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
     for (Map.Entry<String, Histogram> entry : registry.getHistograms().entrySet()) {
       Snapshot values = entry.getValue().getSnapshot();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/Transaction.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/Transaction.java
@@ -13,26 +13,4 @@
 public record Transaction(
     ImmutableMap<RowKey, Long> expected,
     ImmutableMap<RowKey, String> puts,
-    ImmutableSet<RowKey> removals) {
-
-  /**
-   * Returns a transaction that writes one row without a condition.
-   *
-   * @param key the row
-   * @param value its content
-   * @return the transaction
-   */
-  public static Transaction put(RowKey key, String value) {
-    return new Transaction(ImmutableMap.of(), ImmutableMap.of(key, value), ImmutableSet.of());
-  }
-
-  /**
-   * Returns a transaction that removes one row without a condition.
-   *
-   * @param key the row
-   * @return the transaction
-   */
-  public static Transaction remove(RowKey key) {
-    return new Transaction(ImmutableMap.of(), ImmutableMap.of(), ImmutableSet.of(key));
-  }
-}
+    ImmutableSet<RowKey> removals) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/HopHeaders.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/HopHeaders.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -26,19 +28,29 @@
   private HopHeaders() {}
 
   static HttpHeaders endToEnd(HttpHeaders headers, Set<String> alsoWithout) {
-    Set<String> dropped = new HashSet<>(ONE_CONNECTION);
-    dropped.addAll(alsoWithout);
-    for (String value : headers.getAll("connection")) {
-      for (String name : value.split(",", -1)) {
-        dropped.add(name.trim().toLowerCase(Locale.ROOT));
-      }
-    }
+    Set<String> named = namedByConnection(headers);
     HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().newHeaders();
     for (Map.Entry<String, String> header : headers) {
-      if (!dropped.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!ONE_CONNECTION.contains(name) && !alsoWithout.contains(name) && !named.contains(name)) {
         copy.add(header.getKey(), header.getValue());
       }
     }
     return copy;
   }
+
+  /** Returns the headers that the sender of the message names as those of one connection. */
+  private static Set<String> namedByConnection(HttpHeaders headers) {
+    List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+    if (values.isEmpty()) {
+      return ImmutableSet.of();
+    }
+    Set<String> named = new HashSet<>();
+    for (String value : values) {
+      for (String name : value.split(",", -1)) {
+        named.add(name.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return named;
+  }
 }
