Pass the store's news on between daemons; move queue decisions out of the gate; read answers in time

Now the coordinator and two others ask the store; the others get the rows that they have not seen with the replies to their reports, and ask the store themselves when a reply fails, the role is lost, or the coordinator's last confirmed write is older than 0.85 s. Half a second of the time that a site allows after an upstream leaves may pass on the way, so 40 % of it is used (before: 60 %). UpstreamQueue holds the decisions of UpstreamGate, without input or output.

Cause: a caller outside the event loop asked for the body only after the answer had come. Asked for before the sending now. Ruled out: the stand-in (it had answered), load alone.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
@@ -7,6 +7,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
@@ -65,13 +66,21 @@
             .setIdleTimeout(timeout.toMillis());
     return client
         .request(options)
-        .compose(r -> r.send(Buffer.buffer(body)))
-        .compose(ControlHttpClient::readAnswer)
+        .compose(r -> exchange(r, body))
         .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
         .map(answer -> Optional.of(answer).filter(a -> a.status() < SERVER_ERRORS))
         .otherwise(Optional.empty());
   }
 
+  /**
+   * Asks for the answer before the request is sent. A caller that is not on the event loop may
+   * otherwise ask only after the answer has come, and then never gets its body.
+   */
+  private static Future<Answer> exchange(HttpClientRequest request, String body) {
+    Future<Answer> answer = request.response().compose(ControlHttpClient::readAnswer);
+    return request.end(Buffer.buffer(body)).compose(sent -> answer);
+  }
+
   private static Future<Answer> readAnswer(HttpClientResponse response) {
     return response.body().map(body -> new Answer(response.statusCode(), body.toString(UTF_8)));
   }
--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamControlClientTest.java
@@ -179,8 +179,13 @@
             .putHeader(HeaderNames.DISPATCHER, "h1");
     return httpClient
         .request(options)
-        .compose(r -> r.send(Buffer.buffer()))
-        .compose(r -> r.body().map(r));
+        .compose(
+            r -> {
+              // Asked for before the request is sent, because this is not the event loop.
+              Future<HttpClientResponse> answer =
+                  r.response().compose(response -> response.body().map(response));
+              return r.end(Buffer.buffer()).compose(sent -> answer);
+            });
   }
 
   private Reply call(UpstreamRequest request) throws Exception {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -97,6 +97,16 @@
     return !resigned && confirmed.filter(c -> now.isWithin(c, TERM.minus(MARGIN))).isPresent();
   }
 
+  /**
+   * Returns how long ago the last call was made by which the store confirmed the role.
+   *
+   * @param now the time
+   * @return the time, or empty without the role
+   */
+  public Optional<Duration> confirmedAgo(Moment now) {
+    return confirmed.map(now::since);
+  }
+
   /**
    * Returns the version of the row under which the role is held.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
@@ -29,7 +30,7 @@
   private ImmutableMap<UpstreamId, UpstreamRecord> listed = ImmutableMap.of();
   private ImmutableSet<ZoneName> zonesOut = ImmutableSet.of();
   private boolean storeAnswers = true;
-  private long relistedByNanos = Long.MIN_VALUE;
+  private Optional<Long> relistedByNanos = Optional.empty();
 
   /**
    * An upstream and whether it may get new work.
@@ -69,11 +70,37 @@
    */
   public void storeAnswers(boolean answers, long nowNanos) {
     if (answers && !storeAnswers) {
-      relistedByNanos = nowNanos + RELISTING.toNanos();
+      tolerate(RELISTING, nowNanos);
     }
     storeAnswers = answers;
   }
 
+  /**
+   * Returns for how long upstreams that are not listed may still be listed again after an outage.
+   *
+   * @param nowNanos the time
+   * @return zero if missing upstreams have gone
+   */
+  public Duration tolerance(long nowNanos) {
+    if (!storeAnswers) {
+      return RELISTING;
+    }
+    return Duration.ofNanos(relistedByNanos.map(by -> Math.max(0, by - nowNanos)).orElse(0L));
+  }
+
+  /**
+   * Takes for how long another daemon, which asks the store, tolerates missing upstreams.
+   *
+   * @param tolerance the time from now on
+   * @param nowNanos the time
+   */
+  public void tolerate(Duration tolerance, long nowNanos) {
+    long until = nowNanos + tolerance.toNanos();
+    if (relistedByNanos.isEmpty() || until > relistedByNanos.get()) {
+      relistedByNanos = Optional.of(until);
+    }
+  }
+
   /**
    * Brings the entries up to date with the time.
    *
@@ -116,7 +143,7 @@
   private Entry missing(Entry entry, long nowNanos, Set<UpstreamId> forgotten) {
     return switch (entry.status()) {
       case UpstreamStatus.InService in -> {
-        boolean mayComeBack = !storeAnswers || nowNanos < relistedByNanos;
+        boolean mayComeBack = !tolerance(nowNanos).isZero();
         yield mayComeBack
             ? entry
             : new Entry(entry.upstream(), new UpstreamStatus.Leaving(nowNanos, Cause.UNLISTED));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -26,6 +26,7 @@
 import org.catkinlift.gateway.store.Transaction;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.gateway.traffic.UpstreamView;
+import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.CoordinatorLease;
@@ -45,6 +46,9 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
 
+  /** Older contact with the store than this is no reason for others to rely on it. */
+  private static final Duration NEWS_AGE = Duration.ofMillis(850);
+
   /** A new holder first keeps the role for so long, in which all hosts report. */
   private static final Duration FIRST_YIELD = Duration.ofSeconds(1);
 
@@ -52,7 +56,7 @@
   private static final Duration YIELD_INTERVAL = Duration.ofSeconds(30);
 
   /** Share of the site's time limits that is used; the rest covers the way of the news. */
-  private static final double USED_SHARE = 0.6;
+  private static final double USED_SHARE = 0.4;
 
   private final GatewaySettings settings;
   private final TimerService timers;
@@ -118,6 +122,7 @@
             peers,
             lease,
             this::publishSoon,
+            this::newsPassedOn,
             publishShares);
   }
 
@@ -239,6 +244,7 @@
 
   private void roleChanged(boolean held) {
     hasRole = held;
+    store.askForNews(true);
     mayYieldNanos = Math.max(mayYieldNanos, System.nanoTime() + FIRST_YIELD.toNanos());
     log.log(
         held ? EventCode.ROLE_TAKEN : EventCode.ROLE_LOST,
@@ -348,7 +354,24 @@
                 reporters.count(nanos),
                 Math.max(settings.processor(), reporters.strongest()),
                 store.newsVersions(),
-                held ? keyed.shares() : AdmissionShares.ALL)));
+                held ? keyed.shares() : AdmissionShares.ALL,
+                held && passesNewsOn(report.host()),
+                directory.tolerance(nanos),
+                held ? store.newsSince(report.news()) : ImmutableList.of())));
+  }
+
+  /** A daemon may leave the store to this one while this one has just heard from it. */
+  private boolean passesNewsOn(HostId reporter) {
+    return !reporters.asksTheStore(reporter)
+        && lease
+            .confirmedAgo(HostClock.now())
+            .filter(age -> age.compareTo(NEWS_AGE) < 0)
+            .isPresent();
+  }
+
+  private void newsPassedOn(CoordinatorReply reply) {
+    directory.tolerate(reply.tolerance(), System.nanoTime());
+    store.takeNews(reply.rows(), reply.news());
   }
 
   /** Publishes once after all news of this turn have been taken. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
@@ -23,7 +23,7 @@
  * the number of daemons. Confined to the control thread.
  */
 final class PeerReports {
-  private static final Duration TIMEOUT = Duration.ofMillis(600);
+  private static final Duration TIMEOUT = Duration.ofMillis(400);
 
   private static final double STRONGER_BY = 1.5;
 
@@ -36,6 +36,7 @@
   private final HttpCaller peers;
   private final CoordinatorLease lease;
   private final Runnable daemonsChanged;
+  private final Consumer<CoordinatorReply> newsPassedOn;
   private final Consumer<AdmissionShares> sharesLearned;
 
   private LoadReport next;
@@ -49,6 +50,7 @@
       HttpCaller peers,
       CoordinatorLease lease,
       Runnable daemonsChanged,
+      Consumer<CoordinatorReply> newsPassedOn,
       Consumer<AdmissionShares> sharesLearned) {
     this.self = self;
     this.processor = processor;
@@ -56,6 +58,7 @@
     this.peers = peers;
     this.lease = lease;
     this.daemonsChanged = daemonsChanged;
+    this.newsPassedOn = newsPassedOn;
     this.sharesLearned = sharesLearned;
     this.next = empty();
   }
@@ -114,18 +117,27 @@
     switch (result) {
       case CallResult.Answered answered when answered.isSuccess() ->
           replied(PeerCodec.decodeReply(answered.text()));
-      case CallResult.Answered refused -> lease.holderDoubtful();
-      case CallResult.NotSent notSent -> lease.holderDoubtful();
-      case CallResult.Unanswered unanswered -> lease.holderDoubtful();
+      case CallResult.Answered refused -> noCoordinator();
+      case CallResult.NotSent notSent -> noCoordinator();
+      case CallResult.Unanswered unanswered -> noCoordinator();
     }
   }
 
+  /** Without a coordinator each daemon asks the store itself. */
+  private void noCoordinator() {
+    lease.holderDoubtful();
+    store.askForNews(true);
+  }
+
   private void replied(CoordinatorReply reply) {
-    store.peerHasSeen(reply.news());
     if (!reply.hasRole()) {
-      lease.holderDoubtful();
+      store.peerHasSeen(reply.news());
+      noCoordinator();
       return;
     }
+    newsPassedOn.accept(reply);
+    store.peerHasSeen(reply.news());
+    store.askForNews(!reply.passesNewsOn());
     lease.holderHeard(reply.host(), reply.leaseVersion(), HostClock.now());
     lease.strongerHostKnown(isStronger(reply.strongestProcessor()));
     sharesLearned.accept(reply.shares());
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
@@ -1,6 +1,9 @@
 package org.catkinlift.gateway.peer;
 
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import org.catkinlift.admission.AdmissionShares;
+import org.catkinlift.gateway.store.NewsRow;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 
@@ -14,6 +17,9 @@
  * @param strongestProcessor the processor time of the strongest host that reports, in cores
  * @param news up to which version it has seen the store's news
  * @param shares what overloaded upstreams can take
+ * @param passesNewsOn whether the reporting daemon may leave it to this one to ask the store
+ * @param tolerance for how long upstreams that are not listed may still be listed again
+ * @param rows the store's news that the reporting daemon has not seen
  */
 public record CoordinatorReply(
     HostId host,
@@ -22,4 +28,7 @@
     int daemons,
     double strongestProcessor,
     NewsVersions news,
-    AdmissionShares shares) {}
+    AdmissionShares shares,
+    boolean passesNewsOn,
+    Duration tolerance,
+    ImmutableList<NewsRow> rows) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -3,10 +3,15 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import org.catkinlift.admission.AdmissionShares;
+import org.catkinlift.gateway.store.NewsRow;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -18,6 +23,10 @@
   public static final String REPORT_PATH = "/report";
 
   private static final double MILLIONTHS = 1e6;
+
+  /** Stands for the content of a removed row; no content is encoded like this. */
+  private static final String REMOVED = "-";
+
   private static final double PER_MILLE = 1e3;
 
   private PeerCodec() {}
@@ -120,6 +129,9 @@
                             .append(' ')
                             .append(Math.round(share * PER_MILLE))
                             .append('\n')));
+    text.append("passes ").append(reply.passesNewsOn());
+    text.append(' ').append(reply.tolerance().toMillis()).append('\n');
+    reply.rows().forEach(row -> appendRow(text, row));
     return text.toString();
   }
 
@@ -134,6 +146,9 @@
     CoordinatorReply reply = null;
     var news = new NewsVersions(0, 0, 0);
     Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares = new HashMap<>();
+    ImmutableList.Builder<NewsRow> rows = ImmutableList.builder();
+    boolean passesNewsOn = false;
+    var tolerance = Duration.ZERO;
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] words = lines.next().split(" ", -1);
       switch (words[0]) {
@@ -152,8 +167,16 @@
                     Integer.parseInt(word(words, 4)),
                     fromMillionths(word(words, 5)),
                     news,
-                    AdmissionShares.ALL);
+                    AdmissionShares.ALL,
+                    false,
+                    Duration.ZERO,
+                    ImmutableList.of());
         case "news" -> news = news(words);
+        case "passes" -> {
+          passesNewsOn = Boolean.parseBoolean(word(words, 1));
+          tolerance = Duration.ofMillis(Long.parseLong(word(words, 2)));
+        }
+        case "row" -> rows.add(row(words));
         default -> {}
       }
     }
@@ -167,7 +190,28 @@
         reply.daemons(),
         reply.strongestProcessor(),
         news,
-        sharesOf(shares));
+        sharesOf(shares),
+        passesNewsOn,
+        tolerance,
+        rows.build());
+  }
+
+  /** Keys may hold any character, since other programs write rows too; contents are encoded. */
+  private static void appendRow(StringBuilder text, NewsRow row) {
+    byte[] key = row.key().getBytes(StandardCharsets.UTF_8);
+    text.append("row ").append(row.table()).append(' ').append(row.version()).append(' ');
+    text.append(Base64.getEncoder().encodeToString(key)).append(' ');
+    text.append(row.encodedValue().orElse(REMOVED)).append('\n');
+  }
+
+  private static NewsRow row(String[] words) {
+    byte[] key = Base64.getDecoder().decode(word(words, 3));
+    String value = word(words, 4);
+    return new NewsRow(
+        word(words, 1),
+        new String(key, StandardCharsets.UTF_8),
+        Long.parseLong(word(words, 2)),
+        value.equals(REMOVED) ? Optional.empty() : Optional.of(value));
   }
 
   private static AdmissionShares sharesOf(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
@@ -1,5 +1,6 @@
 package org.catkinlift.gateway.store;
 
+import com.google.common.collect.ImmutableList;
 import java.util.function.Consumer;
 
 /**
@@ -40,6 +41,29 @@
    */
   NewsVersions newsVersions();
 
+  /**
+   * Returns the news that another daemon has not seen.
+   *
+   * @param seen up to which version it has seen the news
+   * @return the rows that changed since
+   */
+  ImmutableList<NewsRow> newsSince(NewsVersions seen);
+
+  /**
+   * Takes news from another daemon.
+   *
+   * @param rows all rows that changed since the versions that this daemon has stated
+   * @param through the versions up to which this daemon has seen the news with them
+   */
+  void takeNews(ImmutableList<NewsRow> rows, NewsVersions through);
+
+  /**
+   * Sets whether this daemon asks the store for news itself, or leaves that to others.
+   *
+   * @param asks whether it asks
+   */
+  void askForNews(boolean asks);
+
   /**
    * Takes up to which version another daemon has seen the news. If this daemon stays behind, it
    * asks the store again on a new connection.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -13,10 +13,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.catkinlift.admission.AdmissionRule;
-import org.catkinlift.admission.ColdPacer;
-import org.catkinlift.admission.ConcurrencyLimit;
-import org.catkinlift.admission.ReportedLoad;
-import org.catkinlift.admission.WaitingLine;
+import org.catkinlift.admission.UpstreamQueue;
 import org.catkinlift.routes.RequestKind;
 import org.catkinlift.upstreams.UpstreamRecord;
 
@@ -29,9 +26,6 @@
   private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
   private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
 
-  /** A load report says nothing about a moment so much later. */
-  private static final Duration REPORT_AGE = Duration.ofMillis(400);
-
   /** An upstream that works but has answered nothing for so long counts as silent. */
   private static final Duration SILENCE = Duration.ofMillis(1_200);
 
@@ -52,16 +46,10 @@
   private static final int DISCARD_ON_CLOSE = 0;
 
   private final Traffic traffic;
-  private final WaitingLine<RequestFlow> line = new WaitingLine<>();
+  private final UpstreamQueue<RequestFlow> queue;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
-  private final ConcurrencyLimit limit;
 
   private UpstreamRecord upstream;
-  private int atUpstream;
-  private ReportedLoad load;
-  private long loadNanos;
-  private Optional<ColdPacer> pacer = Optional.empty();
-  private long coldUntilNanos;
   private boolean pumpScheduled;
   private int connectFailures;
   private long pausedUntilNanos;
@@ -72,9 +60,7 @@
   UpstreamGate(Traffic traffic, UpstreamRecord upstream, long nowNanos) {
     this.traffic = traffic;
     this.upstream = upstream;
-    this.limit = new ConcurrencyLimit(upstream.slots());
-    this.load = new ReportedLoad(0, 0, upstream.slots(), 1);
-    this.loadNanos = nowNanos - REPORT_AGE.toNanos();
+    this.queue = new UpstreamQueue<>(upstream.slots(), nowNanos);
   }
 
   UpstreamRecord upstream() {
@@ -82,7 +68,7 @@
   }
 
   int waiting() {
-    return line.size();
+    return queue.waiting();
   }
 
   /** Takes what the upstream states about itself now. */
@@ -91,21 +77,12 @@
     if (next.coldLeft().isZero() || coldPerSecond <= 0) {
       return;
     }
-    coldUntilNanos = nowNanos + next.coldLeft().toNanos();
-    if (pacer.isEmpty()) {
-      pacer = Optional.of(new ColdPacer(coldPerSecond, daemons, traffic.random(), nowNanos));
-    }
-  }
-
-  private Optional<ColdPacer> pacer(long nowNanos) {
-    if (pacer.isPresent() && nowNanos >= coldUntilNanos) {
-      pacer = Optional.empty();
-    }
-    return pacer;
+    long warmAt = nowNanos + next.coldLeft().toNanos();
+    queue.cold(coldPerSecond, daemons, traffic.random(), warmAt, nowNanos);
   }
 
   boolean isCold(long nowNanos) {
-    return pacer(nowNanos).isPresent();
+    return queue.isCold(nowNanos);
   }
 
   /** Tells whether requests that can go elsewhere should. */
@@ -114,34 +91,16 @@
   }
 
   private boolean isSilent(long nowNanos) {
-    return atUpstream > 0 && nowNanos - quietSinceNanos > SILENCE.toNanos();
+    return queue.atUpstream() > 0 && nowNanos - quietSinceNanos > SILENCE.toNanos();
   }
 
   /** Returns how long a request sent now is expected to take. */
   long expectedNanos(long nowNanos) {
-    long service = serviceNanos(nowNanos);
-    long own = (long) (service * (line.size() + atUpstream) / (double) slots());
-    return service + Math.max(own, upstreamWaitNanos(nowNanos));
+    return queue.expectedNanos(usualNanos(), nowNanos);
   }
 
-  private int slots() {
-    return Math.max(1, upstream.slots());
-  }
-
-  private boolean isLoadFresh(long nowNanos) {
-    return nowNanos - loadNanos < REPORT_AGE.toNanos();
-  }
-
-  private long serviceNanos(long nowNanos) {
-    double slowness = isLoadFresh(nowNanos) ? Math.max(0.5, load.slowness()) : 1;
-    return (long) (traffic.measurements().serviceNanos(upstream.service()) * slowness);
-  }
-
-  private long upstreamWaitNanos(long nowNanos) {
-    if (!isLoadFresh(nowNanos)) {
-      return 0;
-    }
-    return (long) (load.waiting() * serviceNanos(nowNanos) / (double) slots());
+  private long usualNanos() {
+    return traffic.measurements().serviceNanos(upstream.service());
   }
 
   /** Takes a request; it is sent, waits or is rejected. */
@@ -162,43 +121,27 @@
           0);
       return;
     }
-    long service = serviceNanos(now);
-    int before = line.countBefore(flow.urgency(), now, service);
-    long wait = waitNanos(before, service, now);
-    AdmissionRule.Decision decision =
-        AdmissionRule.decide(
-            flow.urgency(), wait, before, limit.value(), service, now, traffic.random());
-    switch (decision) {
-      case AdmissionRule.Decision.Admit admit -> {
-        line.add(flow, flow.urgency());
-        pump();
-      }
+    long wait = queue.waitNanos(flow.urgency(), usualNanos(), now);
+    switch (queue.offer(flow, flow.urgency(), usualNanos(), traffic.random(), now)) {
+      case AdmissionRule.Decision.Admit admit -> pump();
       case AdmissionRule.Decision.Reject reject ->
           flow.rejected("queue", reject.retryAfter(), wait);
     }
   }
 
-  private long waitNanos(int before, long service, long nowNanos) {
-    Optional<ColdPacer> cold = pacer(nowNanos);
-    if (cold.isPresent()) {
-      return cold.get().nanosToNext(nowNanos) + before * cold.get().nanosBetween();
-    }
-    long atOnce = upstreamWaitNanos(nowNanos);
-    if (atUpstream < limit.value() && before == 0) {
-      return atOnce;
-    }
-    return atOnce + (before + 1) * (service + atOnce) / limit.value();
-  }
-
   private void pump() {
     long now = System.nanoTime();
-    while (line.size() > 0 && atUpstream < limit.value() && now >= pausedUntilNanos) {
-      Optional<ColdPacer> cold = pacer(now);
-      if (cold.isPresent() && !cold.get().tryTake(now)) {
-        pumpLater(cold.get().nanosToNext(now));
-        return;
-      }
-      line.takeNext(now, serviceNanos(now)).ifPresent(this::dispatch);
+    if (now < pausedUntilNanos) {
+      return;
+    }
+    Optional<RequestFlow> next = queue.takeNext(usualNanos(), now);
+    while (next.isPresent()) {
+      dispatch(next.get());
+      next = queue.takeNext(usualNanos(), System.nanoTime());
+    }
+    long pause = queue.nanosToNext(now);
+    if (pause > 0) {
+      pumpLater(pause);
     }
   }
 
@@ -217,14 +160,13 @@
 
   /** Removes a request that waits no longer. */
   boolean withdraw(RequestFlow flow) {
-    return line.remove(flow);
+    return queue.remove(flow);
   }
 
   private void dispatch(RequestFlow flow) {
-    if (atUpstream == 0) {
+    if (queue.atUpstream() == 1) {
       quietSinceNanos = System.nanoTime();
     }
-    atUpstream++;
     UpstreamConnection connection = takeIdle(flow.kind());
     if (connection != null) {
       flow.connected(this, connection);
@@ -288,14 +230,14 @@
       flow.connected(this, connection);
       return;
     }
-    atUpstream--;
+    queue.ended();
     connection.markIdle();
     idle.push(connection);
     pump();
   }
 
   private void connectFailed(RequestFlow flow, Throwable cause) {
-    atUpstream--;
+    queue.ended();
     connectFailures++;
     long pause = FIRST_PAUSE.toNanos() << Math.min(connectFailures - 1, 3);
     pausedUntilNanos = System.nanoTime() + Math.min(pause, LONGEST_PAUSE.toNanos());
@@ -303,29 +245,24 @@
     if (flow.isConnecting(this)) {
       flow.notSent("connect failed");
     }
-    line.takeAll().forEach(f -> f.notSent("connect failed"));
+    queue.takeAll().forEach(f -> f.notSent("connect failed"));
   }
 
   /** Takes the load that came with the head of an answer. */
   void answerBegun(HttpHeaders headers) {
     quietSinceNanos = System.nanoTime();
     LoadHeader.parse(headers.get(traffic.settings().headers().load()))
-        .ifPresent(
-            reported -> {
-              load = reported;
-              loadNanos = System.nanoTime();
-              limit.reported(reported);
-            });
+        .ifPresent(reported -> queue.reported(reported, System.nanoTime()));
   }
 
   /** Tells whether requests wait at the upstream, as far as its last answer said. */
   boolean hasQueue() {
-    return isLoadFresh(System.nanoTime()) && load.waiting() > 0;
+    return queue.hasUpstreamQueue(System.nanoTime());
   }
 
   /** Takes that the upstream turned a request away for lack of room. */
   void full() {
-    limit.full();
+    queue.full();
   }
 
   void strayAnswer(String id, RequestFlow flow) {
@@ -334,7 +271,7 @@
 
   /** Takes that a request on a connection has ended. */
   void completed(UpstreamConnection connection, boolean reusable) {
-    atUpstream--;
+    queue.ended();
     if (reusable && !retired) {
       idle.push(connection);
     } else {
@@ -347,7 +284,7 @@
   void closed(UpstreamConnection connection, boolean hadRequest) {
     idle.remove(connection);
     if (hadRequest) {
-      atUpstream--;
+      queue.ended();
       pump();
     }
   }
@@ -355,7 +292,7 @@
   /** Takes that a request was given up while it was at the upstream. */
   void abandoned(UpstreamConnection connection) {
     connection.abandon();
-    atUpstream--;
+    queue.ended();
     pump();
   }
 
@@ -364,12 +301,12 @@
     retired = true;
     idle.forEach(UpstreamConnection::close);
     idle.clear();
-    line.takeAll().forEach(f -> f.notSent("upstream has left"));
+    queue.takeAll().forEach(f -> f.notSent("upstream has left"));
   }
 
   /** Moves the waiting requests elsewhere, because the upstream leaves. */
   void emptyLine() {
-    line.takeAll().forEach(f -> f.notSent("upstream leaves"));
+    queue.takeAll().forEach(f -> f.notSent("upstream leaves"));
   }
 
   /** Closes connections that are too old to be used again. */
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/MemoryStore.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/MemoryStore.java
@@ -1,5 +1,6 @@
 package org.catkinlift.gateway;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.catkinlift.gateway.store.MetadataStore;
+import org.catkinlift.gateway.store.NewsRow;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.gateway.store.RowKey;
 import org.catkinlift.gateway.store.StoreNews;
@@ -88,6 +90,17 @@
     return new NewsVersions(version, version, version);
   }
 
+  @Override
+  public ImmutableList<NewsRow> newsSince(NewsVersions seen) {
+    return ImmutableList.of();
+  }
+
+  @Override
+  public void takeNews(ImmutableList<NewsRow> news, NewsVersions through) {}
+
+  @Override
+  public void askForNews(boolean asks) {}
+
   @Override
   public void peerHasSeen(NewsVersions versions) {}
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -6,7 +6,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSortedMap;
+import java.time.Duration;
+import java.util.Optional;
 import org.catkinlift.admission.AdmissionShares;
+import org.catkinlift.gateway.store.NewsRow;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -35,7 +38,20 @@
     var shares =
         new AdmissionShares(
             ImmutableMap.of(UpstreamId.of("u-1"), ImmutableSortedMap.of(1, 1.0, 2, 0.25)));
-    var reply = new CoordinatorReply(HostId.of("host-2"), true, 44, 11, 1.5, NEWS, shares);
+    var reply =
+        new CoordinatorReply(
+            HostId.of("host-2"),
+            true,
+            44,
+            11,
+            1.5,
+            NEWS,
+            shares,
+            true,
+            Duration.ofMillis(2300),
+            ImmutableList.of(
+                new NewsRow("table-1", "a key / of others", 9, Optional.of("e30=")),
+                new NewsRow("table-1", "gone", 10, Optional.empty())));
 
     assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
   }
