Replay a busy key; leave room for the queue that it left at its holder

The first form filled the holder to 95 %, and the queue of the first half second never ended; OverloadShares now counts that queue and fills to 75 % once there is more work than 95 %.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/DemandMeter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/DemandMeter.java
@@ -15,7 +15,7 @@
  */
 public final class DemandMeter {
   /** Short, because a key may become busy within a second. */
-  private static final Duration MEAN_AGE = Duration.ofSeconds(1);
+  private static final Duration MEAN_AGE = Duration.ofMillis(600);
 
   private static final double MEAN_AGE_SECONDS = MEAN_AGE.toMillis() / 1_000.0;
   private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/ShareRule.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/ShareRule.java
@@ -13,8 +13,11 @@
  * part, so that none is starved.
  */
 public final class ShareRule {
-  /** Share of its capacity that an upstream is filled to; above it, waits grow fast. */
-  private static final double FILLED = 0.95;
+  /** Share of its capacity above which an upstream has more work than it bears. */
+  private static final double OVERLOADED = 0.95;
+
+  /** Share of its capacity that an overloaded upstream is filled to, so that waits stay short. */
+  private static final double FILLED = 0.75;
 
   /** Part of the capacity that each rank gets before higher ranks get the rest. */
   private static final double KEPT_FOR_EACH_RANK = 0.1;
@@ -25,16 +28,16 @@
    * Returns the share of the requests of each rank that are to be admitted.
    *
    * @param demand busy slots by rank
-   * @param capacity the slots of the upstream, in slots of usual speed
+   * @param capacity the slots that the upstream has for them, in slots of usual speed
    * @return the share by rank, 0 to 1; empty if all requests can be admitted
    */
   public static ImmutableSortedMap<Integer, Double> shares(
       SortedMap<Integer, Double> demand, double capacity) {
     double total = demand.values().stream().mapToDouble(d -> d).sum();
-    double room = capacity * FILLED;
-    if (total <= room) {
+    if (total <= capacity * OVERLOADED) {
       return ImmutableSortedMap.of();
     }
+    double room = capacity * FILLED;
     double kept = capacity * KEPT_FOR_EACH_RANK;
     double left = room - demand.values().stream().mapToDouble(d -> Math.min(d, kept)).sum();
     ImmutableSortedMap.Builder<Integer, Double> shares = ImmutableSortedMap.naturalOrder();
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/package-info.java
@@ -0,0 +1,2 @@
+/** Replays of load patterns against the admission code, on virtual time. */
+package org.catkinlift.admission.replay;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -3,15 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.catkinlift.admission.AdmissionShares;
-import org.catkinlift.admission.DemandMeter;
-import org.catkinlift.admission.ShareRule;
+import org.catkinlift.admission.OverloadShares;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.peer.LoadReport;
@@ -60,10 +58,9 @@
   private final Map<ServiceName, RangeCoordinator> coordinators = new HashMap<>();
   private final Map<ServiceName, KeyLoad> loads = new HashMap<>();
   private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
-  private final DemandMeter demand = new DemandMeter(System.nanoTime());
+  private final OverloadShares overload = new OverloadShares(System.nanoTime());
   private final Map<UpstreamId, Double> capacities = new HashMap<>();
 
-  private AdmissionShares shares = AdmissionShares.ALL;
   private long sharesNanos;
 
   KeyedServices(
@@ -88,7 +85,7 @@
       KeyLoad load = loads.get(work.service());
       if (load != null) {
         load.add(work.key(), work.seconds());
-        holderOf(work).ifPresent(h -> demand.add(h, work.priority(), work.seconds()));
+        holderOf(work).ifPresent(h -> overload.add(h, work.priority(), work.seconds()));
       }
     }
     report.speeds().forEach(speeds::measured);
@@ -104,21 +101,7 @@
 
   /** Returns what overloaded upstreams can take. */
   AdmissionShares shares() {
-    return shares;
-  }
-
-  private AdmissionShares sharesNow() {
-    ImmutableMap.Builder<UpstreamId, ImmutableSortedMap<Integer, Double>> overloaded =
-        ImmutableMap.builder();
-    capacities.forEach(
-        (upstream, capacity) -> {
-          ImmutableSortedMap<Integer, Double> ranks =
-              ShareRule.shares(demand.of(upstream), capacity);
-          if (!ranks.isEmpty()) {
-            overloaded.put(upstream, ranks);
-          }
-        });
-    return new AdmissionShares(overloaded.buildOrThrow());
+    return overload.shares();
   }
 
   void stop() {
@@ -126,7 +109,7 @@
     coordinators.clear();
     loads.clear();
     capacities.clear();
-    shares = AdmissionShares.ALL;
+    overload.clear();
   }
 
   void storeDoubtful(boolean doubtful, long nowNanos) {
@@ -160,8 +143,7 @@
     }
     if (nowNanos - sharesNanos > SHARES_INTERVAL.toNanos()) {
       sharesNanos = nowNanos;
-      demand.age(nowNanos);
-      shares = sharesNow();
+      overload.update(capacities, nowNanos);
     }
     ImmutableList<UpstreamRecord> known =
         upstreams.stream()
