Send nothing more to an address that another upstream has; spread a busy area of keys in one round

An answer that names another upstream now ends all sending to that address until the list changes. Test: nothingMoreIsSentToAnAddressThatAnotherUpstreamHas (three requests made more than one arrival before). Test: aBusyAreaOfKeysIsSpreadOverManyUpstreamsInOneRound. Work counts for 2 s (before: 3 s).

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -39,7 +39,10 @@
   /** A busy key moves if its new holder would be less busy by this factor. */
   private static final double FASTER_ENOUGH = 0.65;
 
-  private static final int MOVES_PER_ROUND = 10;
+  private static final int MOVES_PER_ROUND = 60;
+
+  /** Fewer moves are made to even out work that all upstreams bear. */
+  private static final int MOVES_WITHOUT_OVERLOAD = 10;
 
   /** Bounds the number of grants: an upstream with more ranges gains none by balancing. */
   private static final int MOST_RANGES = 6;
@@ -213,9 +216,13 @@
       if (donor.isEmpty()) {
         break;
       }
+      boolean isUrgent = busyness(donor.get()) > OVERLOADED;
+      if (moves >= MOVES_WITHOUT_OVERLOAD && !isUrgent) {
+        break;
+      }
       Optional<Candidate> receiver = receiver(donor.get(), mean);
       boolean moved =
-          (receiver.isPresent() && movePiece(donor.get(), receiver.get(), movable))
+          (receiver.isPresent() && movePiece(donor.get(), receiver.get(), mean, movable))
               || moveToFaster(donor.get(), movable);
       if (!moved) {
         done.add(donor.get().upstream().id());
@@ -251,9 +258,8 @@
   }
 
   private boolean movePiece(
-      Candidate donor, Candidate receiver, Predicate<RangeAssignment> movable) {
-    double wanted =
-        (busyness(donor) - busyness(receiver)) / (1 / donor.capacity() + 1 / receiver.capacity());
+      Candidate donor, Candidate receiver, double mean, Predicate<RangeAssignment> movable) {
+    double wanted = wanted(donor, receiver, mean);
     List<RangeAssignment> owned =
         assignments.stream()
             .filter(a -> a.holder().upstream().equals(donor.upstream().id()))
@@ -269,6 +275,17 @@
     return false;
   }
 
+  /**
+   * Returns how much work a receiver should get: as much as makes both equally busy, but no more
+   * than the mean, so that a busy area of keys is spread over many upstreams in one round.
+   */
+  private double wanted(Candidate donor, Candidate receiver, double mean) {
+    double difference = busyness(donor) - busyness(receiver);
+    double equal = difference / (1 / donor.capacity() + 1 / receiver.capacity());
+    double toMean = (Math.max(mean, RELIEVED_ABOVE) - busyness(receiver)) * receiver.capacity();
+    return toMean > 0 ? Math.min(equal, toMean) : equal;
+  }
+
   private boolean moveFrom(RangeAssignment assignment, Candidate receiver, double wanted) {
     KeyRange range = assignment.range();
     int fromStart = load.keysFromStart(range, wanted);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -130,6 +130,28 @@
     assertThat(others).isLessThan(0.5);
   }
 
+  @Test
+  void aBusyAreaOfKeysIsSpreadOverManyUpstreamsInOneRound() {
+    Candidate[] candidates = new Candidate[40];
+    for (int i = 0; i < candidates.length; i++) {
+      candidates[i] = candidate(i + 1);
+    }
+    RangeMap map = plan(RangeMap.EMPTY, candidates).orElseThrow();
+    int first = map.assignments().get(7).range().first() + 300;
+    for (int key = first; key < first + 200; key++) {
+      load.add(key, 1.2);
+    }
+    RangeMap next = plan(map, candidates).orElseThrow();
+
+    long holders =
+        next.assignments().stream()
+            .filter(a -> a.range().overlaps(new KeyRange(first, first + 199)))
+            .map(RangeAssignment::holder)
+            .distinct()
+            .count();
+    assertThat(holders).isAtLeast(25);
+  }
+
   @Test
   void aBusyKeyMovesToAnUpstreamThatIsMuchFaster() {
     RangeMap map = plan(RangeMap.EMPTY, candidate(1), candidate(2)).orElseThrow();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -39,7 +39,7 @@
  * the coordinator role. Confined to the control thread.
  */
 final class KeyedServices {
-  private static final Duration LOAD_MEAN_AGE = Duration.ofSeconds(3);
+  private static final Duration LOAD_MEAN_AGE = Duration.ofSeconds(2);
 
   private static final Duration SHARES_INTERVAL = Duration.ofMillis(200);
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -72,6 +72,7 @@
    * @param signature proves that an upstream made the answer
    * @param expectedUpstream names the upstream that may execute the request
    * @param notExecuted states that the upstream did not execute the request
+   * @param answeringUpstream names the upstream that answers, if it is not the expected one
    * @param load the load of the upstream that answers
    */
   public record HeaderNames(
@@ -81,5 +82,6 @@
       String signature,
       String expectedUpstream,
       String notExecuted,
+      String answeringUpstream,
       String load) {}
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -109,6 +109,7 @@
         headerName(node, "signature"),
         headerName(node, "expectedUpstream"),
         headerName(node, "notExecuted"),
+        headerName(node, "answeringUpstream"),
         headerName(node, "load"));
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/AnswerHead.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/AnswerHead.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Set;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
+import org.catkinlift.model.UpstreamId;
 
 /**
  * The head of an upstream's answer.
@@ -23,6 +24,12 @@
     return answer.headers().contains(names.notExecuted());
   }
 
+  /** Tells whether another upstream than the expected one answers. */
+  boolean isFromOther(UpstreamId expected) {
+    String name = answer.headers().get(names.answeringUpstream());
+    return name != null && !name.equals(expected.value());
+  }
+
   /** Tells whether the answer may be passed on; a success needs the upstream's signature. */
   boolean isFinal() {
     boolean isSuccess = status() / 100 == SUCCESS_GROUP;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestFlow.java
@@ -356,6 +356,9 @@
 
   private void notExecuted() {
     int status = relay.head().status();
+    if (relay.head().isFromOther(gate.upstream().id())) {
+      gate.addressTaken();
+    }
     relay.discard();
     mayHaveRun.remove(gate.upstream().id());
     connection = null;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -56,6 +56,7 @@
   private long quietSinceNanos;
   private long nextProbeNanos;
   private boolean retired;
+  private boolean addressTaken;
 
   UpstreamGate(Traffic traffic, UpstreamRecord upstream, long nowNanos) {
     this.traffic = traffic;
@@ -87,7 +88,7 @@
 
   /** Tells whether requests that can go elsewhere should. */
   boolean isDoubtful(long nowNanos) {
-    return nowNanos < pausedUntilNanos || isSilent(nowNanos);
+    return addressTaken || nowNanos < pausedUntilNanos || isSilent(nowNanos);
   }
 
   private boolean isSilent(long nowNanos) {
@@ -106,6 +107,10 @@
   /** Takes a request; it is sent, waits or is rejected. */
   void offer(RequestFlow flow) {
     long now = System.nanoTime();
+    if (addressTaken) {
+      flow.notSent("another upstream has the address");
+      return;
+    }
     if (retired || now < pausedUntilNanos || (isSilent(now) && now < nextProbeNanos)) {
       flow.notSent("upstream does not answer");
       return;
@@ -265,6 +270,15 @@
     queue.full();
   }
 
+  /**
+   * Takes that another upstream answers at the address, so that this one has ended. Nothing more is
+   * sent there until the list of upstreams says otherwise; it would only be turned away.
+   */
+  void addressTaken() {
+    addressTaken = true;
+    queue.takeAll().forEach(f -> f.notSent("another upstream has the address"));
+  }
+
   void strayAnswer(String id, RequestFlow flow) {
     traffic.strayAnswer(upstream, id, flow.request().id());
   }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewaySite.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewaySite.java
@@ -101,6 +101,7 @@
             "x-server-signature",
             "x-expect-instance",
             "x-not-executed",
+            "x-instance-id",
             "x-server-load"));
   }
 
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
@@ -69,6 +69,26 @@
     }
   }
 
+  @Test
+  void nothingMoreIsSentToAnAddressThatAnotherUpstreamHas() throws Exception {
+    String answer =
+        """
+        HTTP/1.1 421 Misdirected Request\r
+        X-Instance-Id: u-9\r
+        X-Not-Executed: 1\r
+        Content-Length: 0\r
+        \r
+        """;
+    try (var other = new ScriptedUpstream((n, id, out) -> write(out, answer))) {
+      serve(other);
+
+      for (int i = 0; i < 3; i++) {
+        assertThat(ask(get("/keyed/a", "r" + i, "X-Shard-Key: 77\r\n")).status()).isEqualTo(503);
+      }
+      assertThat(other.heads()).hasSize(1);
+    }
+  }
+
   @Test
   void unknownPathIsNotFound() throws Exception {
     try (var shared = new ScriptedUpstream((n, id, out) -> write(out, ok(id, "")))) {
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -17,7 +17,7 @@
        "bounds":{"drain":"2000ms","evacuate":"5s","stopGrace":"6s","longestHold":"10s"},
        "repeats":{"ratio":0.2,"slack":62,"window":"10s"},
        "headers":{"requestId":"X-Request-Id","deadlineMillis":"d","key":"k","signature":"s",
-                  "expectedUpstream":"e","notExecuted":"n","load":"l"}}
+                  "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l"}}
       """;
 
   @Test
