--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,14 +18,10 @@
 import org.catkinlift.gateway.settings.GatewaySettings;
 import org.catkinlift.gateway.store.KeyGrants;
 import org.catkinlift.gateway.store.MetadataStore;
-import org.catkinlift.gateway.store.RowKey;
 import org.catkinlift.gateway.store.StoreNews;
-import org.catkinlift.gateway.store.StoreReply;
 import org.catkinlift.gateway.store.StoredRow;
-import org.catkinlift.gateway.store.Transaction;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.gateway.traffic.UpstreamView;
-import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.CoordinatorLease;
@@ -46,15 +41,6 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
 
-  /** Older contact with the store than this is no reason for others to rely on it. */
-  private static final Duration NEWS_AGE = Duration.ofMillis(850);
-
-  /** A new holder first keeps the role for so long, in which all hosts report. */
-  private static final Duration FIRST_YIELD = Duration.ofSeconds(1);
-
-  /** A stronger host may be unable to take the role; it gets the next chance only after this. */
-  private static final Duration YIELD_INTERVAL = Duration.ofSeconds(30);
-
   /** Share of the site's time limits that is used; the rest covers the way of the news. */
   private static final double USED_SHARE = 0.4;
 
@@ -69,15 +55,14 @@
   private final Map<ServiceName, RangeMap> storedMaps = new HashMap<>();
   private final Map<ServiceName, Long> mapVersions = new HashMap<>();
   private final CoordinatorLease lease;
+  private final CoordinatorRole role;
   private final KeyedServices keyed;
   private final PeerReports reports;
 
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
   private boolean firstReadDone;
-  private boolean hasRole;
   private boolean publishPending;
-  private long mayYieldNanos;
 
   /**
    * Creates the control state.
@@ -111,6 +96,7 @@
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
+    this.role = new CoordinatorRole(settings.host(), store, lease, log);
     this.keyed =
         new KeyedServices(
             store, grants, log, settings.bounds().longestHold(), service -> publishSoon());
@@ -205,97 +191,25 @@
     if (!firstReadDone || !configuration.isKnown()) {
       return;
     }
-    step(lease.next(now));
-    boolean held = lease.isHeld(now);
-    if (held != hasRole) {
-      roleChanged(held);
+    if (role.refresh()) {
+      roleChanged();
     }
-    if (held) {
+    if (role.isHeld()) {
       keyed.storeDoubtful(lease.isStoreFailing(), now.nanos());
       keyed.tick(configuration, directory.entries(), lease.claimVersion(), now.nanos());
-      yieldToStronger(now.nanos());
-    }
-  }
-
-  /** Leaves the role to a stronger host, because its work would take too much of a small one. */
-  private void yieldToStronger(long nowNanos) {
-    boolean tooSoon = nowNanos < mayYieldNanos || lease.isStoreFailing();
-    if (tooSoon || !reports.isStronger(reporters.strongest())) {
-      return;
-    }
-    OptionalLong version = lease.stepDown();
-    if (version.isEmpty()) {
-      return;
+      if (reports.isStronger(reporters.strongest())) {
+        role.yieldToStronger(now.nanos());
+      }
     }
-    mayYieldNanos = nowNanos + YIELD_INTERVAL.toNanos();
-    lease.strongerHostKnown(true);
-    log.log(EventCode.ROLE_YIELDED, ImmutableMap.of("row_version", version.getAsLong()));
-    clearLease(version.getAsLong());
-  }
-
-  private void clearLease(long version) {
-    store.commit(
-        new Transaction(
-            ImmutableMap.of(OwnRows.LEASE, version),
-            ImmutableMap.of(OwnRows.LEASE, ""),
-            ImmutableSet.of()),
-        reply -> log.log(EventCode.ROLE_LOST, ImmutableMap.of("cause", "given up")));
   }
 
-  private void roleChanged(boolean held) {
-    hasRole = held;
+  private void roleChanged() {
     store.askForNews(true);
-    mayYieldNanos = Math.max(mayYieldNanos, System.nanoTime() + FIRST_YIELD.toNanos());
-    log.log(
-        held ? EventCode.ROLE_TAKEN : EventCode.ROLE_LOST,
-        ImmutableMap.of("row_version", lease.rowVersion()));
-    if (!held) {
+    if (!role.isHeld()) {
       keyed.stop();
     }
   }
 
-  private void step(CoordinatorLease.Step step) {
-    switch (step) {
-      case CoordinatorLease.Step.Idle idle -> {}
-      case CoordinatorLease.Step.Read read -> store.read(OwnRows.LEASE, this::leaseRead);
-      case CoordinatorLease.Step.Write write -> writeLease(write);
-    }
-  }
-
-  private void writeLease(CoordinatorLease.Step.Write write) {
-    ImmutableMap.Builder<RowKey, String> puts = ImmutableMap.builder();
-    puts.put(OwnRows.LEASE, LeaseRowCodec.encode(write.row()));
-    if (write.isClaim()) {
-      puts.put(OwnRows.CLAIM, settings.host().value());
-    }
-    store.commit(
-        new Transaction(
-            ImmutableMap.of(OwnRows.LEASE, write.expectedVersion()),
-            puts.buildOrThrow(),
-            ImmutableSet.of()),
-        this::leaseWritten);
-  }
-
-  private void leaseRead(StoreReply<StoredRow> reply) {
-    switch (reply) {
-      case StoreReply.Done<StoredRow> done ->
-          lease.rowRead(
-              LeaseRowCodec.decode(done.value().value()), done.value().version(), HostClock.now());
-      case StoreReply.Conflict<StoredRow> conflict -> lease.callFailed();
-      case StoreReply.Refused<StoredRow> refused -> lease.callFailed();
-      case StoreReply.Unknown<StoredRow> unknown -> lease.callFailed();
-    }
-  }
-
-  private void leaseWritten(StoreReply<Long> reply) {
-    switch (reply) {
-      case StoreReply.Done<Long> done -> lease.rowWritten(done.value(), HostClock.now());
-      case StoreReply.Conflict<Long> conflict -> lease.writeRefused();
-      case StoreReply.Refused<Long> refused -> lease.callFailed();
-      case StoreReply.Unknown<Long> unknown -> lease.callFailed();
-    }
-  }
-
   /**
    * Takes the traffic since the last call.
    *
@@ -310,7 +224,7 @@
 
   private void report() {
     LoadReport report = reports.take();
-    if (hasRole) {
+    if (role.isHeld()) {
       keyed.reported(report);
       reports.counted(reporters.count(System.nanoTime()));
       publishShares.accept(keyed.shares());
@@ -355,20 +269,11 @@
                 Math.max(settings.processor(), reporters.strongest()),
                 store.newsVersions(),
                 held ? keyed.shares() : AdmissionShares.ALL,
-                held && passesNewsOn(report.host()),
+                held && role.hasRecentNews() && !reporters.asksTheStore(report.host()),
                 directory.tolerance(nanos),
                 held ? store.newsSince(report.news()) : ImmutableList.of())));
   }
 
-  /** A daemon may leave the store to this one while this one has just heard from it. */
-  private boolean passesNewsOn(HostId reporter) {
-    return !reporters.asksTheStore(reporter)
-        && lease
-            .confirmedAgo(HostClock.now())
-            .filter(age -> age.compareTo(NEWS_AGE) < 0)
-            .isPresent();
-  }
-
   private void newsPassedOn(CoordinatorReply reply) {
     directory.tolerate(reply.tolerance(), System.nanoTime());
     store.takeNews(reply.rows(), reply.news());
@@ -395,7 +300,7 @@
 
   private ImmutableMap<ServiceName, RangeMap> maps() {
     Map<ServiceName, RangeMap> maps = new HashMap<>(storedMaps);
-    if (hasRole) {
+    if (role.isHeld()) {
       maps.putAll(keyed.maps());
     }
     return ImmutableMap.copyOf(maps);
@@ -420,12 +325,6 @@
 
   /** Gives up the coordinator role before the daemon ends, so that another one can take it. */
   public void resign() {
-    boolean held = lease.isHeld(HostClock.now());
-    long version = lease.rowVersion();
-    lease.resign();
-    if (!held) {
-      return;
-    }
-    clearLease(version);
+    role.resign();
   }
 }
