--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/HotKeyReplayTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/HotKeyReplayTest.java
@@ -103,7 +103,6 @@
     Result without = sum(pattern, false);
     Result with = sum(pattern, true);
 
-    System.out.println("hot key, 66 daemons: " + without + " -> " + with);
     assertThat(with.share()).isAtLeast(1.3 * without.share());
     assertThat(with.resets()).isLessThan(without.resets() / 2);
   }
@@ -115,7 +114,6 @@
     Result without = sum(pattern, false);
     Result with = sum(pattern, true);
 
-    System.out.println("hot key, 11 daemons: " + without + " -> " + with);
     assertThat(with.share()).isAtLeast(without.share());
   }
 
--- a/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
@@ -74,6 +74,23 @@
     assertThat(status()).isInstanceOf(UpstreamStatus.Leaving.class);
   }
 
+  @Test
+  void aDaemonThatDoesNotAskTheStoreToleratesWhatTheAskingOneTolerates() {
+    directory.listed(listed(false), seconds(1));
+    directory.storeAnswers(false, seconds(2));
+    directory.storeAnswers(true, seconds(10));
+    var other = new UpstreamDirectory();
+    other.listed(listed(false), seconds(1));
+
+    other.tolerate(directory.tolerance(seconds(11)), seconds(11));
+    other.listed(ImmutableMap.of(), seconds(11));
+    assertThat(other.entries().get(0).status()).isEqualTo(new UpstreamStatus.InService());
+
+    other.refresh(seconds(12.5));
+    assertThat(other.entries().get(0).status()).isInstanceOf(UpstreamStatus.Leaving.class);
+    assertThat(directory.tolerance(seconds(13))).isEqualTo(Duration.ZERO);
+  }
+
   @Test
   void zoneOutAndBack() {
     directory.listed(listed(false), seconds(1));
