--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -173,7 +173,15 @@
     if (row.version() <= mapVersions.getOrDefault(service, 0L)) {
       return;
     }
-    RangeMap map = RangeMapCodec.decode(row.value());
+    RangeMap map;
+    try {
+      map = RangeMapCodec.decode(row.value());
+    } catch (RuntimeException e) {
+      log.log(
+          EventCode.ROW_SKIPPED,
+          ImmutableMap.of("key", key, "version", row.version(), "reason", e.toString()));
+      return;
+    }
     mapVersions.put(service, row.version());
     storedMaps.put(service, map);
     log.log(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/RangeMapCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/RangeMapCodec.java
@@ -1,11 +1,19 @@
 package org.catkinlift.gateway.control;
 
 import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.Holder;
@@ -15,7 +23,8 @@
 
 /**
  * Encodes the map of a keyed service as the content of a row: lines of words, each holder stated
- * once and named by its number afterwards.
+ * once and named by its number afterwards. The lines are compressed, because every daemon gets each
+ * new map.
  */
 final class RangeMapCodec {
   private RangeMapCodec() {}
@@ -34,7 +43,26 @@
       }
       ranges.append('\n');
     }
-    return "fence " + map.nextFence() + "\n" + holders + ranges;
+    return compressed("fence " + map.nextFence() + "\n" + holders + ranges);
+  }
+
+  static String compressed(String text) {
+    var bytes = new ByteArrayOutputStream();
+    try (var deflater = new DeflaterOutputStream(bytes)) {
+      deflater.write(text.getBytes(StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      throw new UncheckedIOException("compression in memory failed", e);
+    }
+    return Base64.getEncoder().encodeToString(bytes.toByteArray());
+  }
+
+  private static String expanded(String text) {
+    var bytes = new ByteArrayInputStream(Base64.getDecoder().decode(text));
+    try (var inflater = new InflaterInputStream(bytes)) {
+      return new String(inflater.readAllBytes(), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("range map is not compressed text", e);
+    }
   }
 
   private static int number(Holder holder, Map<Holder, Integer> numbers, StringBuilder text) {
@@ -59,7 +87,7 @@
     long nextFence = 1;
     List<Holder> holders = new ArrayList<>();
     ImmutableList.Builder<RangeAssignment> assignments = ImmutableList.builder();
-    for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
+    for (Iterator<String> lines = expanded(text).lines().iterator(); lines.hasNext(); ) {
       String[] words = lines.next().split(" ", -1);
       switch (words[0]) {
         case "fence" -> nextFence = Long.parseLong(words[1]);
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/RowCodecsTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/RowCodecsTest.java
@@ -38,7 +38,11 @@
 
   @Test
   void aMalformedMapIsAnError() {
-    assertThrows(RuntimeException.class, () -> RangeMapCodec.decode("fence 3\nrange 0 5 1 0\n"));
+    String withoutHolder = RangeMapCodec.compressed("fence 3\nrange 0 5 1 0\n");
+
+    assertThrows(RuntimeException.class, () -> RangeMapCodec.decode(withoutHolder));
+    assertThrows(RuntimeException.class, () -> RangeMapCodec.decode("not compressed"));
+    assertThrows(RuntimeException.class, () -> RangeMapCodec.decode(""));
   }
 
   @Test
