Report all traffic to the coordinator; forget upstreams that have gone

Traffic is handed over every 200 ms and reported every 250 ms; each hand-over replaced the one before it, so about a fifth of the work was never reported, and holders looked less busy than they were. Test: reportsKeepEarlierTrafficThatWasNotSentYet (no such method before).

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -141,14 +141,15 @@
         coordinator.start(nowNanos);
       }
     }
-    if (nowNanos - sharesNanos > SHARES_INTERVAL.toNanos()) {
-      sharesNanos = nowNanos;
-      overload.update(capacities, nowNanos);
-    }
     ImmutableList<UpstreamRecord> known =
         upstreams.stream()
             .map(UpstreamDirectory.Entry::upstream)
             .collect(ImmutableList.toImmutableList());
+    if (nowNanos - sharesNanos > SHARES_INTERVAL.toNanos()) {
+      sharesNanos = nowNanos;
+      forgetGone(known);
+      overload.update(capacities, nowNanos);
+    }
     coordinators.forEach(
         (service, coordinator) -> {
           ImmutableList<Candidate> candidates =
@@ -159,6 +160,13 @@
         });
   }
 
+  private void forgetGone(ImmutableList<UpstreamRecord> known) {
+    ImmutableSet<UpstreamId> ids =
+        known.stream().map(UpstreamRecord::id).collect(ImmutableSet.toImmutableSet());
+    speeds.retain(ids);
+    capacities.keySet().retainAll(ids);
+  }
+
   private ImmutableList<Candidate> candidates(
       ServiceName service,
       RangeCoordinator coordinator,
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/PeerReports.java
@@ -68,11 +68,11 @@
         self, processor, store.newsVersions(), ImmutableList.of(), ImmutableMap.of());
   }
 
-  /** Takes the traffic since the last call. */
+  /** Adds the traffic since the last call to the report that is due next. */
   void trafficSeen(
       ImmutableList<LoadReport.KeyWork> work,
       ImmutableMap<UpstreamId, LoadReport.WorkTimes> speeds) {
-    next = new LoadReport(self, processor, store.newsVersions(), work, speeds);
+    next = next.withTraffic(store.newsVersions(), work, speeds);
   }
 
   /** Returns the report that is due and begins another one. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/UpstreamSpeeds.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/UpstreamSpeeds.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.catkinlift.gateway.peer.LoadReport.WorkTimes;
 import org.catkinlift.model.UpstreamId;
 
@@ -29,7 +30,8 @@
         new WorkTimes(before.measuredSeconds() * keep, before.usualSeconds() * keep).plus(added));
   }
 
-  void retain(java.util.Set<UpstreamId> known) {
+  /** Forgets all upstreams but those that are known. */
+  void retain(Set<UpstreamId> known) {
     times.keySet().retainAll(known);
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
 import org.catkinlift.gateway.store.NewsVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
@@ -23,6 +25,28 @@
     ImmutableList<KeyWork> work,
     ImmutableMap<UpstreamId, WorkTimes> speeds) {
 
+  /**
+   * Returns this report with more traffic.
+   *
+   * @param seen up to which version the daemon has seen the store's news by now
+   * @param moreWork the work that arrived since
+   * @param moreSpeeds how long upstreams worked since
+   * @return the report
+   */
+  public LoadReport withTraffic(
+      NewsVersions seen,
+      ImmutableList<KeyWork> moreWork,
+      ImmutableMap<UpstreamId, WorkTimes> moreSpeeds) {
+    Map<UpstreamId, WorkTimes> allSpeeds = new HashMap<>(speeds);
+    moreSpeeds.forEach((upstream, times) -> allSpeeds.merge(upstream, times, WorkTimes::plus));
+    return new LoadReport(
+        host,
+        processor,
+        seen,
+        ImmutableList.<KeyWork>builder().addAll(work).addAll(moreWork).build(),
+        ImmutableMap.copyOf(allSpeeds));
+  }
+
   /**
    * The work of one request.
    *
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -33,6 +33,28 @@
     assertThat(PeerCodec.decodeReport(PeerCodec.encode(report))).isEqualTo(report);
   }
 
+  @Test
+  void reportsKeepEarlierTrafficThatWasNotSentYet() {
+    UpstreamId upstream = UpstreamId.of("u-1");
+    var first = new LoadReport.KeyWork(ServiceName.of("desk"), 77, 2, 0.125);
+    var second = new LoadReport.KeyWork(ServiceName.of("desk"), 78, 1, 0.25);
+    LoadReport report =
+        new LoadReport(
+                HostId.of("host-1"),
+                1.5,
+                NEWS,
+                ImmutableList.of(first),
+                ImmutableMap.of(upstream, new LoadReport.WorkTimes(0.5, 0.25)))
+            .withTraffic(
+                new NewsVersions(4, 5, 6),
+                ImmutableList.of(second),
+                ImmutableMap.of(upstream, new LoadReport.WorkTimes(1, 0.5)));
+
+    assertThat(report.work()).containsExactly(first, second).inOrder();
+    assertThat(report.speeds()).containsExactly(upstream, new LoadReport.WorkTimes(1.5, 0.75));
+    assertThat(report.news()).isEqualTo(new NewsVersions(4, 5, 6));
+  }
+
   @Test
   void repliesComeBackAsTheyWere() {
     var shares =
