--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamGate.java
@@ -35,7 +35,7 @@
    * A request that must not be executed twice gets a connection that was used this recently, or a
    * new one: an upstream may have forgotten an idle connection.
    */
-  private static final Duration FRESH = Duration.ofMillis(250);
+  private static final Duration FRESH = Duration.ofMillis(1_500);
 
   /**
    * A caller that an overloaded upstream cannot take comes back after about this part of its time.
