Log which keys move and why the next holder may have them

Observability of key moves.

3014 names for each new fencing token the replaced holders and those that must release first; 3015 says with the first grant under a token for each previous holder whether it released, its last grant expired (how long ago), or no grant of it was known; 3016 (DEBUG, dropped first under load) is a confirmed call; 3012 has the token and the start time too. No decision changes.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -62,6 +62,12 @@
   KEY_GRANT_OR_RELEASE_FAILED(3012, Severity.WARNING, "key grant or release failed"),
   /** This daemon yielded the coordinator role to a more powerful host. */
   COORDINATOR_ROLE_YIELDED(3013, Severity.INFO, "coordinator role left to a stronger host"),
+  /** The coordinator assigned keys to a holder under a new fencing token. */
+  KEYS_REASSIGNED(3014, Severity.INFO, "keys reassigned"),
+  /** The coordinator sends the first grant under a fencing token; fields hold why it may. */
+  KEYS_GRANTED_TO_NEW_HOLDER(3015, Severity.INFO, "keys granted to new holder"),
+  /** An upstream confirmed a grant or release of keys. */
+  KEY_GRANT_OR_RELEASE_CONFIRMED(3016, Severity.DEBUG, "key grant or release confirmed"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/AssignmentState.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/AssignmentState.java
@@ -1,5 +1,6 @@
 package org.catkinlift.ranges;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -43,6 +44,15 @@
       return released || nowNanos > holdExpiryNanos;
     }
 
+    private EndedHold.Cause endCause(long nowNanos) {
+      if (released) {
+        return new EndedHold.Cause.Released();
+      }
+      return holdExpiryNanos == 0
+          ? new EndedHold.Cause.NeverGranted()
+          : new EndedHold.Cause.Expired(Duration.ofNanos(nowNanos - holdExpiryNanos));
+    }
+
     void callStarted() {
       callInFlight = true;
     }
@@ -122,6 +132,17 @@
     return !callInFlight && nowNanos >= nextCallNanos && isReleasedByOthers(nowNanos);
   }
 
+  /** Returns why a grant is sent now. */
+  GrantReason grantReason(long nowNanos) {
+    if (granted) {
+      return new GrantReason.Renewal();
+    }
+    ImmutableList.Builder<EndedHold> endedHolds = ImmutableList.builder();
+    pendingReleases.forEach(
+        (holder, release) -> endedHolds.add(new EndedHold(holder, release.endCause(nowNanos))));
+    return new GrantReason.FirstGrant(endedHolds.build());
+  }
+
   /** Makes the next renewal due immediately. */
   void renewNow(long nowNanos) {
     nextCallNanos = Math.min(nextCallNanos, nowNanos);
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantReason.java
@@ -0,0 +1,17 @@
+package org.catkinlift.ranges;
+
+import com.google.common.collect.ImmutableList;
+
+/** Why a coordinator sends a grant. */
+public sealed interface GrantReason {
+
+  /**
+   * The holder gets the keys for the first time under this fencing token.
+   *
+   * @param endedHolds the previous holders that had to release the keys first
+   */
+  record FirstGrant(ImmutableList<EndedHold> endedHolds) implements GrantReason {}
+
+  /** The holder has the keys already. */
+  record Renewal() implements GrantReason {}
+}
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
@@ -25,9 +25,14 @@
    * @param assignment the keys, their holder and its fencing token
    * @param duration how long the holder may use the keys, from the arrival of the call
    * @param handover the data that the previous holder returned when it released the keys
+   * @param reason why the grant is sent
    */
   record Grant(
-      long callId, RangeAssignment assignment, Duration duration, Optional<String> handover)
+      long callId,
+      RangeAssignment assignment,
+      Duration duration,
+      Optional<String> handover,
+      GrantReason reason)
       implements RangeAction {}
 
   /**
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -304,7 +304,9 @@
       Duration duration = storeFailing ? maxGrantDuration : GRANT_DURATION;
       state.grantStarted(nowNanos + maxHoldOnLocalClock(duration).toNanos());
       long callId = registerCall(new Call(state, Optional.empty()));
-      actions.add(new RangeAction.Grant(callId, state.assignment(), duration, state.handover()));
+      actions.add(
+          new RangeAction.Grant(
+              callId, state.assignment(), duration, state.handover(), state.grantReason(nowNanos)));
     }
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
@@ -1,6 +1,7 @@
 package org.catkinlift.ranges;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 
 /**
@@ -31,4 +32,36 @@
     }
     return Optional.empty();
   }
+
+  /**
+   * Returns the assignments of this map whose fencing token another map does not contain.
+   *
+   * @param earlier the other map
+   */
+  public ImmutableList<Reassignment> reassignmentsSince(RangeMap earlier) {
+    ImmutableSet<Long> earlierFences =
+        earlier.assignments().stream()
+            .map(RangeAssignment::fence)
+            .collect(ImmutableSet.toImmutableSet());
+    return assignments.stream()
+        .filter(a -> !earlierFences.contains(a.fence()))
+        .map(a -> new Reassignment(a, earlier.holdersOf(a.range())))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private ImmutableList<Holder> holdersOf(KeyRange range) {
+    return assignments.stream()
+        .filter(a -> a.range().overlaps(range))
+        .map(RangeAssignment::holder)
+        .distinct()
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /**
+   * A change of an assignment.
+   *
+   * @param assignment the new assignment
+   * @param replacedHolders the holders of the keys before the change
+   */
+  public record Reassignment(RangeAssignment assignment, ImmutableList<Holder> replacedHolders) {}
 }
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
@@ -0,0 +1,136 @@
+package org.catkinlift.gateway.control;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Collection;
+import java.util.stream.Collectors;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.gateway.logging.EventLog;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.ranges.EndedHold;
+import org.catkinlift.ranges.GrantReason;
+import org.catkinlift.ranges.GrantResult;
+import org.catkinlift.ranges.Holder;
+import org.catkinlift.ranges.KeyRange;
+import org.catkinlift.ranges.RangeAction;
+import org.catkinlift.ranges.RangeAssignment;
+import org.catkinlift.ranges.RangeMap;
+
+/** Logs which upstream gets which keys, and why no other upstream holds them any more. */
+final class KeyEventLog {
+  private final EventLog log;
+
+  KeyEventLog(EventLog log) {
+    this.log = log;
+  }
+
+  /** Logs each assignment that a new map changes, before the map is written. */
+  void mapPlanned(ServiceName service, RangeMap current, RangeMap next) {
+    for (RangeMap.Reassignment change : next.reassignmentsSince(current)) {
+      RangeAssignment assignment = change.assignment();
+      log.log(
+          EventCode.KEYS_REASSIGNED,
+          ImmutableMap.of(
+              "service",
+              service,
+              "range",
+              assignment.range(),
+              "fence",
+              assignment.fence(),
+              "upstream",
+              assignment.holder().upstream(),
+              "started",
+              assignment.holder().startedMillis(),
+              "replaced",
+              format(change.replacedHolders()),
+              "previous",
+              format(assignment.previousHolders())));
+    }
+  }
+
+  /** Logs the first grant of each assignment. */
+  void grantStarted(ServiceName service, RangeAction.Grant grant) {
+    switch (grant.reason()) {
+      case GrantReason.Renewal renewal -> {}
+      case GrantReason.FirstGrant first ->
+          log.log(
+              EventCode.KEYS_GRANTED_TO_NEW_HOLDER,
+              ImmutableMap.of(
+                  "service",
+                  service,
+                  "range",
+                  grant.assignment().range(),
+                  "fence",
+                  grant.assignment().fence(),
+                  "upstream",
+                  grant.assignment().holder().upstream(),
+                  "started",
+                  grant.assignment().holder().startedMillis(),
+                  "ended",
+                  first.endedHolds().stream()
+                      .map(KeyEventLog::format)
+                      .collect(Collectors.joining(" "))));
+    }
+  }
+
+  void grantEnded(RangeAction.Grant grant, GrantResult result) {
+    RangeAssignment assignment = grant.assignment();
+    callEnded("grant", assignment.holder(), assignment.range(), assignment.fence(), result);
+  }
+
+  void releaseEnded(RangeAction.Release release, GrantResult result) {
+    callEnded("release", release.from(), release.range(), release.fence(), result);
+  }
+
+  private void callEnded(
+      String call, Holder holder, KeyRange range, long fence, GrantResult result) {
+    switch (result) {
+      case GrantResult.Done done ->
+          logCall(EventCode.KEY_GRANT_OR_RELEASE_CONFIRMED, call, holder, range, fence, "done");
+      case GrantResult.Outdated outdated ->
+          logFailure(call, holder, range, fence, "outdated fence");
+      case GrantResult.NotSent notSent -> logFailure(call, holder, range, fence, "not sent");
+      case GrantResult.Unanswered unanswered -> logFailure(call, holder, range, fence, "no answer");
+    }
+  }
+
+  private void logFailure(String call, Holder holder, KeyRange range, long fence, String outcome) {
+    logCall(EventCode.KEY_GRANT_OR_RELEASE_FAILED, call, holder, range, fence, outcome);
+  }
+
+  private void logCall(
+      EventCode code, String call, Holder holder, KeyRange range, long fence, String outcome) {
+    log.log(
+        code,
+        ImmutableMap.of(
+            "call",
+            call,
+            "upstream",
+            holder.upstream(),
+            "started",
+            holder.startedMillis(),
+            "range",
+            range,
+            "fence",
+            fence,
+            "outcome",
+            outcome));
+  }
+
+  private static String format(Collection<Holder> holders) {
+    return holders.stream().map(KeyEventLog::format).collect(Collectors.joining(" "));
+  }
+
+  private static String format(Holder holder) {
+    return holder.upstream() + "@" + holder.startedMillis();
+  }
+
+  private static String format(EndedHold ended) {
+    String cause =
+        switch (ended.cause()) {
+          case EndedHold.Cause.Released released -> "released";
+          case EndedHold.Cause.Expired expired -> "expired_ms_ago=" + expired.ago().toMillis();
+          case EndedHold.Cause.NeverGranted neverGranted -> "never_granted";
+        };
+    return format(ended.holder()) + ":" + cause;
+  }
+}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -23,7 +23,6 @@
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.Candidate;
 import org.catkinlift.ranges.GrantResult;
-import org.catkinlift.ranges.Holder;
 import org.catkinlift.ranges.KeyLoad;
 import org.catkinlift.ranges.RangeAction;
 import org.catkinlift.ranges.RangeCoordinator;
@@ -52,6 +51,7 @@
   private final MetadataStore store;
   private final KeyGrants grants;
   private final EventLog log;
+  private final KeyEventLog keyEvents;
   private final Duration maxGrantDuration;
   private final Consumer<ServiceName> mapListener;
   private final UpstreamSpeeds upstreamSpeeds = new UpstreamSpeeds();
@@ -73,6 +73,7 @@
     this.store = store;
     this.grants = grants;
     this.log = log;
+    this.keyEvents = new KeyEventLog(log);
     this.maxGrantDuration = maxGrantDuration;
     this.mapListener = mapListener;
   }
@@ -213,9 +214,14 @@
     switch (action) {
       case RangeAction.ReadMap read ->
           store.read(mapRow(service), result -> mapRead(service, coordinator, result));
-      case RangeAction.WriteMap write -> writeMap(service, coordinator, write, claimVersion);
-      case RangeAction.Grant grant ->
-          grants.grant(grant, result -> grantEnded(coordinator, grant, result));
+      case RangeAction.WriteMap write -> {
+        keyEvents.mapPlanned(service, coordinator.map().orElse(RangeMap.EMPTY), write.map());
+        writeMap(service, coordinator, write, claimVersion);
+      }
+      case RangeAction.Grant grant -> {
+        keyEvents.grantStarted(service, grant);
+        grants.grant(grant, result -> grantEnded(coordinator, grant, result));
+      }
       case RangeAction.Release release ->
           grants.release(release, result -> releaseEnded(coordinator, release, result));
     }
@@ -297,28 +303,12 @@
   private void grantEnded(
       RangeCoordinator coordinator, RangeAction.Grant grant, GrantResult result) {
     coordinator.callEnded(grant.callId(), result, System.nanoTime());
-    logFailure("grant", grant.assignment().holder(), grant.assignment().range().toString(), result);
+    keyEvents.grantEnded(grant, result);
   }
 
   private void releaseEnded(
       RangeCoordinator coordinator, RangeAction.Release release, GrantResult result) {
     coordinator.callEnded(release.callId(), result, System.nanoTime());
-    logFailure("release", release.from(), release.range().toString(), result);
-  }
-
-  private void logFailure(String call, Holder holder, String range, GrantResult result) {
-    String outcome =
-        switch (result) {
-          case GrantResult.Done done -> "";
-          case GrantResult.Outdated outdated -> "outdated fence";
-          case GrantResult.NotSent notSent -> "not sent";
-          case GrantResult.Unanswered unanswered -> "no answer";
-        };
-    if (!outcome.isEmpty()) {
-      log.log(
-          EventCode.KEY_GRANT_OR_RELEASE_FAILED,
-          ImmutableMap.of(
-              "call", call, "upstream", holder.upstream(), "range", range, "outcome", outcome));
-    }
+    keyEvents.releaseEnded(release, result);
   }
 }
