Show how the range coordinator grants keys that are still held

Change: RangeCoordinatorTest drives one coordinator on virtual time with scripted call outcomes and judges from what the upstreams hold. Result: nine of 14 tests fail. A hold is forgotten when its holder is chosen again or ranges merge under a new token (2), when a record shows a restart although the next run accepted a renewal (4), when a release is confirmed before a grant arrives (1), and when a grant arrives later than 400 ms after it was sent (2). The five others pass: late answers to releases (2), an upstream that leaves, a start time that went back, and a confirmed release that ends the wait at once.

--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -0,0 +1,199 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.timer.VirtualTimerService;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/**
+ * Drives one coordinator on virtual time, with a store that always answers and scripted outcomes of
+ * the calls to upstreams. Records each key that two upstreams hold at once.
+ */
+final class CoordinatorDriver {
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration STEP = Duration.ofMillis(10);
+  private static final Duration STORE_DELAY = Duration.ofMillis(5);
+  private static final Duration MAX_GRANT_DURATION = Duration.ofSeconds(10);
+  private static final Duration RUN_LIMIT = Duration.ofSeconds(30);
+  private static final CallOutcome PROMPT =
+      new CallOutcome.Answered(Duration.ofMillis(5), Duration.ofMillis(5));
+
+  private final VirtualTimerService timers = new VirtualTimerService();
+  private final KeyLoad load = new KeyLoad(Duration.ofSeconds(2), 0);
+  private final Map<UpstreamId, UpstreamProcess> processes = new LinkedHashMap<>();
+  private final Map<UpstreamId, CallOutcome> grantOutcomes = new LinkedHashMap<>();
+  private final Map<UpstreamId, CallOutcome> releaseOutcomes = new LinkedHashMap<>();
+  private final OwnershipCheck check = new OwnershipCheck();
+  private RangeCoordinator coordinator;
+  private RangeMap storedMap = RangeMap.EMPTY;
+  private long storedVersion;
+  private ImmutableList<Candidate> candidates = ImmutableList.of();
+  private ImmutableList<UpstreamRecord> known = ImmutableList.of();
+
+  CoordinatorDriver() {
+    replaceCoordinator();
+    var unused = timers.every(TICK, this::tick);
+  }
+
+  /** Another daemon takes the role. It knows what the store holds and nothing of earlier calls. */
+  void replaceCoordinator() {
+    coordinator = new RangeCoordinator(MAX_GRANT_DURATION, load);
+    coordinator.start(timers.nowNanos());
+  }
+
+  void setStoreFailing(boolean failing) {
+    coordinator.setStoreFailing(failing, timers.nowNanos());
+  }
+
+  /** Sets the records of the upstreams that are visible to the coordinator. */
+  void setKnown(UpstreamRecord... records) {
+    known = ImmutableList.copyOf(records);
+  }
+
+  /** Sets the only upstreams that may hold keys from now on. */
+  void setCandidates(UpstreamRecord... records) {
+    candidates =
+        ImmutableList.copyOf(records).stream()
+            .map(r -> new Candidate(r, r.concurrencyLimit(), true))
+            .collect(ImmutableList.toImmutableList());
+    coordinator.replanNow();
+  }
+
+  /** Sets the outcome of the calls that are sent to an upstream from now on. */
+  void setOutcome(UpstreamRecord upstream, CallOutcome outcome) {
+    setGrantOutcome(upstream, outcome);
+    setReleaseOutcome(upstream, outcome);
+  }
+
+  void setGrantOutcome(UpstreamRecord upstream, CallOutcome outcome) {
+    grantOutcomes.put(upstream.id(), outcome);
+  }
+
+  void setReleaseOutcome(UpstreamRecord upstream, CallOutcome outcome) {
+    releaseOutcomes.put(upstream.id(), outcome);
+  }
+
+  /** Ends the run of an upstream and starts another one at the same address with the same id. */
+  void restart(UpstreamRecord upstream) {
+    processes.put(upstream.id(), new UpstreamProcess(upstream.id()));
+  }
+
+  void run(Duration duration) {
+    timers.advance(duration);
+  }
+
+  void runUntil(BooleanSupplier condition) {
+    long limitNanos = timers.nowNanos() + RUN_LIMIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      checkState(timers.nowNanos() < limitNanos, "condition not met in %s", RUN_LIMIT);
+      timers.advance(STEP);
+    }
+  }
+
+  RangeMap storedMap() {
+    return storedMap;
+  }
+
+  /** Returns whether an upstream holds all tracked keys. */
+  boolean holdsAll(UpstreamRecord upstream) {
+    return processOf(upstream.id()).holdsAll(timers.nowNanos());
+  }
+
+  ImmutableList<String> violations() {
+    return check.violations();
+  }
+
+  private UpstreamProcess processOf(UpstreamId upstream) {
+    return processes.computeIfAbsent(upstream, UpstreamProcess::new);
+  }
+
+  private void tick() {
+    check.checkAllKeys(processes.values(), timers.nowNanos());
+    for (RangeAction action : coordinator.tick(candidates, known, timers.nowNanos())) {
+      execute(action);
+    }
+  }
+
+  private void execute(RangeAction action) {
+    RangeCoordinator caller = coordinator;
+    switch (action) {
+      case RangeAction.ReadMap read ->
+          after(STORE_DELAY, () -> caller.mapRead(storedMap, storedVersion, timers.nowNanos()));
+      case RangeAction.WriteMap write -> after(STORE_DELAY, () -> write(caller, write));
+      case RangeAction.Grant grant -> {
+        UpstreamId upstream = grant.assignment().holder().upstream();
+        call(
+            caller,
+            grant.callId(),
+            grantOutcomes.getOrDefault(upstream, PROMPT),
+            arrivedNanos -> grant(upstream, grant, arrivedNanos));
+      }
+      case RangeAction.Release release -> {
+        UpstreamId upstream = release.from().upstream();
+        call(
+            caller,
+            release.callId(),
+            releaseOutcomes.getOrDefault(upstream, PROMPT),
+            arrivedNanos -> processOf(upstream).release(release));
+      }
+    }
+  }
+
+  private void write(RangeCoordinator caller, RangeAction.WriteMap write) {
+    if (write.expectedVersion() != storedVersion) {
+      caller.storeCallFailed(timers.nowNanos());
+      return;
+    }
+    storedVersion++;
+    storedMap = write.map();
+    caller.mapWritten(storedVersion, timers.nowNanos());
+  }
+
+  private void call(
+      RangeCoordinator caller,
+      long callId,
+      CallOutcome outcome,
+      Function<Long, GrantResult> arrival) {
+    switch (outcome) {
+      case CallOutcome.Answered answered ->
+          after(
+              answered.arrival(),
+              () -> {
+                GrantResult result = arrival.apply(timers.nowNanos());
+                after(answered.answer(), () -> end(caller, callId, result));
+              });
+      case CallOutcome.NotSent notSent ->
+          after(notSent.reported(), () -> end(caller, callId, new GrantResult.NotSent()));
+      case CallOutcome.AnswerLost lost -> {
+        after(
+            lost.arrival(),
+            () -> {
+              var unused = arrival.apply(timers.nowNanos());
+            });
+        after(CallOutcome.LATEST_ARRIVAL, () -> end(caller, callId, new GrantResult.Unanswered()));
+      }
+    }
+  }
+
+  private void end(RangeCoordinator caller, long callId, GrantResult result) {
+    caller.callEnded(callId, result, timers.nowNanos());
+  }
+
+  private GrantResult grant(UpstreamId upstream, RangeAction.Grant grant, long arrivedNanos) {
+    UpstreamProcess process = processOf(upstream);
+    GrantResult result = process.grant(grant, arrivedNanos, true);
+    check.grantApplied(process, grant.assignment(), processes.values(), timers.nowNanos());
+    return result;
+  }
+
+  private void after(Duration delay, Runnable task) {
+    var unused = timers.after(delay, task);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
@@ -0,0 +1,272 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.upstreams.UpstreamRecord;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two holders of a key when calls to upstreams fail in a certain order. */
+final class RangeCoordinatorTest {
+  private static final CallOutcome NOT_SENT = new CallOutcome.NotSent(Duration.ofMillis(5));
+  private static final CallOutcome LATE = new CallOutcome.AnswerLost(CallOutcome.LATEST_ARRIVAL);
+
+  /** Longer than any grant and its delivery. */
+  private static final Duration PAST_LAST_EXPIRY = Duration.ofSeconds(15);
+
+  /** The first grant is sent within the first 200 ms, the first renewal 1.3 s later. */
+  private static final Duration AFTER_FIRST_RENEWAL = Duration.ofMillis(1_600);
+
+  private static final Duration BEFORE_FIRST_RENEWAL = Duration.ofMillis(1_200);
+
+  private final CoordinatorDriver driver = new CoordinatorDriver();
+  private final UpstreamRecord a = upstream(1, 1);
+  private final UpstreamRecord restartedA = upstream(1, 2);
+  private final UpstreamRecord b = upstream(2, 1);
+  private final UpstreamRecord c = upstream(3, 1);
+
+  private static UpstreamRecord upstream(int number, long started) {
+    return UpstreamRecord.builder()
+        .id(UpstreamId.of("u-" + number))
+        .startedMillis(started)
+        .service(ServiceName.of("desk"))
+        .address(NetworkAddress.of("10.0.0." + number, 80))
+        .zone(ZoneName.of("z"))
+        .concurrencyLimit(4)
+        .build();
+  }
+
+  private void assertMovesWithoutOverlap(UpstreamRecord next) {
+    driver.run(PAST_LAST_EXPIRY);
+
+    assertThat(driver.violations()).isEmpty();
+    assertThat(driver.holdsAll(next)).isTrue();
+  }
+
+  /** Guards against losing the hold under an older token of a holder that is chosen again. */
+  @Tag("known-red")
+  @Test
+  void holderThatIsChosenAgainKeepsItsEarlierExpiry() {
+    driver.setKnown(a, b, c);
+    driver.setCandidates(a);
+    driver.run(AFTER_FIRST_RENEWAL);
+
+    driver.setOutcome(a, NOT_SENT);
+    driver.setOutcome(b, NOT_SENT);
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(1_100));
+    driver.setCandidates(a);
+    driver.run(Duration.ofMillis(700));
+    driver.setCandidates(c);
+
+    assertMovesWithoutOverlap(c);
+  }
+
+  /** Guards against losing the holds of two ranges that are merged under a new token. */
+  @Tag("known-red")
+  @Test
+  void mergedRangeKeepsTheExpiriesOfItsParts() {
+    driver.setKnown(a, b, c);
+    driver.setCandidates(a, b);
+    driver.run(AFTER_FIRST_RENEWAL);
+    driver.setCandidates(a);
+    driver.runUntil(() -> driver.storedMap().assignments().size() == 1);
+
+    driver.setOutcome(a, NOT_SENT);
+    driver.run(Duration.ofMillis(400));
+    driver.setCandidates(c);
+
+    assertMovesWithoutOverlap(c);
+  }
+
+  private void renewAfterUnseenRestart() {
+    driver.setKnown(a, b);
+    driver.setCandidates(a);
+    driver.run(BEFORE_FIRST_RENEWAL);
+    driver.restart(a);
+    driver.run(AFTER_FIRST_RENEWAL.minus(BEFORE_FIRST_RENEWAL));
+    driver.setOutcome(a, NOT_SENT);
+  }
+
+  /** Guards against a renewal for an earlier run that the next run of the upstream accepted. */
+  @Tag("known-red")
+  @Test
+  void restartDoesNotEndARenewalThatTheNextRunAccepted() {
+    renewAfterUnseenRestart();
+    driver.setKnown(restartedA, b);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** As above; the restarted upstream first stays the holder, and no grant reaches it. */
+  @Tag("known-red")
+  @Test
+  void restartedHolderKeepsTheExpiryOfARenewalThatItAccepted() {
+    renewAfterUnseenRestart();
+    driver.setKnown(restartedA, b);
+    driver.setCandidates(restartedA);
+    driver.run(Duration.ofMillis(400));
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** As above; the restart becomes visible only after the keys have started to move. */
+  @Tag("known-red")
+  @Test
+  void restartSeenDuringAMoveDoesNotEndARenewal() {
+    renewAfterUnseenRestart();
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(600));
+    driver.setKnown(restartedA, b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** As above; the record of the restarted upstream is gone before another one gets the keys. */
+  @Test
+  void leavingDoesNotEndARenewalThatTheNextRunAccepted() {
+    renewAfterUnseenRestart();
+    driver.setKnown(b);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** Guards against a restart that counts as proof that nobody holds what others had granted. */
+  @Tag("known-red")
+  @Test
+  void newCoordinatorWaitsForRenewalsOfItsPredecessorThatARestartedUpstreamAccepted() {
+    renewAfterUnseenRestart();
+    driver.replaceCoordinator();
+    driver.setKnown(restartedA, b);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** Guards against an old start time that hides a restart: the clock was stepped back. */
+  @Test
+  void restartWithAnEarlierStartTimeKeepsTheExpiryOfARenewal() {
+    renewAfterUnseenRestart();
+    UpstreamRecord steppedBack = upstream(1, 0);
+    driver.setKnown(steppedBack, b);
+    driver.setCandidates(steppedBack);
+    driver.run(Duration.ofMillis(400));
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** Guards against the answer to an earlier release that ends a later hold of the same keys. */
+  @Test
+  void lateAnswerToAReleaseDoesNotEndANewerHold() {
+    driver.setKnown(a, b, c);
+    driver.setCandidates(a);
+    driver.run(AFTER_FIRST_RENEWAL);
+    driver.setReleaseOutcome(
+        a, new CallOutcome.Answered(Duration.ofMillis(5), Duration.ofMillis(1_500)));
+    driver.setOutcome(b, NOT_SENT);
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(500));
+    driver.setCandidates(a);
+    driver.run(Duration.ofMillis(700));
+    assertThat(driver.holdsAll(a)).isTrue();
+
+    driver.setOutcome(a, NOT_SENT);
+    driver.run(Duration.ofMillis(600));
+    driver.setCandidates(c);
+
+    assertMovesWithoutOverlap(c);
+  }
+
+  /** As above; the answer comes while the keys already move on from the newer hold. */
+  @Test
+  void lateAnswerToAReleaseDoesNotConfirmALaterRelease() {
+    driver.setKnown(a, b, c);
+    driver.setCandidates(a);
+    driver.run(AFTER_FIRST_RENEWAL);
+    driver.setReleaseOutcome(
+        a, new CallOutcome.Answered(Duration.ofMillis(5), Duration.ofMillis(1_500)));
+    driver.setOutcome(b, NOT_SENT);
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(500));
+    driver.setCandidates(a);
+    driver.run(Duration.ofMillis(500));
+    assertThat(driver.holdsAll(a)).isTrue();
+
+    driver.setOutcome(a, NOT_SENT);
+    driver.setCandidates(c);
+
+    assertMovesWithoutOverlap(c);
+  }
+
+  /** Guards against a release that confirms a grant which is still on its way to the upstream. */
+  @Tag("known-red")
+  @Test
+  void releaseDoesNotConfirmAGrantThatIsStillOnItsWay() {
+    driver.setKnown(a, b);
+    driver.setCandidates(a);
+    driver.run(BEFORE_FIRST_RENEWAL);
+    driver.setGrantOutcome(a, LATE);
+    driver.run(AFTER_FIRST_RENEWAL.minus(BEFORE_FIRST_RENEWAL));
+    driver.setGrantOutcome(a, NOT_SENT);
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(200));
+    // The next run does not know the token of the release.
+    driver.restart(a);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** Guards against an expiry that is counted from the sending of a grant that arrives late. */
+  @Tag("known-red")
+  @Test
+  void grantThatArrivesLateIsWaitedFor() {
+    driver.setKnown(a, b);
+    driver.setCandidates(a);
+    driver.run(BEFORE_FIRST_RENEWAL);
+    driver.setGrantOutcome(a, LATE);
+    driver.run(AFTER_FIRST_RENEWAL.minus(BEFORE_FIRST_RENEWAL));
+    driver.setOutcome(a, NOT_SENT);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** As above, where the grant was sent by the coordinator before and for the longest time. */
+  @Tag("known-red")
+  @Test
+  void newCoordinatorWaitsForAGrantThatArrivesLate() {
+    driver.setKnown(a, b);
+    driver.setCandidates(a);
+    driver.run(BEFORE_FIRST_RENEWAL);
+    driver.setGrantOutcome(a, LATE);
+    driver.setStoreFailing(true);
+    driver.run(Duration.ofMillis(60));
+    driver.setOutcome(a, NOT_SENT);
+    driver.replaceCoordinator();
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
+  /** Guards against waiting for an upstream that has confirmed its release. */
+  @Test
+  void confirmedReleaseEndsTheWait() {
+    driver.setKnown(a, b);
+    driver.setCandidates(a);
+    driver.run(AFTER_FIRST_RENEWAL);
+    driver.setCandidates(b);
+    driver.run(Duration.ofMillis(400));
+
+    assertThat(driver.violations()).isEmpty();
+    assertThat(driver.holdsAll(b)).isTrue();
+  }
+}
