Keep a restarted upstream among the holders that must release

What callers would see: two holders of a key after a change of the coordinator, as in the fault before.

Cause: the record of a later start at the same name or address counted as proof that a holder had ended (Holder.isSupersededBy), and the planner wrote the next map without it. It proves that the earlier incarnation has ended, not that no renewal reached the later one. The coordinator that wrote the map knew the renewal from PossibleHolds; the next coordinator reads the map only, and granted the keys at once. Start times are read from clocks that may be stepped, so their order proves nothing either.

Change: the planner keeps every holder until it has released or expired, once for each upstream and address; a later incarnation is asked to release like any holder, which takes one round trip. Records of upstreams that are no candidates are no input of the planner any more.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/Holder.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/Holder.java
@@ -25,16 +25,4 @@
   GrantDestination destination() {
     return new GrantDestination(upstream, address);
   }
-
-  /**
-   * Returns whether a record proves that this incarnation has ended, because the same upstream or
-   * another one at the same address started later. A superseded holder can no longer hold keys.
-   *
-   * @param upstream a record published by any upstream
-   */
-  public boolean isSupersededBy(UpstreamRecord upstream) {
-    boolean sameIdOrAddress =
-        upstream.id().equals(this.upstream) || upstream.address().equals(address);
-    return sameIdOrAddress && upstream.startedMillis() > startedMillis;
-  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
@@ -11,8 +11,10 @@
 /**
  * Until when each upstream may hold keys, by all grants that may have reached it.
  *
- * <p>A hold belongs to the destination of a grant, not to a fencing token: an upstream that gets
- * the same keys under another token still has the earlier grant. Confined to the control thread.
+ * <p>A hold belongs to the destination of a grant, not to an incarnation or a fencing token: a
+ * restarted upstream accepts a grant that was meant for its earlier incarnation, and an upstream
+ * that gets the same keys under another token still has the earlier grant. Only a confirmed release
+ * or the passing of time ends a hold. Confined to the control thread.
  */
 final class PossibleHolds {
   /** The call id of holds by grants of an earlier coordinator; lower than any call id. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.catkinlift.model.UpstreamId;
-import org.catkinlift.upstreams.UpstreamRecord;
 
 /**
  * Assigns each key of one service to exactly one upstream while this daemon holds the coordinator
@@ -209,19 +208,15 @@
    * Returns the actions that are due.
    *
    * @param candidates the upstreams that may hold keys
-   * @param knownUpstreams the records of all upstreams
    * @param nowNanos the current time
    * @return the actions, in the order of execution
    */
-  public ImmutableList<RangeAction> tick(
-      ImmutableList<Candidate> candidates,
-      ImmutableList<UpstreamRecord> knownUpstreams,
-      long nowNanos) {
+  public ImmutableList<RangeAction> tick(ImmutableList<Candidate> candidates, long nowNanos) {
     if (!active) {
       return ImmutableList.of();
     }
     ImmutableList.Builder<RangeAction> actions = ImmutableList.builder();
-    nextStoreAction(candidates, knownUpstreams, nowNanos).ifPresent(actions::add);
+    nextStoreAction(candidates, nowNanos).ifPresent(actions::add);
     for (AssignmentState state : assignmentStates) {
       addDueCalls(state, nowNanos, actions);
     }
@@ -229,9 +224,7 @@
   }
 
   private Optional<RangeAction> nextStoreAction(
-      ImmutableList<Candidate> candidates,
-      ImmutableList<UpstreamRecord> knownUpstreams,
-      long nowNanos) {
+      ImmutableList<Candidate> candidates, long nowNanos) {
     if (storeCallInFlight) {
       return Optional.empty();
     }
@@ -249,8 +242,7 @@
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
     RangeMap current = dropReleasedHolders(map.get(), nowNanos);
-    Optional<RangeMap> planned =
-        RangePlanner.plan(current, candidates, knownUpstreams, load, this::isMovable);
+    Optional<RangeMap> planned = RangePlanner.plan(current, candidates, load, this::isMovable);
     if (planned.isEmpty() && current.equals(map.get())) {
       return Optional.empty();
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -6,13 +6,13 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.catkinlift.model.UpstreamId;
-import org.catkinlift.upstreams.UpstreamRecord;
 
 /**
  * Assigns key ranges to upstreams.
@@ -55,18 +55,12 @@
   private final KeyLoad load;
   private final Map<UpstreamId, Candidate> candidates = new HashMap<>();
   private final Map<UpstreamId, Double> plannedLoad = new HashMap<>();
-  private final Collection<UpstreamRecord> knownUpstreams;
   private final List<RangeAssignment> assignments = new ArrayList<>();
   private long nextFence;
   private boolean changed;
 
-  private RangePlanner(
-      RangeMap map,
-      Collection<Candidate> candidates,
-      Collection<UpstreamRecord> knownUpstreams,
-      KeyLoad load) {
+  private RangePlanner(RangeMap map, Collection<Candidate> candidates, KeyLoad load) {
     this.load = load;
-    this.knownUpstreams = knownUpstreams;
     this.nextFence = map.nextFence();
     candidates.forEach(c -> this.candidates.put(c.upstream().id(), c));
   }
@@ -76,7 +70,6 @@
    *
    * @param map the current map
    * @param candidates the upstreams that may hold keys
-   * @param knownUpstreams the records of the upstreams of all services
    * @param load the load of each key
    * @param movable whether an assignment may be moved for balance
    * @return the next map, or empty if the current one is kept
@@ -84,13 +77,12 @@
   public static Optional<RangeMap> plan(
       RangeMap map,
       Collection<Candidate> candidates,
-      Collection<UpstreamRecord> knownUpstreams,
       KeyLoad load,
       Predicate<RangeAssignment> movable) {
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
-    var planner = new RangePlanner(map, candidates, knownUpstreams, load);
+    var planner = new RangePlanner(map, candidates, load);
     planner.keepOrReassign(map);
     if (!planner.changed) {
       planner.balance(movable);
@@ -113,7 +105,7 @@
       if (candidate == null) {
         unassigned.add(assignment);
       } else if (Holder.of(candidate.upstream()).equals(assignment.holder())) {
-        keep(withoutEndedHolders(assignment));
+        keep(assignment);
       } else {
         assign(assignment.range(), candidate, possibleHolders(assignment));
       }
@@ -132,33 +124,18 @@
     return new RangeAssignment(KeyRange.ALL, Holder.of(any.upstream()), 0, ImmutableList.of());
   }
 
-  private RangeAssignment withoutEndedHolders(RangeAssignment assignment) {
-    ImmutableList<Holder> remaining =
-        assignment.previousHolders().stream()
-            .filter(p -> !hasEnded(p))
-            .collect(ImmutableList.toImmutableList());
-    if (remaining.size() == assignment.previousHolders().size()) {
-      return assignment;
-    }
-    changed = true;
-    return new RangeAssignment(
-        assignment.range(), assignment.holder(), assignment.fence(), remaining);
-  }
-
-  /** Returns the holders that may still hold keys of an assignment once its holder is replaced. */
-  private ImmutableList<Holder> possibleHolders(RangeAssignment assignment) {
-    ImmutableList.Builder<Holder> holders = ImmutableList.builder();
-    if (assignment.fence() > 0 && !hasEnded(assignment.holder())) {
-      holders.add(assignment.holder());
+  /**
+   * Returns the holders that may still hold keys of an assignment once its holder is replaced. A
+   * later incarnation of an upstream is no proof that no grant reached it, so incarnations count as
+   * one holder.
+   */
+  private static ImmutableList<Holder> possibleHolders(RangeAssignment assignment) {
+    Map<GrantDestination, Holder> holders = new LinkedHashMap<>();
+    if (assignment.fence() > 0) {
+      holders.put(assignment.holder().destination(), assignment.holder());
     }
-    assignment.previousHolders().stream()
-        .filter(p -> !hasEnded(p) && !p.equals(assignment.holder()))
-        .forEach(holders::add);
-    return holders.build();
-  }
-
-  private boolean hasEnded(Holder holder) {
-    return knownUpstreams.stream().anyMatch(holder::isSupersededBy);
+    assignment.previousHolders().forEach(p -> holders.putIfAbsent(p.destination(), p));
+    return ImmutableList.copyOf(holders.values());
   }
 
   private void keep(RangeAssignment assignment) {
@@ -170,7 +147,7 @@
     Holder holder = Holder.of(target.upstream());
     ImmutableList<Holder> others =
         previousHolders.stream()
-            .filter(p -> !p.equals(holder))
+            .filter(p -> !p.destination().equals(holder.destination()))
             .collect(ImmutableList.toImmutableList());
     keep(new RangeAssignment(range, holder, nextFence++, others));
     changed = true;
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -35,7 +35,6 @@
   private RangeMap storedMap = RangeMap.EMPTY;
   private long storedVersion;
   private ImmutableList<Candidate> candidates = ImmutableList.of();
-  private ImmutableList<UpstreamRecord> known = ImmutableList.of();
 
   CoordinatorDriver() {
     replaceCoordinator();
@@ -52,11 +51,6 @@
     coordinator.setStoreFailing(failing, timers.nowNanos());
   }
 
-  /** Sets the records of the upstreams that are visible to the coordinator. */
-  void setKnown(UpstreamRecord... records) {
-    known = ImmutableList.copyOf(records);
-  }
-
   /** Sets the only upstreams that may hold keys from now on. */
   void setCandidates(UpstreamRecord... records) {
     candidates =
@@ -116,7 +110,7 @@
 
   private void tick() {
     check.checkAllKeys(processes.values(), timers.nowNanos());
-    for (RangeAction action : coordinator.tick(candidates, known, timers.nowNanos())) {
+    for (RangeAction action : coordinator.tick(candidates, timers.nowNanos())) {
       execute(action);
     }
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
@@ -301,7 +301,7 @@
           known.stream()
               .map(u -> new Candidate(u, 4, true))
               .collect(ImmutableList.toImmutableList());
-      for (RangeAction action : coordinator.tick(candidates, known, nanos())) {
+      for (RangeAction action : coordinator.tick(candidates, nanos())) {
         switch (action) {
           case RangeAction.ReadMap read -> store.readMap(this);
           case RangeAction.WriteMap write -> store.writeMap(this, write, lease.claimVersion());
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
@@ -51,7 +51,6 @@
   /** Guards against losing the hold under an older token of a holder that is chosen again. */
   @Test
   void holderThatIsChosenAgainKeepsItsEarlierExpiry() {
-    driver.setKnown(a, b, c);
     driver.setCandidates(a);
     driver.run(AFTER_FIRST_RENEWAL);
 
@@ -69,7 +68,6 @@
   /** Guards against losing the holds of two ranges that are merged under a new token. */
   @Test
   void mergedRangeKeepsTheExpiriesOfItsParts() {
-    driver.setKnown(a, b, c);
     driver.setCandidates(a, b);
     driver.run(AFTER_FIRST_RENEWAL);
     driver.setCandidates(a);
@@ -83,7 +81,6 @@
   }
 
   private void renewAfterUnseenRestart() {
-    driver.setKnown(a, b);
     driver.setCandidates(a);
     driver.run(BEFORE_FIRST_RENEWAL);
     driver.restart(a);
@@ -95,7 +92,6 @@
   @Test
   void restartDoesNotEndARenewalThatTheNextRunAccepted() {
     renewAfterUnseenRestart();
-    driver.setKnown(restartedA, b);
     driver.setCandidates(b);
 
     assertMovesWithoutOverlap(b);
@@ -105,7 +101,6 @@
   @Test
   void restartedHolderKeepsTheExpiryOfARenewalThatItAccepted() {
     renewAfterUnseenRestart();
-    driver.setKnown(restartedA, b);
     driver.setCandidates(restartedA);
     driver.run(Duration.ofMillis(400));
     driver.setCandidates(b);
@@ -119,28 +114,32 @@
     renewAfterUnseenRestart();
     driver.setCandidates(b);
     driver.run(Duration.ofMillis(600));
-    driver.setKnown(restartedA, b);
+    driver.setCandidates(restartedA, b);
+    driver.run(Duration.ofMillis(200));
+    driver.setCandidates(b);
 
     assertMovesWithoutOverlap(b);
   }
 
-  /** As above; the record of the restarted upstream is gone before another one gets the keys. */
+  /** Guards against a restart that counts as proof that nobody holds what others had granted. */
   @Test
-  void leavingDoesNotEndARenewalThatTheNextRunAccepted() {
+  void newCoordinatorWaitsForRenewalsOfItsPredecessorThatARestartedUpstreamAccepted() {
     renewAfterUnseenRestart();
-    driver.setKnown(b);
+    driver.replaceCoordinator();
     driver.setCandidates(b);
 
     assertMovesWithoutOverlap(b);
   }
 
-  /** Guards against a restart that counts as proof that nobody holds what others had granted. */
+  /** Guards against a map without a restarted holder, which the next coordinator reads. */
   @Test
-  void newCoordinatorWaitsForRenewalsOfItsPredecessorThatARestartedUpstreamAccepted() {
+  void mapKeepsARestartedHolderForTheNextCoordinator() {
     renewAfterUnseenRestart();
-    driver.replaceCoordinator();
-    driver.setKnown(restartedA, b);
+    driver.setCandidates(restartedA, b);
+    driver.run(Duration.ofMillis(200));
     driver.setCandidates(b);
+    driver.run(Duration.ofMillis(200));
+    driver.replaceCoordinator();
 
     assertMovesWithoutOverlap(b);
   }
@@ -150,7 +149,6 @@
   void restartWithAnEarlierStartTimeKeepsTheExpiryOfARenewal() {
     renewAfterUnseenRestart();
     UpstreamRecord steppedBack = upstream(1, 0);
-    driver.setKnown(steppedBack, b);
     driver.setCandidates(steppedBack);
     driver.run(Duration.ofMillis(400));
     driver.setCandidates(b);
@@ -161,7 +159,6 @@
   /** Guards against the answer to an earlier release that ends a later hold of the same keys. */
   @Test
   void lateAnswerToAReleaseDoesNotEndANewerHold() {
-    driver.setKnown(a, b, c);
     driver.setCandidates(a);
     driver.run(AFTER_FIRST_RENEWAL);
     driver.setReleaseOutcome(
@@ -183,7 +180,6 @@
   /** As above; the answer comes while the keys already move on from the newer hold. */
   @Test
   void lateAnswerToAReleaseDoesNotConfirmALaterRelease() {
-    driver.setKnown(a, b, c);
     driver.setCandidates(a);
     driver.run(AFTER_FIRST_RENEWAL);
     driver.setReleaseOutcome(
@@ -205,7 +201,6 @@
   @Tag("known-red")
   @Test
   void releaseDoesNotConfirmAGrantThatIsStillOnItsWay() {
-    driver.setKnown(a, b);
     driver.setCandidates(a);
     driver.run(BEFORE_FIRST_RENEWAL);
     driver.setGrantOutcome(a, LATE);
@@ -223,7 +218,6 @@
   @Tag("known-red")
   @Test
   void grantThatArrivesLateIsWaitedFor() {
-    driver.setKnown(a, b);
     driver.setCandidates(a);
     driver.run(BEFORE_FIRST_RENEWAL);
     driver.setGrantOutcome(a, LATE);
@@ -238,7 +232,6 @@
   @Tag("known-red")
   @Test
   void newCoordinatorWaitsForAGrantThatArrivesLate() {
-    driver.setKnown(a, b);
     driver.setCandidates(a);
     driver.run(BEFORE_FIRST_RENEWAL);
     driver.setGrantOutcome(a, LATE);
@@ -254,7 +247,6 @@
   /** Guards against waiting for an upstream that has confirmed its release. */
   @Test
   void confirmedReleaseEndsTheWait() {
-    driver.setKnown(a, b);
     driver.setCandidates(a);
     driver.run(AFTER_FIRST_RENEWAL);
     driver.setCandidates(b);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceName;
@@ -35,9 +34,7 @@
   }
 
   private Optional<RangeMap> plan(RangeMap map, Candidate... candidates) {
-    List<UpstreamRecord> known = List.of(candidates).stream().map(Candidate::upstream).toList();
-    return RangePlanner.plan(
-        map, ImmutableList.copyOf(candidates), known, load, a -> !a.isMoving());
+    return RangePlanner.plan(map, ImmutableList.copyOf(candidates), load, a -> !a.isMoving());
   }
 
   private static int keysOf(RangeMap map) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -157,7 +157,7 @@
         (service, coordinator) -> {
           ImmutableList<Candidate> candidates =
               candidates(service, coordinator, upstreams, nowNanos);
-          for (RangeAction action : coordinator.tick(candidates, knownUpstreams, nowNanos)) {
+          for (RangeAction action : coordinator.tick(candidates, nowNanos)) {
             execute(service, coordinator, action, claimVersion);
           }
         });
