Let the ownership simulation do what the platform may do

The simulation handed a call only to the run of an upstream that it was meant for, showed a restart at once, kept unreachable upstreams among the candidates, had no load, and delivered calls in 9 ms or never.

Change: calls reach whichever run is up at the address under the expected id, up to 300 ms to connect and 800 ms (a release 2,500 ms) after that, and end with the run if queued. Another id answers 421. Restarts, joins and leaves become visible after 50 to 600 ms at each host, later while it has no store. Unreachable upstreams are left out for a while as in KeyedServices, links are cut for one host or all, addresses get other ids, a start time may go back, and the load changes, so that ranges are divided and merged. There are more restarts, of 0.1 to 1.6 s, and up to two faults each 700 ms. Two holders are looked for at each grant and every 200 ms, a token must be above all that others ever had the key with, and a failed test prints the events of the key. One class became one for each job.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -76,7 +76,7 @@
 
   /** Ends the run of an upstream and starts another one at the same address with the same id. */
   void restart(UpstreamRecord upstream) {
-    processes.put(upstream.id(), new UpstreamProcess(upstream.id()));
+    processes.put(upstream.id(), new UpstreamProcess(upstream.id(), upstream.startedMillis()));
   }
 
   void run(Duration duration) {
@@ -100,12 +100,12 @@
     return processOf(upstream.id()).holdsAll(timers.nowNanos());
   }
 
-  ImmutableList<String> violations() {
+  ImmutableList<OwnershipViolation> violations() {
     return check.violations();
   }
 
   private UpstreamProcess processOf(UpstreamId upstream) {
-    return processes.computeIfAbsent(upstream, UpstreamProcess::new);
+    return processes.computeIfAbsent(upstream, u -> new UpstreamProcess(u, 1));
   }
 
   private void tick() {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipCheck.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipCheck.java
@@ -1,16 +1,21 @@
 package org.catkinlift.ranges;
 
 import com.google.common.collect.ImmutableList;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.catkinlift.model.UpstreamId;
 
 /** Finds keys that two upstreams hold, and fencing tokens out of order, from what they hold. */
 final class OwnershipCheck {
-  private final List<String> violations = new ArrayList<>();
+  private final List<OwnershipViolation> violations = new ArrayList<>();
 
-  ImmutableList<String> violations() {
+  /** The highest fencing token under which each upstream ever had a key. */
+  private final Map<Integer, Map<UpstreamId, Long>> fences = new HashMap<>();
+
+  ImmutableList<OwnershipViolation> violations() {
     return ImmutableList.copyOf(violations);
   }
 
@@ -26,46 +31,51 @@
       Collection<UpstreamProcess> running,
       long nowNanos) {
     for (int key : KeySample.in(assignment.range())) {
-      if (!granted.holds(key, nowNanos)) {
-        continue;
-      }
-      for (UpstreamProcess other : running) {
-        if (other != granted) {
-          checkPair(key, granted, other, nowNanos);
-        }
+      if (granted.holds(key, nowNanos)) {
+        checkFence(key, granted, nowNanos);
+        checkExclusive(key, granted, running, nowNanos);
       }
     }
   }
 
-  private void checkPair(int key, UpstreamProcess granted, UpstreamProcess other, long nowNanos) {
-    if (other.holds(key, nowNanos)) {
-      add(key, granted, other, "two holders", nowNanos);
-    }
-    if (other.highestGrantedFence(key) >= granted.highestGrantedFence(key)) {
-      add(key, granted, other, "fence not above that of the other", nowNanos);
+  private void checkExclusive(
+      int key, UpstreamProcess granted, Collection<UpstreamProcess> running, long nowNanos) {
+    for (UpstreamProcess other : running) {
+      if (other != granted && other.holds(key, nowNanos)) {
+        addTwoHolders(key, granted, other, nowNanos);
+      }
     }
   }
 
+  private void checkFence(int key, UpstreamProcess granted, long nowNanos) {
+    Map<UpstreamId, Long> fencesOfKey = fences.computeIfAbsent(key, k -> new HashMap<>());
+    long fence = granted.lastGrantedFence(key);
+    fencesOfKey.forEach(
+        (other, otherFence) -> {
+          if (!other.equals(granted.id()) && otherFence >= fence) {
+            String details = granted.describe(key) + ", earlier " + other + " fence " + otherFence;
+            violations.add(
+                new OwnershipViolation(
+                    OwnershipViolation.Rule.RISING_FENCES, key, nowNanos, details));
+          }
+        });
+    fencesOfKey.merge(granted.id(), fence, Math::max);
+  }
+
   /** Checks that no tracked key has two holders now. */
   void checkAllKeys(Collection<UpstreamProcess> running, long nowNanos) {
     for (int key : KeySample.KEYS) {
       List<UpstreamProcess> holders =
           running.stream().filter(p -> p.holdsCounted(key, nowNanos)).toList();
       if (holders.size() > 1) {
-        add(key, holders.get(0), holders.get(1), "two holders", nowNanos);
+        addTwoHolders(key, holders.get(0), holders.get(1), nowNanos);
       }
     }
   }
 
-  private void add(
-      int key, UpstreamProcess holder, UpstreamProcess other, String rule, long nowNanos) {
+  private void addTwoHolders(int key, UpstreamProcess one, UpstreamProcess other, long nowNanos) {
+    String details = one.describe(key) + ", " + other.describe(key);
     violations.add(
-        "%s: key %d at %d ms: %s, %s"
-            .formatted(
-                rule,
-                key,
-                Duration.ofNanos(nowNanos).toMillis(),
-                holder.describe(key),
-                other.describe(key)));
+        new OwnershipViolation(OwnershipViolation.Rule.ONE_HOLDER, key, nowNanos, details));
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -4,7 +4,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -13,24 +12,27 @@
  */
 final class OwnershipRandomFaultTest {
   private static final int SEEDS = 300;
+  private static final double FAULT_PROBABILITY = 0.05;
   private static final Duration RUN = Duration.ofSeconds(60);
-  private static final Duration STEP = Duration.ofMillis(700);
 
   @Test
   void eachKeyHasOneHolderWithoutFaults() {
     var simulation = new OwnershipSimulation(1, 0);
+    simulation.load().stopChanging();
     simulation.run(Duration.ofSeconds(10));
 
-    assertThat(simulation.violations).isEmpty();
+    assertThat(simulation.violations()).isEmpty();
     assertThat(simulation.heldShare()).isEqualTo(1.0);
   }
 
   @Test
   void noKeyHasTwoHoldersUnderRandomFaults() {
     for (long seed = 1; seed <= SEEDS; seed++) {
-      var simulation = new OwnershipSimulation(seed, 0.05);
-      runWithRandomFaults(simulation, RUN);
-      assertWithMessage("seed %s", seed).that(simulation.violations).isEmpty();
+      var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY);
+      new RandomFaults(simulation).run(RUN);
+      assertWithMessage("seed %s%s", seed, traceOfFirstViolation(simulation))
+          .that(simulation.violations())
+          .isEmpty();
     }
   }
 
@@ -38,34 +40,18 @@
   void allKeysAreHeldAgainAfterFaultsEnd() {
     for (long seed = 1; seed <= 30; seed++) {
       var simulation = new OwnershipSimulation(seed, 0);
-      runWithRandomFaults(simulation, Duration.ofSeconds(20));
-      simulation.store.down = false;
+      new RandomFaults(simulation).run(Duration.ofSeconds(20));
+      simulation.load().stopChanging();
       simulation.run(Duration.ofSeconds(40));
 
       assertWithMessage("seed %s", seed).that(simulation.heldShare()).isEqualTo(1.0);
     }
   }
 
-  private static void runWithRandomFaults(OwnershipSimulation simulation, Duration length) {
-    SplittableRandom random = simulation.random();
-    long steps = length.dividedBy(STEP);
-    for (long i = 0; i < steps; i++) {
-      simulation.run(STEP);
-      var host = simulation.hosts.get(random.nextInt(simulation.hosts.size()));
-      var upstream = simulation.upstreams.get(random.nextInt(simulation.upstreams.size()));
-      var duration = Duration.ofMillis(200 + random.nextInt(9_000));
-      switch (random.nextInt(14)) {
-        case 0 -> host.crash(duration);
-        case 1 -> host.suspend(duration);
-        case 2 -> host.disconnectedFromStore = !host.disconnectedFromStore;
-        case 3 -> upstream.crash(duration);
-        case 4 -> upstream.unlist(duration);
-        case 5 -> upstream.disconnect(duration);
-        case 6 -> simulation.store.down = !simulation.store.down;
-        case 7 -> simulation.hosts.forEach(h -> h.crash(Duration.ofMillis(800)));
-        default -> {}
-      }
-    }
-    simulation.hosts.forEach(h -> h.disconnectedFromStore = false);
+  private static String traceOfFirstViolation(OwnershipSimulation simulation) {
+    return simulation.violations().stream()
+        .findFirst()
+        .map(v -> "\n" + simulation.trace().describe(v.key()))
+        .orElse("");
   }
 }
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
@@ -0,0 +1,89 @@
+package org.catkinlift.ranges;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Injects random faults into a simulation, one after another and several at once. */
+final class RandomFaults {
+  private static final Duration STEP = Duration.ofMillis(700);
+  private static final int MAX_FAULTS_PER_STEP = 2;
+  private static final int KINDS = 24;
+  private static final Duration REBOOT_TIME = Duration.ofMillis(800);
+  private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
+
+  private final OwnershipSimulation simulation;
+  private final SplittableRandom random;
+
+  RandomFaults(OwnershipSimulation simulation) {
+    this.simulation = simulation;
+    this.random = simulation.environment().random();
+  }
+
+  /** Runs the simulation with faults. Those that have no end of their own end with this call. */
+  void run(Duration length) {
+    long steps = length.dividedBy(STEP);
+    for (long i = 0; i < steps; i++) {
+      simulation.run(STEP);
+      int faults = random.nextInt(MAX_FAULTS_PER_STEP + 1);
+      for (int fault = 0; fault < faults; fault++) {
+        inject();
+      }
+    }
+    simulation.hosts().forEach(h -> h.setDisconnectedFromStore(false));
+    simulation.store().setDown(false);
+  }
+
+  private void inject() {
+    SimulatedHost host = pick(simulation.hosts());
+    SimulatedUpstream upstream = pick(simulation.upstreams());
+    Duration length = Duration.ofMillis(200 + random.nextInt(9_000));
+    switch (random.nextInt(KINDS)) {
+      case 0 -> host.crash(length);
+      case 1 -> host.suspend(length);
+      case 2 -> host.setDisconnectedFromStore(!host.isDisconnectedFromStore());
+      case 3 -> simulation.store().setDown(!simulation.store().isDown());
+      case 4 -> simulation.hosts().forEach(h -> h.crash(REBOOT_TIME));
+      case 5 -> upstream.restart(length);
+      case 6, 7, 8 -> upstream.restart(shortDowntime());
+      case 9 -> upstream.replace(shortDowntime());
+      case 10 -> upstream.replace(length);
+      case 11 -> upstream.retire(DRAIN_TIME, shortDowntime());
+      case 12 -> upstream.unlist(length);
+      case 13 -> cutFromAllHosts(upstream, length);
+      case 14 -> cutFromAllHosts(upstream, shortDowntime());
+      case 15, 16 -> simulation.network().cut(host, upstream, length);
+      case 17 -> cutSeveral(host, length);
+      case 18 -> cutAndRestart(upstream, length);
+      default -> {}
+    }
+  }
+
+  private <T> T pick(List<T> items) {
+    return items.get(random.nextInt(items.size()));
+  }
+
+  private Duration shortDowntime() {
+    return Duration.ofMillis(100 + random.nextInt(1_500));
+  }
+
+  private void cutFromAllHosts(SimulatedUpstream upstream, Duration length) {
+    simulation.hosts().forEach(h -> simulation.network().cut(h, upstream, length));
+  }
+
+  /** Cuts a host off from about a third of the upstreams, more than it counts as unreachable. */
+  private void cutSeveral(SimulatedHost host, Duration length) {
+    simulation.upstreams().stream()
+        .filter(u -> random.nextInt(3) == 0)
+        .forEach(u -> simulation.network().cut(host, u, length));
+  }
+
+  /** Restarts an upstream that cannot confirm a release afterwards. */
+  private void cutAndRestart(SimulatedUpstream upstream, Duration length) {
+    Duration downtime = shortDowntime();
+    upstream.restart(downtime);
+    simulation
+        .environment()
+        .after(downtime.plusMillis(random.nextInt(1_500)), () -> cutFromAllHosts(upstream, length));
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
@@ -155,6 +155,17 @@
     assertMovesWithoutOverlap(b);
   }
 
+  /** Guards against a move from a holder that cannot be asked and still holds its keys. */
+  @Test
+  void unreachableHolderIsWaitedFor() {
+    driver.setCandidates(a);
+    driver.run(AFTER_FIRST_RENEWAL);
+    driver.setOutcome(a, NOT_SENT);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
   /** Guards against the answer to an earlier release that ends a later hold of the same keys. */
   @Test
   void lateAnswerToAReleaseDoesNotEndANewerHold() {
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -0,0 +1,229 @@
+package org.catkinlift.ranges;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/** A host with its daemon. Its monotonic clock stops while it is suspended. */
+final class SimulatedHost {
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration MAX_GRANT_DURATION = Duration.ofSeconds(10);
+  private static final Duration LOAD_TIME_CONSTANT = Duration.ofSeconds(2);
+  private static final Duration GRANT_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(2_500);
+
+  /** The rules do not count grants that arrive this soon after their sender was resumed. */
+  private static final Duration RESUME_GRACE = Duration.ofMillis(300);
+
+  private final OwnershipSimulation simulation;
+  private final SimulationEnvironment environment;
+  private final int index;
+  private final List<Runnable> deferredTasks = new ArrayList<>();
+  private ImmutableList<UpstreamRecord> knownUpstreams = ImmutableList.of();
+  private UnreachableUpstreams unreachable;
+  private CoordinatorLease lease;
+  private KeyLoad load;
+  private Optional<RangeCoordinator> coordinator = Optional.empty();
+  private boolean disconnectedFromStore;
+  private boolean up = true;
+  private boolean suspended;
+  private long suspendedNanos;
+  private long resumedAtNanos = -RESUME_GRACE.toNanos();
+  private long incarnation;
+
+  SimulatedHost(OwnershipSimulation simulation, int index) {
+    this.simulation = simulation;
+    this.environment = simulation.environment();
+    this.index = index;
+    boot();
+    environment.every(TICK, this::tick);
+  }
+
+  private void boot() {
+    incarnation++;
+    coordinator = Optional.empty();
+    unreachable = new UnreachableUpstreams();
+    lease =
+        new CoordinatorLease(
+            HostId.of("host-" + index),
+            NetworkAddress.of("10.0.0." + (index + 1), 7_000),
+            incarnation,
+            now());
+  }
+
+  int index() {
+    return index;
+  }
+
+  CoordinatorLease lease() {
+    return lease;
+  }
+
+  long nanos() {
+    return environment.nowNanos() - suspendedNanos;
+  }
+
+  ClockReading now() {
+    return new ClockReading(nanos(), environment.wallMillis());
+  }
+
+  boolean isDisconnectedFromStore() {
+    return disconnectedFromStore;
+  }
+
+  void setDisconnectedFromStore(boolean disconnected) {
+    disconnectedFromStore = disconnected;
+  }
+
+  boolean isSuspended() {
+    return suspended;
+  }
+
+  void upstreamsChanged(ImmutableList<UpstreamRecord> records) {
+    knownUpstreams = records;
+    coordinator.ifPresent(RangeCoordinator::replanNow);
+  }
+
+  /** Runs a task, after the end of a suspension if there is one. */
+  void runIfUp(Runnable task) {
+    if (suspended) {
+      deferredTasks.add(task);
+    } else if (up) {
+      task.run();
+    }
+  }
+
+  /** Returns a task that runs if the daemon has not ended since now. */
+  Runnable ifUnchanged(Runnable task) {
+    long expected = incarnation;
+    return () ->
+        runIfUp(
+            () -> {
+              if (incarnation == expected) {
+                task.run();
+              }
+            });
+  }
+
+  void crash(Duration downtime) {
+    up = false;
+    deferredTasks.clear();
+    environment.after(
+        downtime,
+        () -> {
+          boot();
+          up = true;
+          simulation.directory().refreshLater(this);
+        });
+  }
+
+  void suspend(Duration length) {
+    if (suspended || !up) {
+      return;
+    }
+    suspended = true;
+    environment.after(length, () -> resume(length));
+  }
+
+  private void resume(Duration suspendedFor) {
+    suspendedNanos += suspendedFor.toNanos();
+    suspended = false;
+    resumedAtNanos = environment.nowNanos();
+    List<Runnable> tasks = new ArrayList<>(deferredTasks);
+    deferredTasks.clear();
+    tasks.forEach(this::runIfUp);
+  }
+
+  private void tick() {
+    if (!up || suspended) {
+      return;
+    }
+    switch (lease.next(now())) {
+      case CoordinatorLease.Step.Idle idle -> {}
+      case CoordinatorLease.Step.Read read -> simulation.store().readLease(this);
+      case CoordinatorLease.Step.Write write -> simulation.store().writeLease(this, write);
+    }
+    if (!lease.isHeld(now())) {
+      coordinator.ifPresent(RangeCoordinator::stop);
+      coordinator = Optional.empty();
+      return;
+    }
+    if (coordinator.isEmpty()) {
+      startCoordinator();
+    }
+    coordinator.get().setStoreFailing(lease.isStoreFailing(), nanos());
+    simulation.load().addTo(load, TICK);
+    decide(coordinator.get());
+  }
+
+  private void startCoordinator() {
+    environment.record(new SimulationEvent.RoleTaken(index));
+    load = new KeyLoad(LOAD_TIME_CONSTANT, nanos());
+    var started = new RangeCoordinator(MAX_GRANT_DURATION, load);
+    started.start(nanos());
+    coordinator = Optional.of(started);
+  }
+
+  private void decide(RangeCoordinator present) {
+    unreachable.update(present.unreachable(), nanos());
+    for (RangeAction action : present.tick(candidates(), nanos())) {
+      switch (action) {
+        case RangeAction.ReadMap read -> simulation.store().readMap(this, present);
+        case RangeAction.WriteMap write ->
+            simulation.store().writeMap(this, present, write, lease.claimVersion());
+        case RangeAction.Grant grant -> send(present, grant.callId(), callFor(grant));
+        case RangeAction.Release release -> send(present, release.callId(), callFor(release));
+      }
+    }
+  }
+
+  private void send(RangeCoordinator requester, long callId, SimulatedNetwork.Call call) {
+    environment.record(call.sent());
+    simulation
+        .network()
+        .send(
+            this,
+            call,
+            result -> {
+              environment.record(new SimulationEvent.CallEnded(call.sent(), result));
+              requester.callEnded(callId, result, nanos());
+            });
+  }
+
+  private ImmutableList<Candidate> candidates() {
+    ImmutableList<UpstreamRecord> inService =
+        knownUpstreams.stream().filter(u -> !u.draining()).collect(ImmutableList.toImmutableList());
+    return unreachable.withoutUnreachable(inService).stream()
+        .map(u -> new Candidate(u, u.concurrencyLimit(), true))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private SimulatedNetwork.Call callFor(RangeAction.Grant grant) {
+    return new SimulatedNetwork.Call(
+        new SimulationEvent.CallSent(index, grant),
+        grant.assignment().holder(),
+        GRANT_TIMEOUT,
+        new GrantResult.NotSent(),
+        (process, arrivedNanos) ->
+            simulation.grant(process, grant, arrivedNanos, isCounted(arrivedNanos)));
+  }
+
+  private SimulatedNetwork.Call callFor(RangeAction.Release release) {
+    return new SimulatedNetwork.Call(
+        new SimulationEvent.CallSent(index, release),
+        release.from(),
+        RELEASE_TIMEOUT,
+        new GrantResult.Done(Optional.empty()),
+        (process, arrivedNanos) -> process.release(release));
+  }
+
+  private boolean isCounted(long arrivedNanos) {
+    long sinceResumedNanos = arrivedNanos - resumedAtNanos;
+    return sinceResumedNanos < 0 || sinceResumedNanos >= RESUME_GRACE.toNanos();
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
@@ -17,6 +17,7 @@
   private static final double CLOCK_SLOWDOWN = 1 / 0.98;
 
   private final UpstreamId id;
+  private final long startedMillis;
   private final Map<Integer, Long> highestFences = new HashMap<>();
   private final Map<Integer, Hold> holds = new HashMap<>();
 
@@ -42,14 +43,19 @@
     }
   }
 
-  UpstreamProcess(UpstreamId id) {
+  UpstreamProcess(UpstreamId id, long startedMillis) {
     this.id = id;
+    this.startedMillis = startedMillis;
   }
 
   UpstreamId id() {
     return id;
   }
 
+  long startedMillis() {
+    return startedMillis;
+  }
+
   /**
    * Applies a grant.
    *
@@ -95,8 +101,8 @@
     return KeySample.KEYS.stream().allMatch(k -> holds(k, nowNanos));
   }
 
-  /** Returns the highest fencing token of the grants of a key; 0 without any. */
-  long highestGrantedFence(int key) {
+  /** Returns the fencing token of the last grant of a key; 0 without any. */
+  long lastGrantedFence(int key) {
     return lastHold(key).fence();
   }
 
