Keep pending releases of overrides when an assignment is loaded again

What callers would see: two upstreams hold the same hot key, and an order for it may run at either, until the earlier one's grant expires.

Cause: UnitTable.load cleared the overrides and gave each key a new number. A pending release is kept by number, so the release of an override belonged to no unit any more and was dropped with the next home map. The key had no owner and no pending release, so it was free and was assigned at once, although its former owner had not released it. This happens when the home map and the assignment are read again within a term, which a new term of the takeover role requires. The grants that a ledger records by number could mean another key in the same way.

Change: load keeps the numbers of the overrides that the assignment lists, and the releases of all units that still exist. An assignment lists a unit under release without an owner, so both agree.

Evidence: before the change loadKeepsPendingReleasesOfSlotsAndOverrides saw releases of [3], expected [3, 4], and loadKeepsNumbersOfOverrides saw number 6 instead of 5. Both pass now.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
@@ -79,11 +79,19 @@
     this.nextOverride = slotCount;
   }
 
+  /**
+   * Replaces the owners by those of an assignment.
+   *
+   * <p>An assignment does not contain the pending releases, whose units it lists without an owner.
+   * They are kept, and so are the numbers of the overrides, because an upstream may still hold
+   * these units.
+   */
   void load(Assignment assignment) {
     owners.clear();
-    overrides.clear();
+    overrides.keySet().retainAll(assignment.overrides().keySet());
     owners.putAll(assignment.slots());
     assignment.overrides().forEach((key, owner) -> owners.put(allocateUnit(key), owner));
+    releases.keySet().retainAll(owners.keySet());
   }
 
   /**
