Keep pending releases when the definition of a service changes

What callers would see: after an operator changes a service (a limit, an upstream) while slots are moving, two upstreams hold these slots. With the long grants of a platform outage this lasts up to ten minutes.

Cause: Coordinator.applyConfiguration replaces the SlotControl of a service whose definition differs, and the new one began with an empty UnitTable. It read the assignment, which lists a unit under release without an owner, but nothing of the release. So each such unit was free and was assigned at once, while its former owner was running requests for it, had not answered, or held it under a grant that the ledger still knew.

Change: the coordinator keeps the units of each service for its whole term and hands them to the SlotControl that takes over. The wait for the former owner, for its running requests and for the dispatchers of unchecked upstreams goes on where it was. The numbers of overrides stay the same too, so what a ledger recorded under a number goes on meaning the same key.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -38,6 +39,7 @@
   private final UpstreamGrantClient grantClient;
   private final DispatchLeases leases;
   private final TreeMap<ServiceName, SlotControl> slots = new TreeMap<>();
+  private final Map<TableKey, UnitTable> tables = new HashMap<>();
   private ImmutableMap<UpstreamId, ServiceDefinition> services = ImmutableMap.of();
   private long takeoverTerm;
   private boolean handoverReady;
@@ -171,10 +173,7 @@
         .filter(s -> ServiceRules.keyed(s).isPresent())
         .filter(s -> !slots.containsKey(s.name()))
         .filter(s -> !s.upstreamsOf(context.cell()).isEmpty())
-        .forEach(
-            s ->
-                slots.put(
-                    s.name(), new SlotControl(context, s, epochs, grantClient, leases, freeze)));
+        .forEach(s -> slots.put(s.name(), slotControl(s)));
     services =
         configured.values().stream()
             .flatMap(
@@ -182,6 +181,23 @@
             .collect(toImmutableMap(p -> p.upstream.id(), p -> p.service, (a, b) -> a));
   }
 
+  private SlotControl slotControl(ServiceDefinition service) {
+    return new SlotControl(
+        context, service, unitTable(service), epochs, grantClient, leases, freeze);
+  }
+
+  /**
+   * Returns the units of a service. They are kept for the whole term, so that a change of the
+   * service's definition loses no pending release.
+   */
+  private UnitTable unitTable(ServiceDefinition service) {
+    return tables.computeIfAbsent(
+        new TableKey(service.name(), ServiceRules.slotCount(service)),
+        k -> new UnitTable(k.slotCount));
+  }
+
+  private record TableKey(ServiceName service, int slotCount) {}
+
   private record ServiceUpstream(UpstreamDefinition upstream, ServiceDefinition service) {}
 
   /**
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/ServiceRules.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/ServiceRules.java
@@ -18,6 +18,15 @@
     };
   }
 
+  /**
+   * Returns the number of slots of a keyed service.
+   *
+   * @throws java.util.NoSuchElementException if the service is not partitioned by key
+   */
+  static int slotCount(ServiceDefinition service) {
+    return keyed(service).map(ServiceKind.Keyed::slotCount).orElseThrow();
+  }
+
   static boolean isLapse(ServiceDefinition service) {
     return keyed(service).isPresent() && hold(service).isEmpty();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -20,7 +20,6 @@
 import org.catkinlift.model.HomeMap;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceDefinition;
-import org.catkinlift.model.ServiceKind;
 import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.placement.LoadAverage;
@@ -29,8 +28,9 @@
 /**
  * Assigns owners to the slots of one keyed service whose home is this cell.
  *
- * <p>An instance exists for at most one term of the coordinator. It first reads the home map and
- * the assignment that the previous coordinator wrote.
+ * <p>An instance exists for at most one term of the coordinator and is replaced when the definition
+ * of the service changes. It first reads the home map and the assignment that the previous
+ * coordinator wrote.
  */
 final class SlotControl {
   /**
@@ -60,21 +60,27 @@
   private long homeVersionSince;
   private Epoch publishedVersion = Epoch.NONE;
 
+  /**
+   * Creates the control of one service.
+   *
+   * @param table the units of the service, which outlive this instance with their pending releases
+   */
   SlotControl(
       CellContext context,
       ServiceDefinition service,
+      UnitTable table,
       EpochIssuer epochs,
       UpstreamGrantClient grantClient,
       DispatchLeases leases,
       PlacementFreeze freeze) {
     this.context = context;
     this.service = service;
-    this.slotCount = ServiceRules.keyed(service).map(ServiceKind.Keyed::slotCount).orElseThrow();
+    this.table = table;
+    this.slotCount = ServiceRules.slotCount(service);
     this.epochs = epochs;
     this.grantClient = grantClient;
     this.leases = leases;
     this.freeze = freeze;
-    this.table = new UnitTable(slotCount);
     this.writer = new AssignmentWriter(rowName(), context.ids());
     this.loads = new UnitLoads(table);
     this.keyReturns = new KeyReturns(table, loads);
