Count the answer to a release only for grants sent before it

What callers would see: two upstreams hold a slot at once, from when the second is granted it until the first takes its release or its grant ends (1 s, or up to ten minutes under the grants of an outage).

Cause: a release is requested again every 250 ms until it is done, so that several requests may be on their way. The first answer ended the release; the slot could then be granted to the same upstream again, for example when a retirement was withdrawn. The answer to an earlier request still removed the hold of this newer grant from the ledger, and it ended a second release of the slot that the upstream had not yet heard of. Answers were matched by unit and upstream only.

Change: a release request keeps its sequence, by which the upstream orders it among the grants. The ledger keeps with each hold the latest grant that contains the unit, and an answer removes only holds of earlier grants. A release in progress keeps the epoch of its start, and only requests that are later than it answer it.

It works because an upstream refuses every grant before a release that it has answered, so such an answer is final for these grants and for no others.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -18,7 +18,7 @@
  */
 final class GrantLedger {
   private final OwnershipTimings timings;
-  private final Map<Integer, Long> heldUntil = new HashMap<>();
+  private final Map<Integer, Hold> holds = new HashMap<>();
   private Optional<ClockReading> reading = Optional.empty();
   private long newestAnsweredCall;
   private long answeredAt;
@@ -30,6 +30,13 @@
   /** A reading of the upstream's clock and the local time at which it arrived. */
   record ClockReading(String instance, long clockMillis, long receivedAt) {}
 
+  /** The time until which a unit may be held, and the latest grant that contains it. */
+  private record Hold(long untilNanos, Epoch sequence) {
+    Hold extendedBy(Hold next) {
+      return new Hold(Math.max(untilNanos, next.untilNanos), next.sequence);
+    }
+  }
+
   GrantLedger(OwnershipTimings timings, long nowNanos) {
     this.timings = timings;
     this.answeredAt = nowNanos;
@@ -61,7 +68,7 @@
     answeredAt = nowNanos;
     unansweredRequests = 0;
     if (reading.filter(r -> !r.instance().equals(instance)).isPresent()) {
-      heldUntil.clear();
+      holds.clear();
       confirmedDispatcher = Optional.empty();
     }
     reading = Optional.of(new ClockReading(instance, clockMillis, nowNanos));
@@ -106,7 +113,8 @@
 
   void onGranted(Set<Integer> units, Epoch sequence, HostId dispatcher, Duration lease) {
     long until = reading.orElseThrow().receivedAt() + timings.plusClockMargin(lease);
-    units.forEach(u -> heldUntil.merge(u, until, Math::max));
+    var hold = new Hold(until, sequence);
+    units.forEach(u -> holds.merge(u, hold, Hold::extendedBy));
     sentSequence = sequence;
     if (!sentDispatcher.equals(Optional.of(dispatcher))) {
       confirmedDispatcher = Optional.empty();
@@ -114,17 +122,26 @@
     sentDispatcher = Optional.of(dispatcher);
   }
 
-  void onReleased(Set<Integer> units) {
-    heldUntil.keySet().removeAll(units);
+  /**
+   * Records that the upstream has released units. A unit that was granted again after the release
+   * request was sent stays held.
+   *
+   * @param sequence the sequence of the release request
+   */
+  void onReleased(Set<Integer> units, Epoch sequence) {
+    holds
+        .entrySet()
+        .removeIf(e -> units.contains(e.getKey()) && sequence.isAfter(e.getValue().sequence));
   }
 
   /** Returns whether the upstream may still hold a unit. */
   boolean mayHold(int unit, long nowNanos) {
-    return heldUntil.getOrDefault(unit, Long.MIN_VALUE) >= nowNanos;
+    Hold hold = holds.get(unit);
+    return hold != null && hold.untilNanos >= nowNanos;
   }
 
   /** Returns the time at which all grants have certainly expired. */
   long latestGrantEnd() {
-    return heldUntil.values().stream().mapToLong(Long::longValue).max().orElse(Long.MIN_VALUE);
+    return holds.values().stream().mapToLong(Hold::untilNanos).max().orElse(Long.MIN_VALUE);
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -151,7 +151,11 @@
 
   private void onReleaseAnswer(int unit, UpstreamGrantClient.ReleaseAnswer answer) {
     UnitTable.Release release = table.releases().get(unit);
-    if (release == null || !release.from().equals(answer.call().upstream())) {
+    boolean answered =
+        release != null
+            && release.from().equals(answer.call().upstream())
+            && answer.sequence().isAfter(release.epoch());
+    if (!answered) {
       return;
     }
     table.update(unit, answer.released() ? release.asFinished() : release.asRunning());
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnitTable.java
@@ -40,12 +40,13 @@
    * The pending release of a unit by its owner.
    *
    * @param from the owner
+   * @param epoch the epoch of the start, which is later than each grant of the unit to the owner
    * @param startedAt the start of the release, when the unit was withdrawn from the assignment
    * @param stoppedAt the time since which no dispatcher sends requests for the unit; {@code
    *     Long.MAX_VALUE} while a dispatcher may
    * @param progress the state reported by the owner
    */
-  record Release(UpstreamId from, long startedAt, long stoppedAt, Progress progress) {
+  record Release(UpstreamId from, Epoch epoch, long startedAt, long stoppedAt, Progress progress) {
     /** The state of a release as reported by the owner. */
     enum Progress {
       REQUESTED,
@@ -54,15 +55,15 @@
     }
 
     Release stoppedAt(long nanos) {
-      return new Release(from, startedAt, nanos, progress);
+      return new Release(from, epoch, startedAt, nanos, progress);
     }
 
     Release asRunning() {
-      return new Release(from, startedAt, stoppedAt, Progress.RUNNING);
+      return new Release(from, epoch, startedAt, stoppedAt, Progress.RUNNING);
     }
 
     Release asFinished() {
-      return new Release(from, startedAt, stoppedAt, Progress.FINISHED);
+      return new Release(from, epoch, startedAt, stoppedAt, Progress.FINISHED);
     }
 
     boolean isRunning() {
@@ -142,7 +143,8 @@
   void startRelease(int unit, Epoch epoch, long nowNanos) {
     UpstreamId from = owner(unit).orElseThrow();
     owners.put(unit, new SlotOwner(Optional.empty(), epoch));
-    releases.put(unit, new Release(from, nowNanos, Long.MAX_VALUE, Release.Progress.REQUESTED));
+    releases.put(
+        unit, new Release(from, epoch, nowNanos, Long.MAX_VALUE, Release.Progress.REQUESTED));
   }
 
   void update(int unit, Release release) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
@@ -11,6 +11,7 @@
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.events.DecisionEvent;
 import org.catkinlift.events.EventCode;
+import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
@@ -20,13 +21,21 @@
   private final OwnershipTimings timings;
   private final EpochIssuer epochs;
   private final Map<UpstreamId, GrantLedger> ledgers = new HashMap<>();
-  private final Map<Long, ReleaseCall> releaseCalls = new HashMap<>();
+  private final Map<Long, SentRelease> releaseCalls = new HashMap<>();
 
-  /** A release request sent to an upstream. */
+  /** The units that an upstream is requested to release. */
   record ReleaseCall(ServiceName service, UpstreamId upstream, ImmutableSet<Integer> units) {}
 
-  /** The answer to a release request. */
-  record ReleaseAnswer(ReleaseCall call, boolean released) {}
+  private record SentRelease(ReleaseCall call, Epoch sequence) {}
+
+  /**
+   * The answer to a release request.
+   *
+   * @param call the request
+   * @param sequence the sequence of the request; the answer says nothing about later grants
+   * @param released whether the units are released; false while requests for them are running
+   */
+  record ReleaseAnswer(ReleaseCall call, Epoch sequence, boolean released) {}
 
   UpstreamGrantClient(OwnershipTimings timings, EpochIssuer epochs) {
     this.timings = timings;
@@ -78,14 +87,15 @@
       ImmutableSortedSet<String> overrides,
       Outbox out) {
     var request = new UpstreamRequest.Release(call.service(), epochs.next(), slots, overrides);
-    releaseCalls.put(out.callUpstream(call.upstream(), request), call);
+    var sent = new SentRelease(call, request.sequence());
+    releaseCalls.put(out.callUpstream(call.upstream(), request), sent);
   }
 
   /** Processes an answer and returns the result if it answers a release request. */
   Optional<ReleaseAnswer> onReply(
       long call, UpstreamId upstream, Reply reply, long nowNanos, Outbox out) {
     ledger(upstream, nowNanos).onReply(call, reply, nowNanos);
-    ReleaseCall release = releaseCalls.remove(call);
+    SentRelease release = releaseCalls.remove(call);
     if (reply instanceof Reply.Outdated outdated) {
       out.log(
           EventCode.GRANT_REFUSED,
@@ -100,10 +110,11 @@
     }
     return switch (reply) {
       case Reply.Released r -> {
-        ledger(upstream, nowNanos).onReleased(release.units());
-        yield Optional.of(new ReleaseAnswer(release, true));
+        ledger(upstream, nowNanos).onReleased(release.call.units(), release.sequence);
+        yield Optional.of(new ReleaseAnswer(release.call, release.sequence, true));
       }
-      case Reply.Releasing r -> Optional.of(new ReleaseAnswer(release, false));
+      case Reply.Releasing r ->
+          Optional.of(new ReleaseAnswer(release.call, release.sequence, false));
       case Reply.Probed p -> Optional.empty();
       case Reply.Granted g -> Optional.empty();
       case Reply.Outdated o -> Optional.empty();
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -68,4 +68,18 @@
     }
     assertThat(ledger.isLost(9 * SECOND)).isTrue();
   }
+
+  /**
+   * Guards against the late answer to a release request that ends the wait for a unit which has
+   * been granted again since.
+   */
+  @Test
+  void releaseEndsOnlyGrantsSentBeforeIt() {
+    receiveReading(1, "i", SECOND);
+    ledger.onGranted(ImmutableSet.of(7, 8), Epoch.of(1, 1), HOST, LEASE);
+    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 3), HOST, LEASE);
+    ledger.onReleased(ImmutableSet.of(7, 8), Epoch.of(1, 2));
+    assertThat(ledger.mayHold(7, SECOND)).isTrue();
+    assertThat(ledger.mayHold(8, SECOND)).isFalse();
+  }
 }
