Accept another instance of an upstream only by an answer to a later call

What callers would see: a slot moves away from an upstream that holds it, without waiting for its release or the end of its grant.

Cause: the ledger of an upstream forgets all grants when another instance answers, since a restarted upstream holds none of them. It ordered answers by the number of the call. Two calls may take different connections, so the upstream may take the earlier one (3) after its restart and the later one (5) before it. If the answer of the new instance arrived first and it had got a grant, the answer to call 5 then looked like another restart and removed that grant's hold, until the next renewal.

Change: another instance replaces the known one only by an answer to a call that was sent after the known one had been seen. Other answers of another instance show that the upstream answers, and nothing else.

Evidence: lateAnswerOfEarlierInstanceEndsNoGrantOfLaterOne fails without the condition (the unit is no longer held) and passes with it. It works because a call that is sent after an instance was seen is taken after that instance ran, so another instance that takes it is a later one.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -21,6 +21,15 @@
   private final Map<Integer, Hold> holds = new HashMap<>();
   private Optional<ClockReading> reading = Optional.empty();
   private long newestAnsweredCall;
+  private long newestSentCall;
+
+  /**
+   * The newest call that had been sent when the present instance was first seen. The upstream may
+   * have taken calls up to this one in another order, so only an answer to a later call proves that
+   * another instance has replaced this one.
+   */
+  private long newestCallBeforeInstance;
+
   private long answeredAt;
   private int unansweredRequests;
   private Epoch sentSequence = Epoch.NONE;
@@ -50,8 +59,8 @@
     switch (reply) {
       case Reply.Probed p -> recordReading(call, p.instance(), p.clockMillis(), nowNanos);
       case Reply.Granted g -> {
-        recordReading(call, g.instance(), g.clockMillis(), nowNanos);
-        if (g.sequence().equals(sentSequence)) {
+        boolean recorded = recordReading(call, g.instance(), g.clockMillis(), nowNanos);
+        if (recorded && g.sequence().equals(sentSequence)) {
           confirmedDispatcher = sentDispatcher;
         }
       }
@@ -62,27 +71,43 @@
     }
   }
 
-  /** A restarted upstream has none of the grants of its earlier run, so it holds no units. */
-  private void recordReading(long call, String instance, long clockMillis, long nowNanos) {
+  /**
+   * Records a reading. A restarted upstream has none of the grants of its earlier run, so it holds
+   * no units.
+   *
+   * @return false if the reading may be one of an earlier run, which is ignored
+   */
+  private boolean recordReading(long call, String instance, long clockMillis, long nowNanos) {
     newestAnsweredCall = call;
     answeredAt = nowNanos;
     unansweredRequests = 0;
-    if (reading.filter(r -> !r.instance().equals(instance)).isPresent()) {
+    if (reading.filter(r -> r.instance().equals(instance)).isEmpty()) {
+      if (call <= newestCallBeforeInstance) {
+        return false;
+      }
+      newestCallBeforeInstance = newestSentCall;
       holds.clear();
       confirmedDispatcher = Optional.empty();
     }
     reading = Optional.of(new ClockReading(instance, clockMillis, nowNanos));
+    return true;
   }
 
   Optional<ClockReading> reading() {
     return reading;
   }
 
-  /** Counts a request that has been sent to the upstream. */
-  void onRequestSent() {
+  /** Records a grant or probe that has been sent to the upstream, and counts it. */
+  void onRequestSent(long call) {
+    newestSentCall = call;
     unansweredRequests++;
   }
 
+  /** Records a release request that has been sent to the upstream. */
+  void onReleaseSent(long call) {
+    newestSentCall = call;
+  }
+
   boolean isLost(long nowNanos) {
     return LostUpstreamRule.isLost(answeredAt, unansweredRequests, nowNanos);
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -289,6 +289,7 @@
           units.stream()
               .flatMap(u -> table.keyOf(u).stream())
               .collect(toImmutableSortedSet(Comparator.naturalOrder())),
+          nowNanos,
           out);
     }
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
@@ -60,17 +60,15 @@
   void grant(
       GrantContent content, Duration requested, long authorityUntil, long nowNanos, Outbox out) {
     GrantLedger ledger = ledger(content.upstream(), nowNanos);
-    ledger.onRequestSent();
     Duration lease = ledger.lease(requested, authorityUntil, nowNanos);
     if (lease.isZero()) {
-      out.callUpstream(content.upstream(), new UpstreamRequest.Probe());
+      ledger.onRequestSent(out.callUpstream(content.upstream(), new UpstreamRequest.Probe()));
       return;
     }
     GrantLedger.ClockReading reading = ledger.reading().orElseThrow();
     var sequence = epochs.next();
     ledger.onGranted(content.units(), sequence, content.dispatcher(), lease);
-    out.callUpstream(
-        content.upstream(),
+    var request =
         new UpstreamRequest.Grant(
             content.service(),
             reading.instance(),
@@ -78,17 +76,21 @@
             reading.clockMillis() + lease.toMillis(),
             content.dispatcher(),
             content.slots(),
-            content.overrides()));
+            content.overrides());
+    ledger.onRequestSent(out.callUpstream(content.upstream(), request));
   }
 
   void release(
       ReleaseCall call,
       ImmutableSortedSet<Integer> slots,
       ImmutableSortedSet<String> overrides,
+      long nowNanos,
       Outbox out) {
     var request = new UpstreamRequest.Release(call.service(), epochs.next(), slots, overrides);
     var sent = new SentRelease(call, request.sequence());
-    releaseCalls.put(out.callUpstream(call.upstream(), request), sent);
+    long number = out.callUpstream(call.upstream(), request);
+    ledger(call.upstream(), nowNanos).onReleaseSent(number);
+    releaseCalls.put(number, sent);
   }
 
   /** Processes an answer and returns the result if it answers a release request. */
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -64,7 +64,7 @@
     receiveReading(1, "i", SECOND);
     assertThat(ledger.isLost(9 * SECOND)).isFalse();
     for (int i = 0; i < 4; i++) {
-      ledger.onRequestSent();
+      ledger.onRequestSent(2 + i);
     }
     assertThat(ledger.isLost(9 * SECOND)).isTrue();
   }
@@ -82,4 +82,21 @@
     assertThat(ledger.mayHold(7, SECOND)).isTrue();
     assertThat(ledger.mayHold(8, SECOND)).isFalse();
   }
+
+  /**
+   * Guards against forgetting the grants of a restarted upstream when a late answer of its earlier
+   * instance arrives, which had overtaken an earlier request.
+   */
+  @Test
+  void lateAnswerOfEarlierInstanceEndsNoGrantOfLaterOne() {
+    receiveReading(1, "i", SECOND);
+    ledger.onRequestSent(3);
+    ledger.onReleaseSent(5);
+    receiveReading(3, "j", SECOND);
+    ledger.onRequestSent(6);
+    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, LEASE);
+    receiveReading(5, "i", SECOND);
+    assertThat(ledger.mayHold(7, SECOND)).isTrue();
+    assertThat(ledger.reading().orElseThrow().instance()).isEqualTo("j");
+  }
 }
