Record what an upstream holds by service and unit

What callers would see: a slot of one service is served by two upstreams after an operator moved the first of them to another service.

Cause: a ledger belongs to an upstream and recorded holds by the number of the unit alone. The slots of two services have the same numbers, so the answer to a release of slot 7 of the new service also ended the wait for slot 7 of the former one.

Change: holds are recorded by service and unit; a grant is recorded from its content, which names the service.

Evidence: releaseEndsNoGrantOfAnotherService fails if the release matches by number only, as before, and passes now. The other tests of the ledger pass a grant's content and the service, with the same expectations.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -8,17 +8,18 @@
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
 
 /**
  * Records the units granted to one upstream and when each grant has certainly expired.
  *
  * <p>The lease of a grant starts at the latest reading of the upstream's clock. The coordinator
  * measures it from the receipt of that reading and extends it by the clock margin. A unit is a slot
- * index or the number of an override, as in {@link UnitTable}.
+ * index or the number of an override of a service, as in {@link UnitTable}.
  */
 final class GrantLedger {
   private final OwnershipTimings timings;
-  private final Map<Integer, Hold> holds = new HashMap<>();
+  private final Map<HeldUnit, Hold> holds = new HashMap<>();
   private Optional<ClockReading> reading = Optional.empty();
   private long newestAnsweredCall;
   private long newestSentCall;
@@ -39,6 +40,8 @@
   /** A reading of the upstream's clock and the local time at which it arrived. */
   record ClockReading(String instance, long clockMillis, long receivedAt) {}
 
+  private record HeldUnit(ServiceName service, int unit) {}
+
   /** The time until which a unit may be held, and the latest grant that contains it. */
   private record Hold(long untilNanos, Epoch sequence) {
     Hold extendedBy(Hold next) {
@@ -136,15 +139,19 @@
     return useful ? Duration.ofMillis(lease.toMillis()) : Duration.ZERO;
   }
 
-  void onGranted(Set<Integer> units, Epoch sequence, HostId dispatcher, Duration lease) {
+  /** Records a grant that is sent to the upstream. */
+  void onGranted(GrantContent content, Epoch sequence, Duration lease) {
     long until = reading.orElseThrow().receivedAt() + timings.plusClockMargin(lease);
     var hold = new Hold(until, sequence);
-    units.forEach(u -> holds.merge(u, hold, Hold::extendedBy));
+    content
+        .units()
+        .forEach(u -> holds.merge(new HeldUnit(content.service(), u), hold, Hold::extendedBy));
     sentSequence = sequence;
-    if (!sentDispatcher.equals(Optional.of(dispatcher))) {
+    Optional<HostId> dispatcher = Optional.of(content.dispatcher());
+    if (!sentDispatcher.equals(dispatcher)) {
       confirmedDispatcher = Optional.empty();
     }
-    sentDispatcher = Optional.of(dispatcher);
+    sentDispatcher = dispatcher;
   }
 
   /**
@@ -153,15 +160,15 @@
    *
    * @param sequence the sequence of the release request
    */
-  void onReleased(Set<Integer> units, Epoch sequence) {
-    holds
-        .entrySet()
-        .removeIf(e -> units.contains(e.getKey()) && sequence.isAfter(e.getValue().sequence));
+  void onReleased(ServiceName service, Set<Integer> units, Epoch sequence) {
+    units.stream()
+        .map(u -> new HeldUnit(service, u))
+        .forEach(u -> holds.computeIfPresent(u, (k, h) -> sequence.isAfter(h.sequence) ? null : h));
   }
 
-  /** Returns whether the upstream may still hold a unit. */
-  boolean mayHold(int unit, long nowNanos) {
-    Hold hold = holds.get(unit);
+  /** Returns whether the upstream may still hold a unit of a service. */
+  boolean mayHold(ServiceName service, int unit, long nowNanos) {
+    Hold hold = holds.get(new HeldUnit(service, unit));
     return hold != null && hold.untilNanos >= nowNanos;
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -333,7 +333,8 @@
     }
     boolean mayRun =
         release.isRunning() && nowNanos - release.startedAt() < RELEASE_WAIT_LIMIT_NANOS;
-    return !mayRun && !grantClient.ledger(release.from(), nowNanos).mayHold(unit, nowNanos);
+    return !mayRun
+        && !grantClient.ledger(release.from(), nowNanos).mayHold(service.name(), unit, nowNanos);
   }
 
   private void assignFreeUnits(long nowNanos, Outbox out) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UpstreamGrantClient.java
@@ -67,7 +67,7 @@
     }
     GrantLedger.ClockReading reading = ledger.reading().orElseThrow();
     var sequence = epochs.next();
-    ledger.onGranted(content.units(), sequence, content.dispatcher(), lease);
+    ledger.onGranted(content, sequence, lease);
     var request =
         new UpstreamRequest.Grant(
             content.service(),
@@ -112,7 +112,8 @@
     }
     return switch (reply) {
       case Reply.Released r -> {
-        ledger(upstream, nowNanos).onReleased(release.call.units(), release.sequence);
+        ledger(upstream, nowNanos)
+            .onReleased(release.call.service(), release.call.units(), release.sequence);
         yield Optional.of(new ReleaseAnswer(release.call, release.sequence, true));
       }
       case Reply.Releasing r ->
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -3,10 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import java.time.Duration;
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
 import org.junit.jupiter.api.Test;
 
 final class GrantLedgerTest {
@@ -14,12 +17,25 @@
   private static final Duration LEASE = Duration.ofSeconds(1);
   private static final HostId HOST = HostId.of("h");
 
+  private static final UpstreamId UPSTREAM = UpstreamId.of("u");
+  private static final ServiceName SERVICE = ServiceName.of("s");
+
   private final GrantLedger ledger = new GrantLedger(OwnershipTimings.defaults(), 0);
 
   private void receiveReading(long call, String instance, long now) {
     ledger.onReply(call, new Reply.Probed(instance, now / 1_000_000, Epoch.NONE), now);
   }
 
+  private static GrantContent grant(ServiceName service, Integer... units) {
+    return new GrantContent(
+        service,
+        UPSTREAM,
+        HOST,
+        ImmutableSet.copyOf(units),
+        ImmutableSortedMap.of(),
+        ImmutableSortedMap.of());
+  }
+
   /**
    * Guards against a lease that outlasts the coordinator's authority when measured by the
    * upstream's clock.
@@ -36,9 +52,9 @@
   @Test
   void unitIsHeldUntilLeaseHasCertainlyExpired() {
     receiveReading(1, "i", SECOND);
-    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, LEASE);
-    assertThat(ledger.mayHold(7, 2 * SECOND)).isTrue();
-    assertThat(ledger.mayHold(7, 2 * SECOND + SECOND / 50)).isFalse();
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 1), LEASE);
+    assertThat(ledger.mayHold(SERVICE, 7, 2 * SECOND)).isTrue();
+    assertThat(ledger.mayHold(SERVICE, 7, 2 * SECOND + SECOND / 50)).isFalse();
   }
 
   /**
@@ -48,9 +64,9 @@
   @Test
   void newInstanceHoldsNothingAndLateAnswerOfOldInstanceIsIgnored() {
     receiveReading(1, "i", SECOND);
-    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, Duration.ofMinutes(10));
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 1), Duration.ofMinutes(10));
     receiveReading(5, "j", 2 * SECOND);
-    assertThat(ledger.mayHold(7, 2 * SECOND)).isFalse();
+    assertThat(ledger.mayHold(SERVICE, 7, 2 * SECOND)).isFalse();
     receiveReading(3, "i", 3 * SECOND);
     assertThat(ledger.reading().orElseThrow().instance()).isEqualTo("j");
   }
@@ -76,11 +92,11 @@
   @Test
   void releaseEndsOnlyGrantsSentBeforeIt() {
     receiveReading(1, "i", SECOND);
-    ledger.onGranted(ImmutableSet.of(7, 8), Epoch.of(1, 1), HOST, LEASE);
-    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 3), HOST, LEASE);
-    ledger.onReleased(ImmutableSet.of(7, 8), Epoch.of(1, 2));
-    assertThat(ledger.mayHold(7, SECOND)).isTrue();
-    assertThat(ledger.mayHold(8, SECOND)).isFalse();
+    ledger.onGranted(grant(SERVICE, 7, 8), Epoch.of(1, 1), LEASE);
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 3), LEASE);
+    ledger.onReleased(SERVICE, ImmutableSet.of(7, 8), Epoch.of(1, 2));
+    assertThat(ledger.mayHold(SERVICE, 7, SECOND)).isTrue();
+    assertThat(ledger.mayHold(SERVICE, 8, SECOND)).isFalse();
   }
 
   /**
@@ -94,9 +110,21 @@
     ledger.onReleaseSent(5);
     receiveReading(3, "j", SECOND);
     ledger.onRequestSent(6);
-    ledger.onGranted(ImmutableSet.of(7), Epoch.of(1, 1), HOST, LEASE);
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 1), LEASE);
     receiveReading(5, "i", SECOND);
-    assertThat(ledger.mayHold(7, SECOND)).isTrue();
+    assertThat(ledger.mayHold(SERVICE, 7, SECOND)).isTrue();
     assertThat(ledger.reading().orElseThrow().instance()).isEqualTo("j");
   }
+
+  /**
+   * Guards against an upstream that moved to another service, whose release of a slot ended the
+   * wait for the slot with the same number of its former service.
+   */
+  @Test
+  void releaseEndsNoGrantOfAnotherService() {
+    receiveReading(1, "i", SECOND);
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 1), LEASE);
+    ledger.onReleased(ServiceName.of("other"), ImmutableSet.of(7), Epoch.of(1, 2));
+    assertThat(ledger.mayHold(SERVICE, 7, SECOND)).isTrue();
+  }
 }
