End the wait for a long grant once a shorter one has replaced it

What callers saw: after a platform outage of more than 2 s, and for up to ten minutes, the keys of an upstream that is lost are not served, and if the coordinator is lost nobody takes its role. The target is 3 s.

Cause: the ledger kept for each unit the latest end of all grants ever sent. When the platform is back, every upstream takes a short grant within 250 ms, which replaces its long one, but the ledger went on counting the long one. The end of a grant also decides how long the promises of the voters are requested, so these stayed long too.

Change: when the upstream confirms the newest grant, all holds of this service end with that grant at the latest. A unit that the grant does not contain stays held until then, because its release may not have been answered yet. A grant that is not confirmed shortens nothing.

It is safe because an upstream holds one grant for a service and refuses lower sequences.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -33,8 +33,7 @@
 
   private long answeredAt;
   private int unansweredRequests;
-  private Epoch sentSequence = Epoch.NONE;
-  private Optional<HostId> sentDispatcher = Optional.empty();
+  private Optional<SentGrant> newestGrant = Optional.empty();
   private Optional<HostId> confirmedDispatcher = Optional.empty();
 
   /** A reading of the upstream's clock and the local time at which it arrived. */
@@ -47,8 +46,15 @@
     Hold extendedBy(Hold next) {
       return new Hold(Math.max(untilNanos, next.untilNanos), next.sequence);
     }
+
+    Hold endingBy(long nanos) {
+      return new Hold(Math.min(untilNanos, nanos), sequence);
+    }
   }
 
+  private record SentGrant(
+      ServiceName service, HostId dispatcher, Epoch sequence, long untilNanos) {}
+
   GrantLedger(OwnershipTimings timings, long nowNanos) {
     this.timings = timings;
     this.answeredAt = nowNanos;
@@ -63,8 +69,8 @@
       case Reply.Probed p -> recordReading(call, p.instance(), p.clockMillis(), nowNanos);
       case Reply.Granted g -> {
         boolean recorded = recordReading(call, g.instance(), g.clockMillis(), nowNanos);
-        if (recorded && g.sequence().equals(sentSequence)) {
-          confirmedDispatcher = sentDispatcher;
+        if (recorded) {
+          onConfirmed(g.sequence());
         }
       }
       case Reply.Released r -> recordReading(call, r.instance(), r.clockMillis(), nowNanos);
@@ -96,6 +102,25 @@
     return true;
   }
 
+  /** The newest grant has replaced all earlier grants of its service once it is confirmed. */
+  private void onConfirmed(Epoch sequence) {
+    newestGrant
+        .filter(g -> g.sequence.equals(sequence))
+        .ifPresent(
+            g -> {
+              confirmedDispatcher = Optional.of(g.dispatcher);
+              endReplacedGrants(g);
+            });
+  }
+
+  /**
+   * Ends earlier grants with the one that replaced them. A unit that it does not contain stays held
+   * until then, because requests for it may still be running.
+   */
+  private void endReplacedGrants(SentGrant grant) {
+    holds.replaceAll((u, h) -> u.service.equals(grant.service) ? h.endingBy(grant.untilNanos) : h);
+  }
+
   Optional<ClockReading> reading() {
     return reading;
   }
@@ -146,12 +171,9 @@
     content
         .units()
         .forEach(u -> holds.merge(new HeldUnit(content.service(), u), hold, Hold::extendedBy));
-    sentSequence = sequence;
-    Optional<HostId> dispatcher = Optional.of(content.dispatcher());
-    if (!sentDispatcher.equals(dispatcher)) {
-      confirmedDispatcher = Optional.empty();
-    }
-    sentDispatcher = dispatcher;
+    confirmedDispatcher = confirmedDispatcher.filter(content.dispatcher()::equals);
+    newestGrant =
+        Optional.of(new SentGrant(content.service(), content.dispatcher(), sequence, until));
   }
 
   /**
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -127,4 +127,21 @@
     ledger.onReleased(ServiceName.of("other"), ImmutableSet.of(7), Epoch.of(1, 2));
     assertThat(ledger.mayHold(SERVICE, 7, SECOND)).isTrue();
   }
+
+  /**
+   * Guards against waiting for a long grant that a shorter one has replaced, and against not
+   * waiting for it while the shorter one is not confirmed.
+   */
+  @Test
+  void onlyConfirmedGrantShortensEarlierOnes() {
+    receiveReading(1, "i", SECOND);
+    ledger.onGranted(grant(SERVICE, 7, 8), Epoch.of(1, 1), Duration.ofMinutes(10));
+    ledger.onGranted(grant(SERVICE, 7), Epoch.of(1, 2), LEASE);
+    ledger.onReply(2, new Reply.Granted("i", 1000, Epoch.of(1, 1)), SECOND);
+    assertThat(ledger.mayHold(SERVICE, 7, 300 * SECOND)).isTrue();
+    ledger.onReply(3, new Reply.Granted("i", 1000, Epoch.of(1, 2)), SECOND);
+    assertThat(ledger.mayHold(SERVICE, 7, 2 * SECOND)).isTrue();
+    assertThat(ledger.mayHold(SERVICE, 8, 2 * SECOND)).isTrue();
+    assertThat(ledger.latestGrantEnd()).isLessThan(3 * SECOND);
+  }
 }
