--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -8,28 +8,53 @@
 import org.catkinlift.control.UpstreamRequest.Reply;
 import org.catkinlift.model.Epoch;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.ServiceName;
 
 /**
  * Records the units granted to one upstream and when each grant has certainly expired.
  *
  * <p>The lease of a grant starts at the latest reading of the upstream's clock. The coordinator
  * measures it from the receipt of that reading and extends it by the clock margin. A unit is a slot
- * index or the number of an override, as in {@link UnitTable}.
+ * index or the number of an override of a service, as in {@link UnitTable}.
  */
 final class GrantLedger {
   private final OwnershipTimings timings;
-  private final Map<Integer, Long> heldUntil = new HashMap<>();
+  private final Map<HeldUnit, Hold> holds = new HashMap<>();
   private Optional<ClockReading> reading = Optional.empty();
   private long newestAnsweredCall;
+  private long newestSentCall;
+
+  /**
+   * The newest call that had been sent when the present instance was first seen. The upstream may
+   * have taken calls up to this one in another order, so only an answer to a later call proves that
+   * another instance has replaced this one.
+   */
+  private long newestCallBeforeInstance;
+
   private long answeredAt;
   private int unansweredRequests;
-  private Epoch sentSequence = Epoch.NONE;
-  private Optional<HostId> sentDispatcher = Optional.empty();
+  private Optional<SentGrant> newestGrant = Optional.empty();
   private Optional<HostId> confirmedDispatcher = Optional.empty();
 
   /** A reading of the upstream's clock and the local time at which it arrived. */
   record ClockReading(String instance, long clockMillis, long receivedAt) {}
 
+  private record HeldUnit(ServiceName service, int unit) {}
+
+  /** The time until which a unit may be held, and the latest grant that contains it. */
+  private record Hold(long untilNanos, Epoch sequence) {
+    Hold extendedBy(Hold next) {
+      return new Hold(Math.max(untilNanos, next.untilNanos), next.sequence);
+    }
+
+    Hold endingBy(long nanos) {
+      return new Hold(Math.min(untilNanos, nanos), sequence);
+    }
+  }
+
+  private record SentGrant(
+      ServiceName service, HostId dispatcher, Epoch sequence, long untilNanos) {}
+
   GrantLedger(OwnershipTimings timings, long nowNanos) {
     this.timings = timings;
     this.answeredAt = nowNanos;
@@ -43,9 +68,9 @@
     switch (reply) {
       case Reply.Probed p -> recordReading(call, p.instance(), p.clockMillis(), nowNanos);
       case Reply.Granted g -> {
-        recordReading(call, g.instance(), g.clockMillis(), nowNanos);
-        if (g.sequence().equals(sentSequence)) {
-          confirmedDispatcher = sentDispatcher;
+        boolean recorded = recordReading(call, g.instance(), g.clockMillis(), nowNanos);
+        if (recorded) {
+          onConfirmed(g.sequence());
         }
       }
       case Reply.Released r -> recordReading(call, r.instance(), r.clockMillis(), nowNanos);
@@ -55,27 +80,62 @@
     }
   }
 
-  /** A restarted upstream has none of the grants of its earlier run, so it holds no units. */
-  private void recordReading(long call, String instance, long clockMillis, long nowNanos) {
+  /**
+   * Records a reading. A restarted upstream has none of the grants of its earlier run, so it holds
+   * no units.
+   *
+   * @return false if the reading may be one of an earlier run, which is ignored
+   */
+  private boolean recordReading(long call, String instance, long clockMillis, long nowNanos) {
     newestAnsweredCall = call;
     answeredAt = nowNanos;
     unansweredRequests = 0;
-    if (reading.filter(r -> !r.instance().equals(instance)).isPresent()) {
-      heldUntil.clear();
+    if (reading.filter(r -> r.instance().equals(instance)).isEmpty()) {
+      if (call <= newestCallBeforeInstance) {
+        return false;
+      }
+      newestCallBeforeInstance = newestSentCall;
+      holds.clear();
       confirmedDispatcher = Optional.empty();
     }
     reading = Optional.of(new ClockReading(instance, clockMillis, nowNanos));
+    return true;
+  }
+
+  /** The newest grant has replaced all earlier grants of its service once it is confirmed. */
+  private void onConfirmed(Epoch sequence) {
+    newestGrant
+        .filter(g -> g.sequence.equals(sequence))
+        .ifPresent(
+            g -> {
+              confirmedDispatcher = Optional.of(g.dispatcher);
+              endReplacedGrants(g);
+            });
+  }
+
+  /**
+   * Ends earlier grants with the one that replaced them. A unit that it does not contain stays held
+   * until then, because requests for it may still be running.
+   */
+  private void endReplacedGrants(SentGrant grant) {
+    holds.replaceAll((u, h) -> u.service.equals(grant.service) ? h.endingBy(grant.untilNanos) : h);
   }
 
   Optional<ClockReading> reading() {
     return reading;
   }
 
-  /** Counts a request that has been sent to the upstream. */
-  void onRequestSent() {
+  /** Records a grant or probe that has been sent to the upstream, and counts it. */
+  void onRequestSent(long call) {
+    newestSentCall = call;
     unansweredRequests++;
   }
 
+  /** Records a release request that has been sent to the upstream. */
+  void onReleaseSent(long call) {
+    newestSentCall = call;
+  }
+
   boolean isLost(long nowNanos) {
     return LostUpstreamRule.isLost(answeredAt, unansweredRequests, nowNanos);
   }
@@ -104,27 +164,38 @@
     return useful ? Duration.ofMillis(lease.toMillis()) : Duration.ZERO;
   }
 
-  void onGranted(Set<Integer> units, Epoch sequence, HostId dispatcher, Duration lease) {
+  /** Records a grant that is sent to the upstream. */
+  void onGranted(GrantContent content, Epoch sequence, Duration lease) {
     long until = reading.orElseThrow().receivedAt() + timings.plusClockMargin(lease);
-    units.forEach(u -> heldUntil.merge(u, until, Math::max));
-    sentSequence = sequence;
-    if (!sentDispatcher.equals(Optional.of(dispatcher))) {
-      confirmedDispatcher = Optional.empty();
-    }
-    sentDispatcher = Optional.of(dispatcher);
+    var hold = new Hold(until, sequence);
+    content
+        .units()
+        .forEach(u -> holds.merge(new HeldUnit(content.service(), u), hold, Hold::extendedBy));
+    confirmedDispatcher = confirmedDispatcher.filter(content.dispatcher()::equals);
+    newestGrant =
+        Optional.of(new SentGrant(content.service(), content.dispatcher(), sequence, until));
   }
 
-  void onReleased(Set<Integer> units) {
-    heldUntil.keySet().removeAll(units);
+  /**
+   * Records that the upstream has released units. A unit that was granted again after the release
+   * request was sent stays held.
+   *
+   * @param sequence the sequence of the release request
+   */
+  void onReleased(ServiceName service, Set<Integer> units, Epoch sequence) {
+    units.stream()
+        .map(u -> new HeldUnit(service, u))
+        .forEach(u -> holds.computeIfPresent(u, (k, h) -> sequence.isAfter(h.sequence) ? null : h));
   }
 
-  /** Returns whether the upstream may still hold a unit. */
-  boolean mayHold(int unit, long nowNanos) {
-    return heldUntil.getOrDefault(unit, Long.MIN_VALUE) >= nowNanos;
+  /** Returns whether the upstream may still hold a unit of a service. */
+  boolean mayHold(ServiceName service, int unit, long nowNanos) {
+    Hold hold = holds.get(new HeldUnit(service, unit));
+    return hold != null && hold.untilNanos >= nowNanos;
   }
 
   /** Returns the time at which all grants have certainly expired. */
   long latestGrantEnd() {
-    return heldUntil.values().stream().mapToLong(Long::longValue).max().orElse(Long.MIN_VALUE);
+    return holds.values().stream().mapToLong(Hold::untilNanos).max().orElse(Long.MIN_VALUE);
   }
 }
