Show a grant that a busy sender sends later than it is counted

RangeCoordinatorTest.grantThatABusySenderSendsLateIsWaitedFor fails: the coordinator counts a grant from the decision plus MAX_DELIVERY_DELAY even if the answer comes later. The transport bounds its own steps only, not the time that the control thread takes between the decision and the call.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
@@ -8,6 +8,7 @@
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
 import org.catkinlift.upstreams.UpstreamRecord;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against two holders of a key when calls to upstreams fail in a certain order. */
@@ -251,6 +252,25 @@
     assertMovesWithoutOverlap(b);
   }
 
+  /**
+   * Guards against an expiry that is counted from the decision although a busy control thread sends
+   * the grant later. The time of the answer shows that the grant may have arrived until then.
+   */
+  @Tag("known-red")
+  @Test
+  void grantThatABusySenderSendsLateIsWaitedFor() {
+    driver.setCandidates(a);
+    driver.run(BEFORE_FIRST_RENEWAL);
+    driver.setGrantOutcome(
+        a, new CallOutcome.Answered(Duration.ofMillis(1_600), Duration.ofMillis(5)));
+    driver.run(AFTER_FIRST_RENEWAL.minus(BEFORE_FIRST_RENEWAL));
+    driver.setOutcome(a, NOT_SENT);
+    driver.run(Duration.ofMillis(1_500));
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
   /** Guards against waiting for an upstream that has confirmed its release. */
   @Test
   void confirmedReleaseEndsTheWait() {
