Close upstream connections on bytes that are no answer

Callers of the gateway saw: an upstream that sent informational responses, or responses to other requests, without end held its request and a slot until the deadline (504 after 8 s). When bytes followed a complete answer (also one to HEAD, 204, 304), and formed an unfinished head, the next request on that connection got the status of that head: 500 where its upstream had answered 200. Nothing was logged about bytes on idle connections.

Cause: only messages that the decoder had completed were looked at. Bytes of an unfinished head stayed in the decoder of a connection that counted as idle, and responses that are skipped had no limit. A switch of protocols counted as informational.

Change: a handler before the decoder limits the bytes that may arrive: none on an idle connection, 1 MB from the request to the head of its response. A connection whose decoder holds bytes at the end of a response is not used again. A switch of protocols is no answer. Netty's own limits for lines (4 KB) and heads (8 KB) stay as they were. Each closed connection is logged (2007) and counted (upstream_failures.SERVICE.bytes).

Idle connections were closed before by their idle limit or by the first whole message.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -35,6 +35,8 @@
   UPSTREAM_FAILED(2005, Severity.WARNING, "upstream connection failed"),
   /** An upstream refused a request without executing it. */
   UPSTREAM_REFUSED(2006, Severity.INFO, "upstream refused request"),
+  /** A server sent bytes that are no response, and its connection was closed. */
+  UNEXPECTED_BYTES(2007, Severity.WARNING, "bytes that are no answer"),
 
   /** This daemon became the coordinator of its cell. */
   COORDINATOR_ROLE_TAKEN(3001, Severity.INFO, "coordinator role taken"),
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -330,6 +330,13 @@
         ImmutableMap.of("upstream", upstream.id(), "during", phase, "reason", reason));
   }
 
+  void unexpectedBytes(UpstreamRecord upstream, String reason, String requestId) {
+    metrics.upstreamFailed(upstream.service(), "bytes");
+    log.log(
+        EventCode.UNEXPECTED_BYTES,
+        ImmutableMap.of("upstream", upstream.id(), "reason", reason, "request", requestId));
+  }
+
   void upstreamRefused(ProxyExchange exchange, UpstreamRecord upstream, int status) {
     metrics.upstreamFailed(upstream.service(), "refused-" + status);
     log.log(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -3,40 +3,48 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import org.catkinlift.gateway.http.Channels;
+import org.catkinlift.gateway.http.InboundByteLimit;
+import org.catkinlift.gateway.http.ResponseDecoder;
+import org.catkinlift.gateway.http.UnexpectedBytesException;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 
 /**
  * One connection to an upstream, with at most one request in flight.
  *
  * <p>A response with the id of another request is skipped, and the connection keeps waiting for the
- * response to the current request. If bytes arrive while no request is in flight, the connection is
- * closed, because they cannot be attributed to a request.
+ * response to the current request. If bytes arrive while no request is in flight, or too many
+ * before the response, the connection is closed, because they cannot be attributed to a request.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final String KEEP_ALIVE = "keep-alive";
   private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(8);
 
+  /** Includes informational responses and responses to other requests, which are skipped. */
+  private static final long MAX_BYTES_BEFORE_RESPONSE = 1 << 20;
+
   /** The share of the upstream's idle timeout within which a connection is reused. */
   private static final double IDLE_TIMEOUT_SHARE = 0.6;
 
   private final UpstreamPool pool;
   private final String requestIdHeader;
   private final String notExecutedHeader;
+  private final InboundByteLimit byteLimit = new InboundByteLimit();
   private final ResponseDecoder decoder = new ResponseDecoder();
 
   private Channel channel;
@@ -48,24 +56,15 @@
   private long idleSinceNanos;
   private long idleLimitNanos = (long) (DEFAULT_IDLE_TIMEOUT.toNanos() * IDLE_TIMEOUT_SHARE);
 
-  /** Decodes responses; a response to HEAD has no body regardless of its content length. */
-  static final class ResponseDecoder extends HttpResponseDecoder {
-    private boolean headOnly;
-
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      return headOnly || super.isContentAlwaysEmpty(message);
-    }
-  }
-
   UpstreamConnection(UpstreamPool pool, HeaderNames names) {
     this.pool = pool;
     this.requestIdHeader = names.requestId();
     this.notExecutedHeader = names.notExecuted();
   }
 
-  ResponseDecoder decoder() {
-    return decoder;
+  /** Adds the handlers of the connection to its channel. */
+  void addHandlersTo(ChannelPipeline pipeline) {
+    pipeline.addLast(byteLimit, decoder, new HttpRequestEncoder(), this);
   }
 
   @Override
@@ -83,7 +82,8 @@
     exchange = next;
     receivingResponse = false;
     CallerRequest request = next.request();
-    decoder.headOnly = request.method().equals("HEAD");
+    byteLimit.allow(MAX_BYTES_BEFORE_RESPONSE);
+    decoder.setHeadOnly(request.method().equals("HEAD"));
     Channels.write(
         channel,
         new DefaultHttpRequest(
@@ -98,8 +98,8 @@
         return;
       }
       HttpObject part = (HttpObject) message;
-      if (part.decoderResult().isFailure() || exchange == null) {
-        fail(exchange == null ? "bytes without a request" : "malformed answer");
+      if (part.decoderResult().isFailure()) {
+        rejectBytes("malformed answer");
         return;
       }
       if (part instanceof HttpResponse response) {
@@ -114,6 +114,10 @@
   }
 
   private void headRead(HttpResponse response) {
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      rejectBytes("switch of protocols");
+      return;
+    }
     boolean informational = response.status().code() / 100 == 1;
     String id = response.headers().get(requestIdHeader);
     boolean mismatched = !informational && !isForCurrentRequest(id, response);
@@ -125,6 +129,7 @@
       return;
     }
     receivingResponse = true;
+    byteLimit.allow(InboundByteLimit.UNLIMITED);
     keepAlive = HttpUtil.isKeepAlive(response) && hasDelimitedBody(response);
     updateIdleLimit(response.headers().get(KEEP_ALIVE));
     pool.responseStarted(response.headers());
@@ -184,12 +189,18 @@
   }
 
   private void responseFinished() {
+    ProxyExchange finished = exchange;
     exchange = null;
     receivingResponse = false;
+    byteLimit.allow(InboundByteLimit.NONE);
     idleSinceNanos = System.nanoTime();
     // Reading may be paused because the caller was slow; the next response must be read.
     setReading(true);
-    pool.responseCompleted(this, keepAlive && channel.isActive());
+    boolean followedByBytes = decoder.hasUnreadBytes();
+    if (followedByBytes) {
+      pool.unexpectedBytes("bytes after the end of an answer", finished);
+    }
+    pool.responseCompleted(this, keepAlive && !followedByBytes && channel.isActive());
   }
 
   /** Marks a new connection as idle because its request has ended in the meantime. */
@@ -221,6 +232,12 @@
     Channels.close(channel);
   }
 
+  /** Closes the connection, because what the upstream sends is no response. */
+  void rejectBytes(String reason) {
+    pool.unexpectedBytes(reason, exchange);
+    fail(reason);
+  }
+
   private void fail(String reason) {
     closed = true;
     ProxyExchange interrupted = exchange;
@@ -243,7 +260,12 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // Handled here, before the decoder can take the end of the connection for the end of the
     // response.
-    if (!closed) {
+    if (closed) {
+      return;
+    }
+    if (cause instanceof UnexpectedBytesException) {
+      rejectBytes(exchange == null ? "bytes without a request" : "malformed answer");
+    } else {
       fail("connection failed");
     }
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -217,9 +216,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(connection.decoder(), new HttpRequestEncoder(), connection);
+                    connection.addHandlersTo(channel.pipeline());
                   }
                 })
             .connect(upstream.address().ip(), upstream.address().port());
@@ -288,6 +285,15 @@
     proxy.responseMismatched(upstream, receivedId, exchange.request().id());
   }
 
+  /**
+   * Records that a connection is closed because of bytes that are no response.
+   *
+   * @param exchange the request in flight, or null
+   */
+  void unexpectedBytes(String reason, ProxyExchange exchange) {
+    proxy.unexpectedBytes(upstream, reason, exchange == null ? "none" : exchange.request().id());
+  }
+
   /** Records that the request on a connection has ended. */
   void responseCompleted(UpstreamConnection connection, boolean reusable) {
     queue.requestEnded();
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
@@ -2,11 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
@@ -39,20 +40,23 @@
 final class GatewayFixture {
   static final ServiceName SHARED = ServiceName.of("shared");
   static final ServiceName KEYED = ServiceName.of("keyed");
+  static final Duration SHORT_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final ZoneName ZONE = ZoneName.of("z");
   private static final int READ_TIMEOUT_MILLIS = 20_000;
   private static final int READY_ATTEMPTS = 400;
 
   private final GatewaySettings settings = settings();
+  private final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private InMemoryStore store;
   final Gateway gateway;
 
   GatewayFixture() {
-    EventLog log = EventLog.start("test", OutputStream.nullOutputStream());
+    EventLog eventLog = EventLog.start("test", log);
     gateway =
         Gateway.start(
             settings,
-            log,
+            eventLog,
             new Gateway.ExternalSystems(
                 loop -> {
                   store = new InMemoryStore(loop);
@@ -117,14 +121,26 @@
         .build();
   }
 
-  private static Route route(String prefix, RequestKind kind, ServiceName service) {
+  /** Waits until a line of the event log contains a text. */
+  void awaitLogged(String text) throws InterruptedException {
+    for (int i = 0; i < READY_ATTEMPTS; i++) {
+      if (log.toString(StandardCharsets.UTF_8).contains(text)) {
+        return;
+      }
+      Thread.sleep(25);
+    }
+    throw new AssertionError("not logged: " + text);
+  }
+
+  private static Route route(
+      String prefix, RequestKind kind, ServiceName service, Duration timeout) {
     return Route.builder()
         .name("r" + prefix.replace('/', '-'))
         .host("a.example")
         .prefix(prefix)
         .kind(kind)
         .targetLatency(Duration.ofSeconds(5))
-        .timeout(Duration.ofSeconds(10))
+        .timeout(timeout)
         .maxAttempts(2)
         .targets(ImmutableList.of(new WeightedTarget(service, 1)))
         .build();
@@ -141,9 +157,10 @@
             1,
             CallerLimits.DEFAULT,
             ImmutableList.of(
-                route("/lookup/", RequestKind.IDEMPOTENT, SHARED),
-                route("/order/", RequestKind.NON_IDEMPOTENT, SHARED),
-                route("/keyed/", RequestKind.IDEMPOTENT, KEYED)),
+                route("/lookup/", RequestKind.IDEMPOTENT, SHARED, TIMEOUT),
+                route("/brief/", RequestKind.IDEMPOTENT, SHARED, SHORT_TIMEOUT),
+                route("/order/", RequestKind.NON_IDEMPOTENT, SHARED, TIMEOUT),
+                route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT)),
             ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED))));
     store.setUpstreams(upstreams);
     for (int i = 0; i < READY_ATTEMPTS; i++) {
@@ -217,6 +234,29 @@
           new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** Reads until the connection ends, or fails; returns the number of bytes. */
+    long countToEnd(Duration limit) {
+      long deadlineNanos = System.nanoTime() + limit.toNanos();
+      long count = 0;
+      byte[] buffer = new byte[1 << 16];
+      try {
+        int read = 0;
+        while (read >= 0) {
+          count += read;
+          if (System.nanoTime() > deadlineNanos) {
+            throw new AssertionError("connection not ended after " + count + " bytes");
+          }
+          read = socket.getInputStream().read(buffer);
+        }
+      } catch (SocketTimeoutException e) {
+        throw new AssertionError("connection silent after " + count + " bytes", e);
+      } catch (IOException e) {
+        // A connection reset ends the response as well.
+        return count;
+      }
+      return count;
+    }
+
     boolean isClosedByServer() throws IOException {
       return socket.getInputStream().read() < 0;
     }
