Limit the body of responses that are not forwarded

A success without signature, or a refusal, whose body has no end was collected in memory until the deadline; the caller got 504 after 8 s.

Cause: a body is buffered up to 64 KB and streamed from there on, but a response that may not be forwarded was never streamed, so that its buffer had no limit.

Change: such a response is no answer once it exceeds 64 KB. Its connection is closed, and the request is retried or answered 502 by the usual rules.

Before, on: "body without signature" and "body of refusal" of EndlessBytesTest ended with 504 where 502 is expected.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -329,6 +329,7 @@
     }
     switch (relay.contentReceived(bytes, last)) {
       case INCOMPLETE -> {}
+      case TOO_LONG -> connection.rejectBytes("endless refusal or success without signature");
       case BUFFERED -> responseBuffered();
       case STREAMED -> {
         recordLatency();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
@@ -26,6 +26,8 @@
   enum Progress {
     /** More content is expected. */
     INCOMPLETE,
+    /** The response is longer than one that is not forwarded may be. */
+    TOO_LONG,
     /** The response is complete and buffered; nothing has been written to the caller. */
     BUFFERED,
     /** The response is complete, and all of it has been written to the caller. */
@@ -79,9 +81,13 @@
     if (last) {
       return Progress.BUFFERED;
     }
-    if (buffered.readableBytes() > MAX_BUFFERED_BYTES && head.isForwardable()) {
-      startStreaming();
+    if (buffered.readableBytes() <= MAX_BUFFERED_BYTES) {
+      return Progress.INCOMPLETE;
     }
+    if (!head.isForwardable()) {
+      return Progress.TOO_LONG;
+    }
+    startStreaming();
     return Progress.INCOMPLETE;
   }
 
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/EndlessBytesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/EndlessBytesTest.java
@@ -71,6 +71,8 @@
         arguments("other protocol", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", "x"),
         arguments("other responses", "", otherHead + "Content-Length: 0\r\n\r\n"),
         arguments("body of other response", otherHead + "\r\n", "x"),
+        arguments("body without signature", head + "\r\n", "x"),
+        arguments("body of refusal", head.replace("200", "503") + "X-Not-Executed: 1\r\n\r\n", "x"),
         arguments("chunk size", chunked, "0"),
         arguments("chunk extension", chunked + "5;", "x"),
         arguments("trailers", chunked + "0\r\n", "X-A: x\r\n"),
