Retry pipelined requests whose broken response was not sent yet

A caller that had sent several requests on one connection lost the answers to the earlier ones when the response to a later one broke off: the connection was closed, although nothing of the broken response had been sent. Or the broken part was sent in turn and then cut.

Cause: a response counts as begun when it is handed to its place in the order of responses; there it waits in memory until the earlier ones are complete.

Change: if its turn has not come, the waiting part is dropped, and the request is retried or answered by the usual rules.

Before, on: truncatedPipelinedResponseDoesNotCloseConnectionOfEarlier- Request failed, the second response was 200,000 bytes of a truncated body.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -271,7 +271,7 @@
     lastFailure = reason;
     proxy.upstreamFailed(pool.upstream(), "answer", reason);
     relay.detach();
-    if (relay.isStreaming()) {
+    if (relay.isStreaming() && !slot.discardUnsent()) {
       breakOff("broken off", BAD_GATEWAY);
       return;
     }
@@ -419,7 +419,11 @@
 
   private void streamExpired() {
     cancelAttempt();
-    breakOff("broken off: no complete answer in time", GATEWAY_TIMEOUT);
+    if (slot.discardUnsent()) {
+      respond(GATEWAY_TIMEOUT, "no answer in time", Optional.empty());
+    } else {
+      breakOff("broken off: no complete answer in time", GATEWAY_TIMEOUT);
+    }
   }
 
   /** Ends a response that has begun; the status is logged only. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
@@ -134,6 +134,7 @@
       ReferenceCountUtil.release(buffered);
       buffered = null;
     }
+    streaming = false;
     head = null;
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseSlot.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseSlot.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -100,6 +101,23 @@
     connection.close();
   }
 
+  /**
+   * Discards the response if none of it was sent, because earlier responses are not complete.
+   * Another response can then be written.
+   *
+   * @return whether the response was discarded
+   */
+  boolean discardUnsent() {
+    if (connection.isFirst(this)) {
+      return false;
+    }
+    pendingParts.forEach(ReferenceCountUtil::release);
+    pendingParts.clear();
+    pendingBytes = 0;
+    headWritten = false;
+    return true;
+  }
+
   boolean isWritable() {
     return connection.isFirst(this) ? connection.isWritable() : pendingBytes < MAX_PENDING_BYTES;
   }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.catkinlift.gateway.GatewayFixture.Response;
 import org.junit.jupiter.api.Test;
 
@@ -286,6 +287,35 @@
     }
   }
 
+  /** The caller would lose the response to the first request with that to the second. */
+  @Test
+  void truncatedPipelinedResponseDoesNotCloseConnectionOfEarlierRequest() throws Exception {
+    var truncated = new AtomicBoolean();
+    ScriptedUpstream[] upstreams = new ScriptedUpstream[1];
+    ScriptedUpstream.Script script =
+        (n, id, out) -> {
+          if (id.equals("r1")) {
+            await(upstreams[0].connectionEnded);
+            return write(out, ok(id, "one"));
+          }
+          if (truncated.compareAndSet(false, true)) {
+            write(out, ok(id, "x".repeat(300_000)).substring(0, 200_000));
+            return false;
+          }
+          return write(out, ok(id, "two"));
+        };
+    try (var shared = new ScriptedUpstream(script)) {
+      upstreams[0] = shared;
+      serve(shared);
+      try (var connection = fixture.connect()) {
+        connection.send(get("/lookup/a", "r1", "") + get("/lookup/b", "r2", ""));
+
+        assertThat(connection.read().body()).isEqualTo("one");
+        assertThat(connection.read().body()).isEqualTo("two");
+      }
+    }
+  }
+
   @Test
   void connectionIsReusableAfterLargeResponseToSlowCaller() throws Exception {
     String body = "x".repeat(3_000_000);
