Take malformed replies to short calls for no answer

A reply with status 200 whose header line, headers, chunk size, chunk extension or trailers had no end counted as an answer with status 200 and an empty body: a grant or a release of keys counted as confirmed. Other malformed replies counted as answers with status 999, a switch of protocols as 101. A call ended with the first informational response, and its own answer could go to the next call. After bytes behind an answer, the next call got these as its answer (409 for 200). A reply of a few bytes could be 16 MB long.

Cause: the aggregator turns a malformed message into a complete one whose decoder result has to be looked at; the client did not. Bytes of an unfinished head stayed in the decoder of an idle connection.

Change: malformed replies end the call as unanswered, informational responses are skipped, and connections have the byte limit and decoder of those to upstreams.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -77,13 +77,13 @@
     var random = new SplittableRandom();
     this.proxy = new ReverseProxy(trafficLoop, trafficTimers, settings, log, metrics, random);
     this.callerServer = new CallerServer(trafficLoop, trafficTimers, proxy);
-    var peerClient = new TextHttpClient(controlLoop);
+    var peerClient = new TextHttpClient(controlLoop, log);
     this.control =
         new GatewayControl(
             settings,
             new EventLoopTimerService(controlLoop),
             externalSystems.storeFactory().apply(controlLoop),
-            externalSystems.grantsFactory().apply(new TextHttpClient(controlLoop)),
+            externalSystems.grantsFactory().apply(new TextHttpClient(controlLoop, log)),
             peerClient,
             log,
             random.nextLong(Long.MAX_VALUE),
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
@@ -104,6 +104,7 @@
             .request("POST", PeerCodec.REPORT_PATH)
             .body(PeerCodec.encode(report))
             .timeout(REPORT_TIMEOUT)
+            .maxResponseBytes(HttpCall.MAX_RESPONSE_BYTES)
             .build(),
         this::callEnded);
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
@@ -16,6 +16,7 @@
  * @param timeout the maximum time from sending to the end of the response
  * @param connectTimeout the maximum time until a new connection is established; after it, the
  *     request is not sent
+ * @param maxResponseBytes the maximum size of the response with its head, in bytes
  */
 public record HttpCall(
     NetworkAddress address,
@@ -24,9 +25,16 @@
     ImmutableMap<String, String> headers,
     String body,
     Duration timeout,
-    Duration connectTimeout) {
+    Duration connectTimeout,
+    int maxResponseBytes) {
+  /** The maximum size of any response; fits a page of rows with their encoding. */
+  public static final int MAX_RESPONSE_BYTES = 16 << 20;
+
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(1);
 
+  /** Fits responses that only confirm the request. */
+  private static final int DEFAULT_MAX_RESPONSE_BYTES = 64 << 10;
+
   /**
    * Returns a builder.
    *
@@ -46,6 +54,7 @@
     private String body = "";
     private Duration timeout = DEFAULT_TIMEOUT;
     private Duration connectTimeout = DEFAULT_TIMEOUT;
+    private int maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES;
 
     private Builder(NetworkAddress address) {
       this.address = address;
@@ -87,13 +96,21 @@
       return this;
     }
 
+    /** Sets the maximum size of the response with its head, in bytes. */
+    @CanIgnoreReturnValue
+    public Builder maxResponseBytes(int value) {
+      maxResponseBytes = value;
+      return this;
+    }
+
     /**
      * Returns the call.
      *
      * @return the call
      */
     public HttpCall build() {
-      return new HttpCall(address, method, target, headers, body, timeout, connectTimeout);
+      return new HttpCall(
+          address, method, target, headers, body, timeout, connectTimeout, maxResponseBytes);
     }
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
@@ -11,12 +11,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -29,16 +30,19 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.model.NetworkAddress;
 
 /**
  * An HTTP client for short text bodies that runs on one event loop.
  *
  * <p>A connection is closed after a call without a response, because a connection that has gone
- * silent does not recover. Must be used on its event loop, which also runs the callbacks.
+ * silent does not recover, and when bytes arrive that belong to no response. Must be used on its
+ * event loop, which also runs the callbacks.
  */
 public final class TextHttpClient {
-  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+  private static final int MAX_BODY_BYTES = HttpCall.MAX_RESPONSE_BYTES;
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(800);
 
   /** Shorter than the idle timeout of any server that is called. */
@@ -47,16 +51,21 @@
   /** With SO_LINGER 0, closing resets the connection and discards undelivered data. */
   private static final int DISCARD_ON_CLOSE = 0;
 
+  private static final int INFORMATIONAL_CLASS = 1;
+
   private final EventLoop loop;
+  private final EventLog log;
   private final Map<NetworkAddress, Deque<Connection>> idleConnections = new HashMap<>();
 
   /**
    * Creates a client.
    *
    * @param loop the event loop that runs the connections and callbacks
+   * @param log the event log
    */
-  public TextHttpClient(EventLoop loop) {
+  public TextHttpClient(EventLoop loop, EventLog log) {
     this.loop = loop;
+    this.log = log;
   }
 
   /**
@@ -127,13 +136,20 @@
     protected void initChannel(Channel channel) {
       channel
           .pipeline()
-          .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), connection);
+          .addLast(
+              connection.byteLimit,
+              connection.decoder,
+              new HttpRequestEncoder(),
+              new HttpObjectAggregator(MAX_BODY_BYTES),
+              connection);
     }
   }
 
   /** A connection with at most one call in progress. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final NetworkAddress address;
+    private final InboundByteLimit byteLimit = new InboundByteLimit();
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private Consumer<CallResult> pendingCallback;
     private ScheduledFuture<?> timeout;
@@ -146,6 +162,7 @@
     private void send(HttpCall call, Consumer<CallResult> callback) {
       byte[] body = call.body().getBytes(StandardCharsets.UTF_8);
       pendingCallback = callback;
+      byteLimit.allow(call.maxResponseBytes());
       timeout =
           loop.schedule(
               () -> fail("no response within " + call.timeout().toMillis() + " ms"),
@@ -167,6 +184,18 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      if (response.decoderResult().isFailure()) {
+        rejectBytes("malformed answer");
+        return;
+      }
+      if (response.status().code() / 100 == INFORMATIONAL_CLASS) {
+        return;
+      }
+      boolean followedByBytes = decoder.hasUnreadBytes();
+      if (followedByBytes) {
+        logUnexpectedBytes("bytes after the end of an answer");
+      }
+      byteLimit.allow(InboundByteLimit.NONE);
       ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
       response
           .headers()
@@ -176,7 +205,7 @@
               response.status().code(),
               headers.buildKeepingLast(),
               response.content().toString(StandardCharsets.UTF_8));
-      if (HttpUtil.isKeepAlive(response) && pendingCallback != null) {
+      if (HttpUtil.isKeepAlive(response) && !followedByBytes && pendingCallback != null) {
         idleSinceNanos = System.nanoTime();
         idleConnections.computeIfAbsent(address, a -> new ArrayDeque<>()).push(this);
       } else {
@@ -196,7 +225,20 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      fail(String.valueOf(cause.getMessage()));
+      if (cause instanceof UnexpectedBytesException || cause instanceof TooLongFrameException) {
+        rejectBytes(String.valueOf(cause.getMessage()));
+      } else {
+        fail(String.valueOf(cause.getMessage()));
+      }
+    }
+
+    private void rejectBytes(String reason) {
+      logUnexpectedBytes(pendingCallback == null ? "bytes without a call" : reason);
+      fail(reason);
+    }
+
+    private void logUnexpectedBytes(String reason) {
+      log.log(EventCode.UNEXPECTED_BYTES, ImmutableMap.of("address", address, "reason", reason));
     }
 
     private void fail(String reason) {
