Bound replies to control calls of catkinliftd in size and time

A reply to a control call (probe, grant, release, load, cancellation, platform) that had no end was read beyond its timeout, and its body collected, as long as bytes came; the connection stayed counted in its pool. The rest of a refusal was read without end in the same way. An informational response other than 100 and 103 was taken for the answer, for requests of callers too.

Cause: a timeout of the returned future does not reset the request, and the request's own timeout counts silence only.

Change: ShortExchange sends a request, reads a body up to a limit and resets the request, which closes its connection, when the limit or the timeout is exceeded. Replies of upstreams may have 1 MB (64 KB for load, probes of connections and cancellations), those of the platform 64 MB. The rest of a refusal may take 1 s. Informational responses are no answer.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
@@ -7,8 +7,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -23,6 +21,7 @@
 
   private final HttpClient client;
   private final Duration timeout;
+  private final int maxBodyBytes;
 
   /**
    * Creates the client; connections are opened on demand.
@@ -30,11 +29,13 @@
    * @param vertx runs the client
    * @param pool the options of the connection pool
    * @param timeout the time after which a response counts as lost
+   * @param maxBodyBytes the size of a body above which a response counts as lost, in bytes
    */
-  public ControlHttpClient(Vertx vertx, PoolOptions pool, Duration timeout) {
+  public ControlHttpClient(Vertx vertx, PoolOptions pool, Duration timeout, int maxBodyBytes) {
     var options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
     this.client = vertx.createHttpClient(options, pool);
     this.timeout = timeout;
+    this.maxBodyBytes = maxBodyBytes;
   }
 
   /**
@@ -67,25 +68,13 @@
             .setIdleTimeout(timeout.toMillis());
     return client
         .request(options)
-        .compose(r -> exchange(r, body))
+        .compose(r -> ShortExchange.send(r, Buffer.buffer(body), maxBodyBytes, timeout))
         .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        .map(r -> new Response(r.status(), r.body().toString(UTF_8)))
         .map(response -> Optional.of(response).filter(r -> r.status() < MIN_SERVER_ERROR_STATUS))
         .otherwise(Optional.empty());
   }
 
-  /**
-   * Registers the response handler before the request is sent. Otherwise a thread other than the
-   * event loop may register it after the response has arrived, and the body would be lost.
-   */
-  private static Future<Response> exchange(HttpClientRequest request, String body) {
-    Future<Response> response = request.response().compose(ControlHttpClient::readResponse);
-    return request.end(Buffer.buffer(body)).compose(sent -> response);
-  }
-
-  private static Future<Response> readResponse(HttpClientResponse response) {
-    return response.body().map(body -> new Response(response.statusCode(), body.toString(UTF_8)));
-  }
-
   /** Closes the connections. */
   public void close() {
     var unused = client.close();
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/HttpPlatform.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/platform/HttpPlatform.java
@@ -32,6 +32,9 @@
    */
   public static final Duration DEFAULT_TIMEOUT = Duration.ofMillis(500);
 
+  /** Fits the rows of a whole table. */
+  private static final int MAX_REPLY_BYTES = 64 << 20;
+
   private static final int OK = 200;
   private static final int CONFLICT = 409;
 
@@ -52,7 +55,8 @@
    * @return the adapter
    */
   public static HttpPlatform create(Vertx vertx, NetworkAddress address, Duration timeout) {
-    return new HttpPlatform(new ControlHttpClient(vertx, new PoolOptions(), timeout), address);
+    var client = new ControlHttpClient(vertx, new PoolOptions(), timeout, MAX_REPLY_BYTES);
+    return new HttpPlatform(client, address);
   }
 
   @Override
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamControlClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamControlClient.java
@@ -23,6 +23,9 @@
   /** One connection carries the renewals; the second one is used when the first has gone silent. */
   private static final int CONNECTIONS_PER_UPSTREAM = 2;
 
+  /** A reply names the slots that were granted or released. */
+  private static final int MAX_REPLY_BYTES = 1 << 20;
+
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
@@ -42,7 +45,7 @@
    */
   public static UpstreamControlClient create(Vertx vertx, Duration timeout) {
     var pool = new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_UPSTREAM);
-    return new UpstreamControlClient(new ControlHttpClient(vertx, pool, timeout));
+    return new UpstreamControlClient(new ControlHttpClient(vertx, pool, timeout, MAX_REPLY_BYTES));
   }
 
   /**
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamExchange.java
@@ -3,9 +3,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.catkinlift.daemon.http.Headers;
+import org.catkinlift.daemon.http.ShortExchange;
 import org.catkinlift.daemon.relay.AttemptDispatcher;
 import org.catkinlift.daemon.relay.AttemptListener;
 import org.catkinlift.daemon.relay.AttemptStream;
@@ -19,6 +21,9 @@
  * loop of its {@link UpstreamWorker}.
  */
 final class UpstreamExchange implements AttemptStream {
+  /** After this time, the rest of a refusal is not worth the connection. */
+  private static final Duration REFUSAL_BODY_TIMEOUT = Duration.ofSeconds(1);
+
   private final UpstreamWorker worker;
   private final long attempt;
   private final RelayHead head;
@@ -119,7 +124,7 @@
       return;
     }
     response = received;
-    if (!worker.acceptsResponse(this, received)) {
+    if (ShortExchange.isInformational(received) || !worker.acceptsResponse(this, received)) {
       fail(RefusalCode.CONNECTION_LOST);
       return;
     }
@@ -136,7 +141,7 @@
 
   private void handleRefusal(HttpClientResponse refusal) {
     state = State.ENDED;
-    refusal.resume();
+    ShortExchange.discard(refusal, REFUSAL_BODY_TIMEOUT);
     AttemptResult result = RefusalStatus.resultOf(refusal.statusCode());
     listener.failed(
         Outcome.notRun(RefusalStatus.codeOf(refusal.statusCode()), worker.retryAfter()));
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -1,7 +1,9 @@
 package org.catkinlift.daemon.upstream;
 
 import com.google.common.collect.ImmutableList;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -19,6 +21,7 @@
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.daemon.EventSink;
 import org.catkinlift.daemon.http.Headers;
+import org.catkinlift.daemon.http.ShortExchange;
 import org.catkinlift.daemon.relay.AttemptListener;
 import org.catkinlift.daemon.settings.LimitSettings;
 import org.catkinlift.events.DecisionEvent;
@@ -51,6 +54,8 @@
   /** Covers several load reports and heartbeats, so that losing one of them does no harm. */
   private static final Duration RELEASE_REPORT_PERIOD = Duration.ofSeconds(2);
 
+  private static final int MAX_CONTROL_REPLY_BYTES = 64 << 10;
+
   /** Probes have negative numbers, so that they never collide with attempt numbers. */
   private static final long FIRST_PROBE_NUMBER = -1;
 
@@ -152,9 +157,8 @@
     long queriedNanos = System.nanoTime();
     client
         .request(controlOptions(HttpMethod.GET, "/_upstream/load"))
-        .compose(HttpClientRequest::send)
-        .compose(HttpClientResponse::body)
-        .onSuccess(body -> inheritedLoadReceived(UpstreamLoadReport.read(body), queriedNanos));
+        .compose(UpstreamWorker::sendControl)
+        .onSuccess(r -> inheritedLoadReceived(UpstreamLoadReport.read(r.body()), queriedNanos));
   }
 
   private void inheritedLoadReceived(Optional<UpstreamLoadReport> report, long queriedNanos) {
@@ -337,12 +341,16 @@
     String path = "/_upstream/requests/" + exchange.head().request().id().value();
     client
         .request(controlOptions(HttpMethod.DELETE, path))
-        .compose(HttpClientRequest::send)
+        .compose(UpstreamWorker::sendControl)
         .onSuccess(response -> cancellationReplied(exchange, response));
   }
 
-  private void cancellationReplied(UpstreamExchange exchange, HttpClientResponse response) {
-    if (response.statusCode() >= 300) {
+  private static Future<ShortExchange.Response> sendControl(HttpClientRequest request) {
+    return ShortExchange.send(request, Buffer.buffer(), MAX_CONTROL_REPLY_BYTES, CONNECT_TIMEOUT);
+  }
+
+  private void cancellationReplied(UpstreamExchange exchange, ShortExchange.Response response) {
+    if (response.status() >= 300) {
       return;
     }
     execute(
@@ -384,8 +392,7 @@
             request -> {
               long connection = connectionNumber(request.connection());
               connectionHealth.sent(connection, attempt, System.nanoTime(), CONNECT_TIMEOUT);
-              request
-                  .send()
+              sendControl(request)
                   .onSuccess(
                       response ->
                           connectionHealth
