Do not resign while a long grant may outlast the successor's freeze

What callers would see: after a platform outage a coordinator stops by plan, and its successor gives the slots of an upstream that it cannot reach to others, while that upstream holds them for up to ten minutes.

Cause: a successor of a coordinator that resigned makes no change for one lease (PlacementFreeze), and knows nothing of older grants. The resigning coordinator waited for its moves only. An upstream that was cut off as the platform returned kept its long grant, and for its first second without an answer it was not lost yet and had no release pending.

Change: the role is not resigned while the ledgers know of a grant that may outlast the freeze. As soon as each upstream has confirmed a short grant, which takes one renewal, nothing changes. If one cannot be reached, the stop goes the way of pending releases: it ends after 10 s without resignation, and the long promises of the voters protect the grant.

--- a/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipAfterOutageTest.java
+++ b/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipAfterOutageTest.java
@@ -9,7 +9,7 @@
 import org.catkinlift.model.ServiceKind;
 import org.junit.jupiter.api.Test;
 
-/** Guards against long grants of a platform outage that count after short ones replaced them. */
+/** Guards against errors in the time for which the long grants of a platform outage count. */
 final class OwnershipAfterOutageTest {
   private static final Duration SETTLE = Duration.ofSeconds(5);
 
@@ -52,4 +52,20 @@
     world.coordinator("zone1").orElseThrow().lose();
     assertServedWithinTarget();
   }
+
+  /**
+   * Guards against a successor that moves slots of an upstream whose long grant it does not know:
+   * the former coordinator resigned before this upstream had got a short one.
+   */
+  @Test
+  void coordinatorDoesNotResignWhileLongGrantIsInForce() {
+    world.advance(SETTLE);
+    world.platform().setDown(true);
+    world.advance(SETTLE);
+    world.platform().setDown(false);
+    world.network().cut(ImmutableSet.of("up1-0"));
+    world.coordinator("zone1").orElseThrow().stop();
+    world.advance(SETTLE.multipliedBy(4));
+    assertThat(world.checks().violations()).isEmpty();
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellParticipant.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/CellParticipant.java
@@ -422,12 +422,19 @@
     }
   }
 
+  /** Returns whether a grant may outlast the placement freeze of a successor. */
+  private boolean hasLongGrants(Coordinator current, long nowNanos) {
+    return current.latestGrantEnd()
+        > PlacementFreeze.after(nowNanos, context.timings()).untilNanos();
+  }
+
   private void resignWhenSettled(Coordinator current, long nowNanos, Outbox out) {
     boolean hasSuccessor =
         authority().otherVoters().stream().anyMatch(v -> authority().hasPromised(v, nowNanos));
     boolean leasesEnded = !current.mayHoldLease(context.host(), nowNanos);
     if (!hasSuccessor
         || !leasesEnded
+        || hasLongGrants(current, nowNanos)
         || !current.isSettled()
         || !context.platform().isReachable()) {
       return;
