Count a grant from the end of its call

Cause: the expiry of a grant was counted from its decision plus 1.1 s, but the transport bounds its own steps only, and its timers run on the same busy thread. An answer could shorten the expiry and not extend it.

Change: the upstream may hold the keys as long as the call is under way; the expiry is counted when the call ends. An answer, and a call that is given up and reset, both prove that the grant has arrived by now if ever. The comparison of maps for the log is no longer quadratic.

no_known_hold replaces never_granted in event 3015: a holder that released the keys under an earlier token was called never granted.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/AssignmentState.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/AssignmentState.java
@@ -49,7 +49,7 @@
       }
       return holdExpiryNanos.isPresent()
           ? new EndedHold.Cause.Expired(Duration.ofNanos(nowNanos - holdExpiryNanos.getAsLong()))
-          : new EndedHold.Cause.NeverGranted();
+          : new EndedHold.Cause.NoKnownHold();
     }
 
     void callStarted() {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/EndedHold.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/EndedHold.java
@@ -23,7 +23,10 @@
      */
     record Expired(Duration ago) implements Cause {}
 
-    /** This coordinator knows of no grant that may have reached the holder. */
-    record NeverGranted() implements Cause {}
+    /**
+     * This coordinator knew of no hold when the keys were assigned: the holder had no grant, or had
+     * released the keys under an earlier fencing token.
+     */
+    record NoKnownHold() implements Cause {}
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
@@ -22,33 +22,30 @@
 
   private final Map<GrantDestination, List<Hold>> holds = new HashMap<>();
 
-  /** One grant that may have reached its destination. */
-  private record Hold(long callId, KeyRange range, long expiryNanos, boolean callInFlight) {
+  /** The expiry of a grant whose call has not ended, so that it may still arrive. */
+  private static final long AFTER_CALL = Long.MAX_VALUE;
 
-    boolean mayBeEffective(long nowNanos) {
-      return callInFlight || expiryNanos >= nowNanos;
-    }
+  /** One grant that may have reached its destination. */
+  private record Hold(long callId, KeyRange range, long expiryNanos) {
 
-    Hold answered(long newExpiryNanos) {
-      return new Hold(callId, range, Math.min(expiryNanos, newExpiryNanos), false);
+    boolean isCallInFlight() {
+      return expiryNanos == AFTER_CALL;
     }
 
-    Hold unanswered() {
-      return new Hold(callId, range, expiryNanos, false);
+    Hold withExpiry(long newExpiryNanos) {
+      return new Hold(callId, range, newExpiryNanos);
     }
 
-    /** Returns whether another hold has ended by the time that this one ends. */
-    boolean outlasts(Hold other) {
-      return callId > other.callId
-          && !other.callInFlight
-          && range.contains(other.range)
-          && expiryNanos >= other.expiryNanos;
+    /** Returns whether an earlier grant adds nothing to this one, so that it may be forgotten. */
+    boolean replaces(Hold earlier) {
+      return callId > earlier.callId
+          && range.contains(earlier.range)
+          && expiryNanos >= earlier.expiryNanos;
     }
 
     /** Returns what is left of this hold without some keys. */
     Stream<Hold> without(KeyRange released) {
-      return range.minus(released).stream()
-          .map(r -> new Hold(callId, r, expiryNanos, callInFlight));
+      return range.minus(released).stream().map(r -> new Hold(callId, r, expiryNanos));
     }
   }
 
@@ -59,19 +56,17 @@
 
   /** Records that grants of an earlier coordinator may have reached a destination. */
   void grantedByEarlierCoordinator(GrantDestination to, KeyRange range, long expiryNanos) {
-    add(to, new Hold(EARLIER_COORDINATOR, range, expiryNanos, false));
+    add(to, new Hold(EARLIER_COORDINATOR, range, expiryNanos));
   }
 
   /**
-   * Records the start of a grant call.
+   * Records the start of a grant call. The destination may hold the keys until the call has ended,
+   * and from then on until the grant has expired.
    *
    * @param callId identifies the call; higher than the identifiers of all earlier calls
-   * @param to the destination
-   * @param range the granted keys
-   * @param expiryNanos the time at which the grant has expired, however late it arrives
    */
-  void grantStarted(long callId, GrantDestination to, KeyRange range, long expiryNanos) {
-    add(to, new Hold(callId, range, expiryNanos, true));
+  void grantStarted(long callId, GrantDestination to, KeyRange range) {
+    add(to, new Hold(callId, range, AFTER_CALL));
   }
 
   private void add(GrantDestination to, Hold hold) {
@@ -79,23 +74,17 @@
   }
 
   /**
-   * Records that a grant call was answered, which bounds the time of its arrival.
+   * Records the end of a grant call that was answered or given up, and has arrived by now if ever.
    *
    * @param expiryNanos the time at which a grant that arrives now has expired
    */
-  void grantAnswered(long callId, GrantDestination to, long expiryNanos) {
+  void grantEnded(long callId, GrantDestination to, long expiryNanos) {
     List<Hold> own = holdsOf(to);
-    own.replaceAll(h -> h.callId() == callId ? h.answered(expiryNanos) : h);
+    own.replaceAll(h -> h.callId() == callId ? h.withExpiry(expiryNanos) : h);
     own.stream()
         .filter(h -> h.callId() == callId)
         .findFirst()
-        .ifPresent(answered -> own.removeIf(answered::outlasts));
-  }
-
-  /** Records that a grant call ended without an answer; the grant may have arrived. */
-  void grantUnanswered(long callId, GrantDestination to) {
-    List<Hold> own = holdsOf(to);
-    own.replaceAll(h -> h.callId() == callId ? h.unanswered() : h);
+        .ifPresent(ended -> own.removeIf(ended::replaces));
   }
 
   /** Records that a grant call did not reach its destination; earlier grants stay in effect. */
@@ -119,31 +108,29 @@
     holds.put(from, new ArrayList<>(remaining));
   }
 
-  /** Returns when the last hold of a destination on some keys expires, or empty without a hold. */
+  /** Returns when the last hold of a destination expires; empty without one whose call ended. */
   OptionalLong expiryNanos(GrantDestination of, KeyRange range) {
-    return overlapping(of, range).mapToLong(Hold::expiryNanos).max();
+    return overlapping(of, range)
+        .filter(h -> !h.isCallInFlight())
+        .mapToLong(Hold::expiryNanos)
+        .max();
   }
 
   /** Returns whether a destination may hold some of the keys. */
   boolean mayHold(GrantDestination destination, KeyRange range, long nowNanos) {
-    return overlapping(destination, range).anyMatch(h -> h.mayBeEffective(nowNanos));
-  }
-
-  /** Returns whether any other destination may hold some of the keys. */
-  boolean mayBeHeldByOthers(GrantDestination self, KeyRange range, long nowNanos) {
-    return holds.keySet().stream().anyMatch(d -> !d.equals(self) && mayHold(d, range, nowNanos));
+    return overlapping(destination, range).anyMatch(h -> h.expiryNanos() >= nowNanos);
   }
 
   /** Returns whether a grant of some of the keys is on its way to a destination. */
   boolean isGrantInFlight(GrantDestination to, KeyRange range) {
-    return overlapping(to, range).anyMatch(Hold::callInFlight);
+    return overlapping(to, range).anyMatch(Hold::isCallInFlight);
   }
 
   private Stream<Hold> overlapping(GrantDestination destination, KeyRange range) {
     return holdsOf(destination).stream().filter(h -> h.range().overlaps(range));
   }
 
-  /** Returns the holds of a destination; an empty list is not attached to it. */
+  /** Returns the holds of a destination, or a new list that is not part of the record yet. */
   private List<Hold> holdsOf(GrantDestination destination) {
     return holds.getOrDefault(destination, new ArrayList<>());
   }
@@ -152,7 +139,7 @@
   void removeExpired(long nowNanos) {
     for (Iterator<List<Hold>> lists = holds.values().iterator(); lists.hasNext(); ) {
       List<Hold> own = lists.next();
-      own.removeIf(h -> !h.mayBeEffective(nowNanos));
+      own.removeIf(h -> h.expiryNanos() < nowNanos);
       if (own.isEmpty()) {
         lists.remove();
       }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
@@ -6,8 +6,9 @@
 /** An action that a {@link RangeCoordinator} requests. */
 public sealed interface RangeAction {
   /**
-   * The longest time from the decision for a grant to its arrival at the upstream. Whoever carries
-   * out the action gives up a call that has no answer by then, so that it arrives no later.
+   * The longest time from the end of a coordinator's role to the arrival of its last call. Whoever
+   * carries out an action sends nothing after the role has ended, and gives up a call that has no
+   * answer by then.
    */
   Duration MAX_DELIVERY_DELAY = Duration.ofMillis(1_100);
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAssignment.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAssignment.java
@@ -8,8 +8,8 @@
  * @param range the assigned keys
  * @param holder the current holder, or the next one while the keys are moving
  * @param fence the fencing token of the holder's grants; higher than those of all previous holders
- * @param previousHolders earlier holders that may still hold some of the keys; while there are any,
- *     the holder gets no grant
+ * @param previousHolders earlier holders; the holder gets its first grant when none of them may
+ *     still hold some of the keys
  */
 public record RangeAssignment(
     KeyRange range, Holder holder, long fence, ImmutableList<Holder> previousHolders) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -173,7 +173,8 @@
 
   /** An earlier coordinator may have sent the longest grants just before it lost the role. */
   private AssignmentState stateAfterTakeover(RangeAssignment assignment, long nowNanos) {
-    long expiryNanos = latestExpiryOfCallNanos(maxGrantDuration, nowNanos);
+    long arrivalNanos = nowNanos + RangeAction.MAX_DELIVERY_DELAY.toNanos();
+    long expiryNanos = latestExpiryNanos(maxGrantDuration, arrivalNanos);
     Stream.concat(Stream.of(assignment.holder()), assignment.previousHolders().stream())
         .forEach(
             h ->
@@ -196,11 +197,6 @@
     return state;
   }
 
-  /** Returns when a grant that is sent now has expired, however late it arrives. */
-  private static long latestExpiryOfCallNanos(Duration grantDuration, long nowNanos) {
-    return latestExpiryNanos(grantDuration, nowNanos + RangeAction.MAX_DELIVERY_DELAY.toNanos());
-  }
-
   /** Returns when a grant that arrived at the latest at a given time has expired. */
   private static long latestExpiryNanos(Duration grantDuration, long arrivalNanos) {
     return arrivalNanos + (long) (grantDuration.toNanos() * CLOCK_RATE_MARGIN);
@@ -271,12 +267,10 @@
     return new RangeMap(present.nextFence(), next.build());
   }
 
-  /** Asks the previous holders first, because asking for all others takes longer. */
+  /** The list of previous holders is complete, since the planner drops none of them. */
   private boolean isHeldByOthers(RangeAssignment assignment, long nowNanos) {
-    KeyRange range = assignment.range();
     return assignment.previousHolders().stream()
-            .anyMatch(h -> holds.mayHold(h.destination(), range, nowNanos))
-        || holds.mayBeHeldByOthers(assignment.holder().destination(), range, nowNanos);
+        .anyMatch(h -> holds.mayHold(h.destination(), assignment.range(), nowNanos));
   }
 
   private void addDueCalls(
@@ -285,7 +279,9 @@
         .pendingReleases()
         .forEach(
             (holder, release) -> {
-              if (mustRelease(holder, release, state, nowNanos) && release.isCallDue(nowNanos)) {
+              KeyRange range = state.assignment().range();
+              holds.expiryNanos(holder.destination(), range).ifPresent(release::holdKnown);
+              if (release.isCallDue(nowNanos) && mustRelease(holder, range, nowNanos)) {
                 release.callStarted();
                 actions.add(startRelease(state, holder));
               }
@@ -302,10 +298,7 @@
    * the same destination: an upstream that restarts forgets the release's fencing token and accepts
    * a grant that arrives after it.
    */
-  private boolean mustRelease(
-      Holder holder, AssignmentState.PendingRelease release, AssignmentState state, long nowNanos) {
-    KeyRange range = state.assignment().range();
-    holds.expiryNanos(holder.destination(), range).ifPresent(release::holdKnown);
+  private boolean mustRelease(Holder holder, KeyRange range, long nowNanos) {
     return holds.mayHold(holder.destination(), range, nowNanos)
         && !holds.isGrantInFlight(holder.destination(), range);
   }
@@ -321,11 +314,7 @@
     Duration duration = storeFailing ? maxGrantDuration : GRANT_DURATION;
     state.grantStarted();
     long callId = registerCall(new Call.GrantCall(state, duration));
-    holds.grantStarted(
-        callId,
-        assignment.holder().destination(),
-        assignment.range(),
-        latestExpiryOfCallNanos(duration, nowNanos));
+    holds.grantStarted(callId, assignment.holder().destination(), assignment.range());
     return new RangeAction.Grant(
         callId, assignment, duration, state.handover(), state.grantReason(nowNanos));
   }
@@ -354,24 +343,21 @@
   private void grantEnded(long callId, Call.GrantCall call, GrantResult result, long nowNanos) {
     AssignmentState state = call.state();
     GrantDestination destination = state.assignment().holder().destination();
+    if (result instanceof GrantResult.NotSent) {
+      holds.grantNotSent(callId, destination);
+    } else {
+      holds.grantEnded(callId, destination, latestExpiryNanos(call.duration(), nowNanos));
+    }
     switch (result) {
       case GrantResult.Done done -> {
-        holds.grantAnswered(callId, destination, latestExpiryNanos(call.duration(), nowNanos));
         if (state.assignment().isMoving() && !state.isGranted()) {
           nextPlanNanos = Math.min(nextPlanNanos, nowNanos + REPLAN_DELAY.toNanos());
         }
         state.grantDone(nowNanos + RENEW_INTERVAL.toNanos());
       }
-      case GrantResult.NotSent notSent -> {
-        holds.grantNotSent(callId, destination);
-        state.grantFailed(nowNanos);
-      }
-      case GrantResult.Unanswered unanswered -> {
-        holds.grantUnanswered(callId, destination);
-        state.grantFailed(nowNanos);
-      }
+      case GrantResult.NotSent notSent -> state.grantFailed(nowNanos);
+      case GrantResult.Unanswered unanswered -> state.grantFailed(nowNanos);
       case GrantResult.Outdated outdated -> {
-        holds.grantUnanswered(callId, destination);
         state.grantFailed(nowNanos);
         mustRead = true;
         nextReadNanos = nowNanos;
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
@@ -50,13 +50,28 @@
   }
 
   private ImmutableList<Holder> holdersOf(KeyRange range) {
-    return assignments.stream()
-        .filter(a -> a.range().overlaps(range))
+    return assignments.subList(firstIndexNotBefore(range), assignments.size()).stream()
+        .takeWhile(a -> a.range().overlaps(range))
         .map(RangeAssignment::holder)
         .distinct()
         .collect(ImmutableList.toImmutableList());
   }
 
+  /** Returns the index of the first assignment that does not end before a range begins. */
+  private int firstIndexNotBefore(KeyRange range) {
+    int low = 0;
+    int high = assignments.size();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (assignments.get(middle).range().last() < range.first()) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
+  }
+
   /**
    * A change of an assignment.
    *
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
@@ -129,7 +129,7 @@
         switch (ended.cause()) {
           case EndedHold.Cause.Released released -> "released";
           case EndedHold.Cause.Expired expired -> "expired_ms_ago=" + expired.ago().toMillis();
-          case EndedHold.Cause.NeverGranted neverGranted -> "never_granted";
+          case EndedHold.Cause.NoKnownHold none -> "no_known_hold";
         };
     return format(ended.holder()) + ":" + cause;
   }
