--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
@@ -20,11 +20,11 @@
   /** The call id of holds by grants of an earlier coordinator; lower than any call id. */
   private static final long EARLIER_COORDINATOR = 0;
 
-  private final Map<GrantDestination, List<Hold>> holds = new HashMap<>();
-
   /** The expiry of a grant whose call has not ended, so that it may still arrive. */
   private static final long AFTER_CALL = Long.MAX_VALUE;
 
+  private final Map<GrantDestination, List<Hold>> holds = new HashMap<>();
+
   /** One grant that may have reached its destination. */
   private record Hold(long callId, KeyRange range, long expiryNanos) {
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -275,24 +275,27 @@
 
   private void addDueCalls(
       AssignmentState state, long nowNanos, ImmutableList.Builder<RangeAction> actions) {
+    KeyRange range = state.assignment().range();
     state
         .pendingReleases()
         .forEach(
             (holder, release) -> {
-              KeyRange range = state.assignment().range();
               holds.expiryNanos(holder.destination(), range).ifPresent(release::holdKnown);
               if (release.isCallDue(nowNanos) && mustRelease(holder, range, nowNanos)) {
                 release.callStarted();
                 actions.add(startRelease(state, holder));
               }
             });
-    RangeAssignment assignment = state.assignment();
-    if (state.isGrantDue(nowNanos)
-        && (state.isGranted() || !isHeldByOthers(assignment, nowNanos))) {
+    if (state.isGrantDue(nowNanos) && mayGrant(state, nowNanos)) {
       actions.add(startGrant(state, nowNanos));
     }
   }
 
+  /** A renewal need not wait: nobody else gets the keys while the assignment is in force. */
+  private boolean mayGrant(AssignmentState state, long nowNanos) {
+    return state.isGranted() || !isHeldByOthers(state.assignment(), nowNanos);
+  }
+
   /**
    * Returns whether a release is needed and possible. A release waits for the end of grant calls to
    * the same destination: an upstream that restarts forgets the release's fencing token and accepts
