Let slow replies of the endless stand-in wait for its close

The thread of a slow reply slept between two parts; it waits for the close of the stand-in now, and ends with it. EndlessBytesTest, TextHttpClientTest and ControlHttpClientTest pass.

--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/EndlessUpstream.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/EndlessUpstream.java
@@ -36,6 +36,7 @@
   private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicInteger openConnections = new AtomicInteger();
   private final CountDownLatch firstClosed = new CountDownLatch(1);
+  private final CountDownLatch stopped = new CountDownLatch(1);
 
   /**
    * The bytes of a reply.
@@ -181,9 +182,12 @@
     sentBytes.addAndGet(text.length());
   }
 
-  private static void pause(Duration interval) throws IOException {
+  /** Waits between two parts of a slow reply, which ends when the upstream is closed. */
+  private void pause(Duration interval) throws IOException {
     try {
-      Thread.sleep(interval);
+      if (stopped.await(interval.toNanos(), TimeUnit.NANOSECONDS)) {
+        throw new IOException("upstream closed");
+      }
     } catch (InterruptedException e) {
       throw new IOException(e);
     }
@@ -191,6 +195,7 @@
 
   @Override
   public void close() throws IOException {
+    stopped.countDown();
     server.close();
   }
 }
