Mend what a second reading of the change found

PossibleHolds says what it does, and the end of a grant's call is no longer named like the end of a grant. No behaviour changes.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantReason.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantReason.java
@@ -8,7 +8,7 @@
   /**
    * The holder gets the keys for the first time under this fencing token.
    *
-   * @param endedHolds the previous holders that had to release the keys first
+   * @param endedHolds the previous holders, and why none of them holds the keys any more
    */
   record FirstGrant(ImmutableList<EndedHold> endedHolds) implements GrantReason {}
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PossibleHolds.java
@@ -9,7 +9,7 @@
 import java.util.stream.Stream;
 
 /**
- * Until when each upstream may hold keys, by all grants that may have reached it.
+ * Records until when each upstream may hold keys, from all grants that may have reached it.
  *
  * <p>A hold belongs to the destination of a grant, not to an incarnation or a fencing token: a
  * restarted upstream accepts a grant that was meant for its earlier incarnation, and an upstream
@@ -78,7 +78,7 @@
    *
    * @param expiryNanos the time at which a grant that arrives now has expired
    */
-  void grantEnded(long callId, GrantDestination to, long expiryNanos) {
+  void grantCallEnded(long callId, GrantDestination to, long expiryNanos) {
     List<Hold> own = holdsOf(to);
     own.replaceAll(h -> h.callId() == callId ? h.withExpiry(expiryNanos) : h);
     own.stream()
@@ -108,7 +108,10 @@
     holds.put(from, new ArrayList<>(remaining));
   }
 
-  /** Returns when the last hold of a destination expires; empty without one whose call ended. */
+  /**
+   * Returns when the last hold of a destination expires, or empty if there is none. Grants whose
+   * call has not ended do not count.
+   */
   OptionalLong expiryNanos(GrantDestination of, KeyRange range) {
     return overlapping(of, range)
         .filter(h -> !h.isCallInFlight())
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -349,7 +349,7 @@
     if (result instanceof GrantResult.NotSent) {
       holds.grantNotSent(callId, destination);
     } else {
-      holds.grantEnded(callId, destination, latestExpiryNanos(call.duration(), nowNanos));
+      holds.grantCallEnded(callId, destination, latestExpiryNanos(call.duration(), nowNanos));
     }
     switch (result) {
       case GrantResult.Done done -> {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/PossibleHoldsTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/PossibleHoldsTest.java
@@ -19,7 +19,7 @@
   @Test
   void aGrantThatWasNotSentLeavesTheEarlierHold() {
     holds.grantStarted(1, A, RANGE);
-    holds.grantEnded(1, A, 500);
+    holds.grantCallEnded(1, A, 500);
     holds.grantStarted(2, A, RANGE);
     holds.grantNotSent(2, A);
 
@@ -30,9 +30,9 @@
   @Test
   void theEndOfACallBoundsItsOwnGrantOnly() {
     holds.grantStarted(1, A, RANGE);
-    holds.grantEnded(1, A, 700);
+    holds.grantCallEnded(1, A, 700);
     holds.grantStarted(2, A, RANGE);
-    holds.grantEnded(2, A, 600);
+    holds.grantCallEnded(2, A, 600);
 
     assertThat(holds.expiryNanos(A, RANGE)).hasValue(700);
   }
@@ -40,7 +40,7 @@
   @Test
   void aReleaseEndsTheReleasedKeysOfEarlierGrantsOnly() {
     holds.grantStarted(1, A, RANGE);
-    holds.grantEnded(1, A, 500);
+    holds.grantCallEnded(1, A, 500);
     holds.grantStarted(3, A, new KeyRange(12, 13));
     holds.released(2, A, new KeyRange(11, 18));
 
@@ -58,7 +58,7 @@
 
     assertThat(holds.mayHold(A, RANGE, 600)).isTrue();
     assertThat(holds.isGrantInFlight(A, RANGE)).isTrue();
-    holds.grantEnded(1, A, 700);
+    holds.grantCallEnded(1, A, 700);
     assertThat(holds.isGrantInFlight(A, RANGE)).isFalse();
     assertThat(holds.mayHold(A, RANGE, 701)).isFalse();
   }
