--- a/review/standins/Caller.java
+++ b/review/standins/Caller.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -14,6 +15,8 @@
   /** To which daemon each request was sent. */
   private static final Map<String, String> SENDERS = new ConcurrentHashMap<>();
 
+  private static final Set<String> SERVED = ConcurrentHashMap.newKeySet();
+
   private final Record record;
   private final Daemon daemon;
   private final String host;
@@ -27,8 +30,18 @@
     this.host = host;
   }
 
-  static String nextId() {
-    return "r%06d".formatted(NEXT.incrementAndGet());
+  /** Returns a new request id, which tells orders from other requests. */
+  private static String nextId(String method) {
+    return (method.equals("POST") ? "order%06d" : "r%06d").formatted(NEXT.incrementAndGet());
+  }
+
+  /** Returns whether a request was answered with success. */
+  static boolean isServed(String requestId) {
+    return SERVED.contains(requestId);
+  }
+
+  static boolean isOrder(String requestId) {
+    return requestId.startsWith("order");
   }
 
   /** Returns the name of the daemon to which a request was sent. */
@@ -43,7 +56,7 @@
 
   /** Sends a request and returns the status of its answer; 0 if the connection ended first. */
   int send(String method, String path, int key, long deadlineMillis, byte[] body) {
-    String id = nextId();
+    String id = nextId(method);
     lastId = id;
     SENDERS.put(id, daemon.name);
     try {
@@ -69,6 +82,9 @@
         throw new IOException("connection ended without an answer");
       }
       record.add("caller: %s answered %d", id, answer.status());
+      if (answer.status() == 200) {
+        SERVED.add(id);
+      }
       if ("close".equalsIgnoreCase(answer.header("Connection"))) {
         close();
       }
--- a/review/standins/Daemon.java
+++ b/review/standins/Daemon.java
@@ -6,8 +6,11 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -17,6 +20,10 @@
   private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z0-9_.]+)(\\|json)?}}");
 
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> USED_PORTS = new HashSet<>();
+
   final String name;
   final int frontPort;
   final int readyPort;
@@ -66,9 +73,21 @@
     return form == null || isNumber ? value : '"' + value + '"';
   }
 
-  private static int freePort() throws IOException {
-    try (var socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /**
+   * Returns a free port below the range from which the system takes the ports of outgoing
+   * connections, so that none of these takes it before the daemon listens.
+   */
+  private static synchronized int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (!USED_PORTS.add(port)) {
+        continue;
+      }
+      try (var socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // Used by another process; the next one is tried.
+      }
     }
   }
 
--- a/review/standins/QueuedAtLeaving.java
+++ b/review/standins/QueuedAtLeaving.java
@@ -1,9 +1,12 @@
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A worker turns slow and then reports draining, while requests wait for it in a daemon. */
 public final class QueuedAtLeaving {
   private static final long DRAIN_NANOS = 2_000_000_000L;
+  private static final long ANSWER_MILLIS = 300;
   private static final int ROUNDS = 6;
   private static final int CALLERS = 26;
   private static final int WORK_MILLIS = 200;
@@ -13,18 +16,33 @@
   /** Notes requests that reach a worker later than drain after it reported draining. */
   private static final class Leaving implements Worker.Listener {
     private final AtomicInteger broken = new AtomicInteger();
+    private final AtomicInteger lostOrders = new AtomicInteger();
+    private final Set<String> late = ConcurrentHashMap.newKeySet();
     private Record record;
     private volatile Worker draining;
     private volatile long acceptedNanos;
 
     @Override
     public void arrived(Worker worker, String requestId) {
-      long late = System.nanoTime() - acceptedNanos;
-      if (worker == draining && late > DRAIN_NANOS) {
+      long lateNanos = System.nanoTime() - acceptedNanos;
+      if (worker == draining && lateNanos > DRAIN_NANOS) {
         broken.incrementAndGet();
+        late.add(requestId);
         record.add(
             "DRAIN: request %s reaches %s %d ms after the store accepted that it is draining",
-            requestId, worker.id, late / 1_000_000);
+            requestId, worker.id, lateNanos / 1_000_000);
+      }
+    }
+
+    /** Waits for the answers, and counts the orders that arrived late and were lost. */
+    void ended(Worker worker, Set<String> cut) throws InterruptedException {
+      Thread.sleep(ANSWER_MILLIS);
+      for (String requestId : cut) {
+        boolean isLost = late.contains(requestId) && !Caller.isServed(requestId);
+        if (isLost && Caller.isOrder(requestId)) {
+          lostOrders.incrementAndGet();
+          record.add("%s arrived late and was lost with the end of %s", requestId, worker.id);
+        }
       }
     }
   }
@@ -39,7 +57,9 @@
     site.configure(
         4,
         List.of(Site.service("proofroom", false)),
-        List.of(Site.rule("r-proof", "/proof/", "download", "proofroom", 900, 2500, 2)));
+        List.of(
+            Site.rule("r-proof", "/proof/", "download", "proofroom", 900, 2500, 2),
+            Site.rule("r-order", "/order/", "non_idempotent", "proofroom", 900, 2500, 1)));
     for (int i = 0; i < 2; i++) {
       site.add(
           new Worker(
@@ -62,11 +82,10 @@
       site.store.put("servers", worker.id, worker.entry("draining", 0));
       leaving.acceptedNanos = System.nanoTime();
       leaving.draining = worker;
-      Thread.sleep(6_000);
+      Thread.sleep(2_400);
       leaving.draining = null;
       site.store.remove("servers", worker.id);
-      worker.close();
-      site.record.add("%s ends", worker.id);
+      leaving.ended(worker, worker.end());
       site.add(
           new Worker(
               site.record,
@@ -78,7 +97,9 @@
               false,
               WORK_MILLIS));
     }
-    site.record.add("served: %d; late arrivals: %d", served.get(), leaving.broken.get());
+    site.record.add(
+        "served: %d; late arrivals: %d; orders lost with their worker: %d",
+        served.get(), leaving.broken.get(), leaving.lostOrders.get());
     if (served.get() < 100) {
       return Site.NOT_RUN;
     }
@@ -87,8 +108,12 @@
 
   private static void call(Site site, Daemon daemon, AtomicInteger served) {
     try (var caller = new Caller(site.record, daemon, Site.HOST)) {
-      while (!Thread.currentThread().isInterrupted()) {
-        if (caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]) == 200) {
+      for (boolean order = false; !Thread.currentThread().isInterrupted(); order = !order) {
+        int status =
+            order
+                ? caller.send("POST", "/order/2f", -1, 2_500, "order".getBytes())
+                : caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]);
+        if (status == 200) {
           served.incrementAndGet();
         } else {
           Thread.sleep(100);
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -45,9 +45,12 @@
       record.add("trouble: %s", trouble ? "yes" : "no");
       try (var site = new Site(record, root)) {
         Runtime.getRuntime().addShutdownHook(new Thread(site::endProcesses));
-        code = body.run(site, trouble);
-        if (code == NOT_RUN) {
-          site.copyLogs();
+        try {
+          code = body.run(site, trouble);
+        } finally {
+          if (code == NOT_RUN) {
+            site.copyLogs();
+          }
         }
       } catch (Exception e) {
         record.add("the case could not run: %s", e);
--- a/review/standins/UnlistedAfterOutage.java
+++ b/review/standins/UnlistedAfterOutage.java
@@ -1,11 +1,13 @@
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The store is down for a while. Later a worker leaves: its entry is removed, it serves on. */
 public final class UnlistedAfterOutage {
   private static final long DRAIN_NANOS = 2_000_000_000L;
+  private static final long ANSWER_MILLIS = 300;
 
   private UnlistedAfterOutage() {}
 
@@ -13,6 +15,8 @@
   private static final class Leaving implements Worker.Listener {
     private final Map<String, Long> removedNanos = new ConcurrentHashMap<>();
     private final AtomicInteger broken = new AtomicInteger();
+    private final AtomicInteger lostOrders = new AtomicInteger();
+    private final Set<String> late = ConcurrentHashMap.newKeySet();
     private Record record;
 
     @Override
@@ -20,11 +24,24 @@
       Long removed = removedNanos.get(worker.id);
       if (removed != null && System.nanoTime() - removed > DRAIN_NANOS) {
         broken.incrementAndGet();
+        late.add(requestId);
         record.add(
             "DRAIN: request %s reaches %s %d ms after the store accepted that it is gone",
             requestId, worker.id, (System.nanoTime() - removed) / 1_000_000);
       }
     }
+
+    /** Waits for the answers, and counts the orders that arrived late and were lost. */
+    void ended(Worker worker, Set<String> cut) throws InterruptedException {
+      Thread.sleep(ANSWER_MILLIS);
+      for (String requestId : cut) {
+        boolean isLost = late.contains(requestId) && !Caller.isServed(requestId);
+        if (isLost && Caller.isOrder(requestId)) {
+          lostOrders.incrementAndGet();
+          record.add("%s arrived late and was lost with the end of %s", requestId, worker.id);
+        }
+      }
+    }
   }
 
   public static void main(String[] arguments) throws Exception {
@@ -37,12 +54,14 @@
     site.configure(
         4,
         List.of(Site.service("proofroom", false)),
-        List.of(Site.rule("r-proof", "/proof/", "download", "proofroom", 400, 2500, 2)));
+        List.of(
+            Site.rule("r-proof", "/proof/", "download", "proofroom", 400, 2500, 2),
+            Site.rule("r-order", "/order/", "non_idempotent", "proofroom", 500, 2500, 1)));
     List<String> zones = List.of("suva", "nadi", "lautoka");
     for (int i = 0; i < 6; i++) {
       site.add(
           new Worker(
-              site.record, leaving, "i-proof" + i, "proofroom", zones.get(i % 3), 4, false, 96));
+              site.record, leaving, "i-proof" + i, "proofroom", zones.get(i % 3), 4, false, 160));
     }
     for (int i = 0; i < 6; i++) {
       site.startDaemon("front-" + zones.get(i % 3) + "-" + (1 + i / 3), zones.get(i % 3));
@@ -63,15 +82,16 @@
       Thread.sleep(4_500);
     }
     Thread.sleep(12_000);
-    for (Worker worker : List.of(site.workers.get(0), site.workers.get(1))) {
+    for (Worker worker : site.workers.subList(0, 3)) {
       site.store.remove("servers", worker.id);
       leaving.removedNanos.put(worker.id, System.nanoTime());
-      Thread.sleep(6_000);
-      worker.close();
-      site.record.add("%s ends", worker.id);
+      Thread.sleep(5_000);
+      leaving.ended(worker, worker.end());
       Thread.sleep(2_000);
     }
-    site.record.add("served: %d; late arrivals: %d", served.get(), leaving.broken.get());
+    site.record.add(
+        "served: %d; late arrivals: %d; orders lost with their worker: %d",
+        served.get(), leaving.broken.get(), leaving.lostOrders.get());
     site.copyLogs("event=5006", "event=5007", "event=3001");
     if (served.get() < 100) {
       return Site.NOT_RUN;
@@ -81,8 +101,12 @@
 
   private static void call(Site site, Daemon daemon, AtomicInteger served) {
     try (var caller = new Caller(site.record, daemon, Site.HOST)) {
-      while (!Thread.currentThread().isInterrupted()) {
-        if (caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]) == 200) {
+      for (boolean order = false; !Thread.currentThread().isInterrupted(); order = !order) {
+        int status =
+            order
+                ? caller.send("POST", "/order/2f", -1, 2_500, "order".getBytes())
+                : caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]);
+        if (status == 200) {
           served.incrementAndGet();
         }
         Thread.sleep(150);
--- a/review/standins/UnlistedAfterReset.java
+++ b/review/standins/UnlistedAfterReset.java
@@ -1,12 +1,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** One connection of one daemon to the store is reset; then a worker's entry is removed. */
 public final class UnlistedAfterReset {
   private static final long DRAIN_NANOS = 2_000_000_000L;
+  private static final long ANSWER_MILLIS = 300;
   private static final int ROUNDS = 5;
 
   private UnlistedAfterReset() {}
@@ -15,6 +17,8 @@
   private static final class Leaving implements Worker.Listener {
     private final Map<String, Long> removedNanos = new ConcurrentHashMap<>();
     private final AtomicInteger broken = new AtomicInteger();
+    private final AtomicInteger lostOrders = new AtomicInteger();
+    private final Set<String> late = ConcurrentHashMap.newKeySet();
     private Record record;
 
     /** The daemon whose connection was reset; its requests aren't judged. */
@@ -28,6 +32,7 @@
       }
       if (removed != null && System.nanoTime() - removed > DRAIN_NANOS) {
         broken.incrementAndGet();
+        late.add(requestId);
         record.add(
             "DRAIN: request %s reaches %s from %s %d ms after the store accepted that it is gone",
             requestId,
@@ -36,6 +41,18 @@
             (System.nanoTime() - removed) / 1_000_000);
       }
     }
+
+    /** Waits for the answers, and counts the orders that arrived late and were lost. */
+    void ended(Worker worker, Set<String> cut) throws InterruptedException {
+      Thread.sleep(ANSWER_MILLIS);
+      for (String requestId : cut) {
+        boolean isLost = late.contains(requestId) && !Caller.isServed(requestId);
+        if (isLost && Caller.isOrder(requestId)) {
+          lostOrders.incrementAndGet();
+          record.add("%s arrived late and was lost with the end of %s", requestId, worker.id);
+        }
+      }
+    }
   }
 
   public static void main(String[] arguments) throws Exception {
@@ -48,12 +65,14 @@
     site.configure(
         4,
         List.of(Site.service("proofroom", false)),
-        List.of(Site.rule("r-proof", "/proof/", "download", "proofroom", 400, 2500, 2)));
+        List.of(
+            Site.rule("r-proof", "/proof/", "download", "proofroom", 400, 2500, 2),
+            Site.rule("r-order", "/order/", "non_idempotent", "proofroom", 500, 2500, 1)));
     List<String> zones = List.of("suva", "nadi", "lautoka");
     for (int i = 0; i < 8; i++) {
       site.add(
           new Worker(
-              site.record, leaving, "i-proof" + i, "proofroom", zones.get(i % 3), 4, false, 96));
+              site.record, leaving, "i-proof" + i, "proofroom", zones.get(i % 3), 4, false, 160));
     }
     Map<String, Relay> relays = new HashMap<>();
     for (int i = 0; i < 9; i++) {
@@ -69,7 +88,7 @@
       }
     }
     for (int round = 0; round < ROUNDS; round++) {
-      Thread.sleep(9_000);
+      Thread.sleep(10_000);
       if (trouble) {
         String coordinator = site.store.coordinator();
         leaving.disturbed = coordinator;
@@ -80,11 +99,12 @@
       Worker worker = site.workers.get(round);
       site.store.remove("servers", worker.id);
       leaving.removedNanos.put(worker.id, System.nanoTime());
-      Thread.sleep(5_000);
-      worker.close();
-      site.record.add("%s ends", worker.id);
+      Thread.sleep(2_300);
+      leaving.ended(worker, worker.end());
     }
-    site.record.add("served: %d; late arrivals: %d", served.get(), leaving.broken.get());
+    site.record.add(
+        "served: %d; late arrivals: %d; orders lost with their worker: %d",
+        served.get(), leaving.broken.get(), leaving.lostOrders.get());
     site.copyLogs("event=5006", "event=5007", "event=3001");
     if (served.get() < 100) {
       return Site.NOT_RUN;
@@ -94,8 +114,12 @@
 
   private static void call(Site site, Daemon daemon, AtomicInteger served) {
     try (var caller = new Caller(site.record, daemon, Site.HOST)) {
-      while (!Thread.currentThread().isInterrupted()) {
-        if (caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]) == 200) {
+      for (boolean order = false; !Thread.currentThread().isInterrupted(); order = !order) {
+        int status =
+            order
+                ? caller.send("POST", "/order/2f", -1, 2_500, "order".getBytes())
+                : caller.send("GET", "/proof/2f", -1, 2_500, new byte[0]);
+        if (status == 200) {
           served.incrementAndGet();
         }
         Thread.sleep(150);
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,6 +40,8 @@
   private final Semaphore slots;
   private final AtomicInteger queued = new AtomicInteger();
   private final AtomicInteger answers = new AtomicInteger();
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Set<String> running = ConcurrentHashMap.newKeySet();
   private final List<Hold> holds = new ArrayList<>();
   private final List<Hold> seen = new ArrayList<>();
   private final List<Run> runs = new ArrayList<>();
@@ -102,6 +106,7 @@
       try {
         Socket socket = server.accept();
         socket.setTcpNoDelay(true);
+        sockets.add(socket);
         Thread.startVirtualThread(() -> serve(socket));
       } catch (IOException e) {
         return;
@@ -138,6 +143,8 @@
       // The other side closed the connection.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } finally {
+      sockets.remove(socket);
     }
   }
 
@@ -198,6 +205,7 @@
         return response(421, echo + "X-Not-Executed: 1\r\n", "");
       }
       record.add("%s: runs %s, key %d", id, requestId, key);
+      running.add(requestId);
       listener.began(this, requestId);
       boolean isLarge = largeWorkMillis > 0 && request.path().endsWith("/large");
       long work = isLarge ? largeWorkMillis : workMillis;
@@ -212,6 +220,7 @@
           ? response(504, echo + "X-Server-Signature: s." + id + "\r\n", "")
           : response(200, echo + "X-Server-Signature: s." + id + "\r\n", "body of " + requestId);
     } finally {
+      running.remove(requestId);
       slots.release();
     }
   }
@@ -304,6 +313,17 @@
         .getBytes(StandardCharsets.US_ASCII);
   }
 
+  /** Ends the worker and its connections; returns the requests at which it was at work. */
+  Set<String> end() throws IOException {
+    Set<String> cut = Set.copyOf(running);
+    close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    record.add("%s: ends, at work on %s", id, cut);
+    return cut;
+  }
+
   void close() throws IOException {
     server.close();
   }
