Count the coordinator's replies as contact with the store

Cause: after a failed call, a daemon considered the store unreachable until a poll of its own succeeded. When the coordinator relayed updates again, polling stopped, so that no own poll could succeed any more. In this state every upstream that is missing from the list was kept in service, without end.

Change: contact with the store is a response to any call of the daemon, or a reply of a coordinator to which the store responded recently. Upstreams that are missing in the grace period after an outage have a status of their own and count as leaving from when they were first missing; they also leave with their availability zone. After an outage, polls start again at once. Event 5010 tells the end of an outage, its length and the grace period; 5007 names the host to which the store responded.

The test of the adopted grace period is as strict as before: the daemon that adopts it must itself have been without contact.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -98,6 +98,8 @@
   ROW_SKIPPED(5008, Severity.WARNING, "unreadable row skipped"),
   /** The set of availability zones that operators took out of service changed. */
   OUT_OF_SERVICE_ZONES_CHANGED(5009, Severity.INFO, "availability zones out of service"),
+  /** An outage of the platform's store ended; missing upstreams are kept for a grace period. */
+  STORE_OUTAGE_ENDED(5010, Severity.INFO, "outage of the store ended"),
 
   /** The daemon started to serve callers. */
   DAEMON_STARTED(6001, Severity.INFO, "daemon started"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
@@ -9,7 +9,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
@@ -18,9 +18,10 @@
 /**
  * Tracks which upstreams are in service and which are leaving.
  *
- * <p>The store's entries expire during an outage of the store. Upstreams that are missing from the
- * list after an outage are therefore kept for a grace period, in which they can register again.
- * Confined to the control thread.
+ * <p>An upstream's own report of draining is final. An upstream that is missing from a list that
+ * was read leaves at once, except in a grace period after an outage of the store: entries expire
+ * during an outage, and running upstreams register again soon after it. A failed call to the store
+ * changes nothing. Confined to the control thread.
  */
 public final class UpstreamDirectory {
   /** Within this time after an outage, all running upstreams are listed again. */
@@ -49,8 +50,8 @@
             }
           });
 
-  private boolean storeReachable = true;
-  private Optional<Long> gracePeriodEndNanos = Optional.empty();
+  private final StoreContact contact = new StoreContact();
+  private OptionalLong gracePeriodEndNanos = OptionalLong.empty();
 
   /**
    * An upstream and its status.
@@ -86,45 +87,57 @@
   }
 
   /**
-   * Sets whether the store is reachable.
+   * Records that the store responded to a call of this daemon.
    *
-   * @param reachable whether the store is reachable
    * @param nowNanos the current time
+   * @return the length of the outage that has ended, which starts a grace period; zero if there was
+   *     none
    */
-  public void storeReachable(boolean reachable, long nowNanos) {
-    if (reachable && !storeReachable) {
-      extendGracePeriod(RELISTING_GRACE_PERIOD, nowNanos);
-    }
-    storeReachable = reachable;
+  public Duration storeAnswered(long nowNanos) {
+    return contactEstablished(Duration.ZERO, false, nowNanos);
   }
 
   /**
-   * Returns the remaining time in which upstreams that are missing from the list after an outage
-   * are kept in service.
+   * Records an update of a coordinator that is in contact with the store.
    *
+   * @param age the longest time since the store responded to the coordinator
+   * @param coordinatorGracePeriod the remaining grace period of the coordinator
    * @param nowNanos the current time
-   * @return zero if missing upstreams are considered gone
+   * @return the length of the outage that has ended, which starts a grace period; zero if there was
+   *     none
    */
-  public Duration gracePeriod(long nowNanos) {
-    if (!storeReachable) {
-      return RELISTING_GRACE_PERIOD;
+  public Duration storeConfirmedByCoordinator(
+      Duration age, Duration coordinatorGracePeriod, long nowNanos) {
+    return contactEstablished(age, !coordinatorGracePeriod.isZero(), nowNanos);
+  }
+
+  private Duration contactEstablished(Duration age, boolean coordinatorSawOutage, long nowNanos) {
+    Duration outage = contact.established(age, coordinatorSawOutage, nowNanos);
+    if (!outage.isZero()) {
+      gracePeriodEndNanos = OptionalLong.of(nowNanos + RELISTING_GRACE_PERIOD.toNanos());
     }
-    return Duration.ofNanos(
-        gracePeriodEndNanos.map(endNanos -> Math.max(0, endNanos - nowNanos)).orElse(0L));
+    return outage;
+  }
+
+  /** Records that a call of this daemon to the store failed. */
+  public void storeCallFailed() {
+    contact.callFailed();
   }
 
   /**
-   * Extends the grace period for missing upstreams. Used by daemons that do not read the store
-   * themselves, with the remaining grace period of the daemon that does.
+   * Returns the remaining time in which upstreams that are missing from the list after an outage
+   * are kept in service. It does not run out while calls to the store fail, because no list can be
+   * read then.
    *
-   * @param gracePeriod the grace period, counted from {@code nowNanos}
    * @param nowNanos the current time
+   * @return zero if missing upstreams are considered gone
    */
-  public void extendGracePeriod(Duration gracePeriod, long nowNanos) {
-    long endNanos = nowNanos + gracePeriod.toNanos();
-    if (gracePeriodEndNanos.isEmpty() || endNanos > gracePeriodEndNanos.get()) {
-      gracePeriodEndNanos = Optional.of(endNanos);
+  public Duration gracePeriod(long nowNanos) {
+    if (gracePeriodEndNanos.isEmpty()) {
+      return Duration.ZERO;
     }
+    long knownUntilNanos = contact.knownUntilNanos(nowNanos);
+    return Duration.ofNanos(Math.max(0, gracePeriodEndNanos.getAsLong() - knownUntilNanos));
   }
 
   /**
@@ -179,17 +192,15 @@
       case UpstreamStatus.Leaving leaving ->
           new UpstreamStatus.Leaving(Math.min(leaving.sinceNanos(), sinceNanos), cause);
       case UpstreamStatus.InService in -> new UpstreamStatus.Leaving(sinceNanos, cause);
+      case UpstreamStatus.Missing missing ->
+          new UpstreamStatus.Leaving(Math.min(missing.sinceNanos(), sinceNanos), cause);
     };
   }
 
   private Entry unlisted(Entry entry, long nowNanos, Set<UpstreamId> expired) {
     return switch (entry.status()) {
-      case UpstreamStatus.InService in -> {
-        boolean mayBeRelisted = !gracePeriod(nowNanos).isZero();
-        yield mayBeRelisted
-            ? entry
-            : new Entry(entry.upstream(), new UpstreamStatus.Leaving(nowNanos, Cause.UNLISTED));
-      }
+      case UpstreamStatus.InService in -> missing(entry, nowNanos, nowNanos);
+      case UpstreamStatus.Missing missing -> missing(entry, missing.sinceNanos(), nowNanos);
       case UpstreamStatus.Leaving leaving -> {
         if (nowNanos - leaving.sinceNanos() > RETENTION.toNanos()) {
           expired.add(entry.upstream().id());
@@ -199,6 +210,24 @@
     };
   }
 
+  /**
+   * Returns the entry of an unlisted upstream that was in service. When the grace period has ended,
+   * the upstream counts as leaving from when it was first missing, so that the grace period does
+   * not add to the time for which it gets requests.
+   */
+  private Entry missing(Entry entry, long sinceNanos, long nowNanos) {
+    UpstreamRecord upstream = entry.upstream();
+    Long zoneOutSinceNanos = zonesOutSinceNanos.get(upstream.zone());
+    if (zoneOutSinceNanos != null) {
+      return new Entry(upstream, leaving(upstream, Cause.ZONE_OUT_OF_SERVICE, zoneOutSinceNanos));
+    }
+    return new Entry(
+        upstream,
+        gracePeriod(nowNanos).isZero()
+            ? new UpstreamStatus.Leaving(sinceNanos, Cause.UNLISTED)
+            : new UpstreamStatus.Missing(sinceNanos));
+  }
+
   /**
    * Returns all upstreams that are listed or retained.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamStatus.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamStatus.java
@@ -6,6 +6,14 @@
   /** The upstream is in service. */
   record InService() implements UpstreamStatus {}
 
+  /**
+   * The upstream is missing from the list after an outage of the store and may register again; it
+   * stays in service for now.
+   *
+   * @param sinceNanos the time at which this daemon detected it
+   */
+  record Missing(long sinceNanos) implements UpstreamStatus {}
+
   /**
    * The upstream is draining, is no longer listed in the store, or is in an availability zone that
    * operators have taken out of service.
--- a/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
@@ -60,38 +60,103 @@
         .isEqualTo(new UpstreamStatus.Leaving(seconds(2), UpstreamStatus.Cause.UNLISTED));
   }
 
+  private void haveOutage(double fromSeconds, double toSeconds) {
+    var unused = directory.storeAnswered(seconds(fromSeconds));
+    directory.storeCallFailed();
+    Duration outage = directory.storeAnswered(seconds(toSeconds));
+    assertThat(outage).isEqualTo(Duration.ofNanos(seconds(toSeconds - fromSeconds)));
+  }
+
   @Test
   void upstreamUnlistedByAnOutageStaysUntilTheGracePeriodEnds() {
     directory.listed(listed(false), seconds(1));
-    directory.storeReachable(false, seconds(2));
-    directory.storeReachable(true, seconds(10));
+    haveOutage(2, 10);
     directory.listed(ImmutableMap.of(), seconds(10));
-    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+    assertThat(status()).isEqualTo(new UpstreamStatus.Missing(seconds(10)));
 
     directory.refresh(seconds(12));
-    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+    assertThat(status()).isEqualTo(new UpstreamStatus.Missing(seconds(10)));
 
     directory.refresh(seconds(12.5));
-    assertThat(status()).isInstanceOf(UpstreamStatus.Leaving.class);
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(10), UpstreamStatus.Cause.UNLISTED));
+  }
+
+  @Test
+  void upstreamThatRegistersAgainInTheGracePeriodIsInService() {
+    directory.listed(listed(false), seconds(1));
+    haveOutage(2, 10);
+    directory.listed(ImmutableMap.of(), seconds(10));
+    directory.listed(listed(false), seconds(11));
+    directory.refresh(seconds(20));
+
+    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+  }
+
+  /** A daemon whose own calls stay unanswered would keep upstreams that left without end. */
+  @Test
+  void contactThroughTheCoordinatorEndsTheOutage() {
+    directory.listed(listed(false), seconds(1));
+    var unused = directory.storeAnswered(seconds(2));
+    directory.storeCallFailed();
+    Duration outage =
+        directory.storeConfirmedByCoordinator(Duration.ZERO, Duration.ZERO, seconds(6));
+    assertThat(outage).isEqualTo(Duration.ofSeconds(4));
+
+    directory.listed(ImmutableMap.of(), seconds(18));
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(18), UpstreamStatus.Cause.UNLISTED));
   }
 
   @Test
   void daemonWithoutStoreAccessAdoptsTheGracePeriodOfTheDaemonThatReadsTheStore() {
     directory.listed(listed(false), seconds(1));
-    directory.storeReachable(false, seconds(2));
-    directory.storeReachable(true, seconds(10));
+    haveOutage(2, 10);
     var other = new UpstreamDirectory();
     other.listed(listed(false), seconds(1));
+    Duration none = other.storeConfirmedByCoordinator(Duration.ZERO, Duration.ZERO, seconds(2));
+    assertThat(none).isEqualTo(Duration.ZERO);
 
-    other.extendGracePeriod(directory.gracePeriod(seconds(11)), seconds(11));
+    Duration outage =
+        other.storeConfirmedByCoordinator(
+            Duration.ZERO, directory.gracePeriod(seconds(10.2)), seconds(10.2));
+    assertThat(outage).isEqualTo(Duration.ofMillis(8_200));
     other.listed(ImmutableMap.of(), seconds(11));
-    assertThat(other.entries().get(0).status()).isEqualTo(new UpstreamStatus.InService());
+    assertThat(other.entries().get(0).status()).isEqualTo(new UpstreamStatus.Missing(seconds(11)));
 
-    other.refresh(seconds(12.5));
+    other.refresh(seconds(12.6));
     assertThat(other.entries().get(0).status()).isInstanceOf(UpstreamStatus.Leaving.class);
     assertThat(directory.gracePeriod(seconds(13))).isEqualTo(Duration.ZERO);
   }
 
+  /** An upstream that is missing would get requests although its zone was taken out. */
+  @Test
+  void missingUpstreamLeavesWithItsZone() {
+    directory.listed(listed(false), seconds(1));
+    haveOutage(2, 10);
+    directory.listed(ImmutableMap.of(), seconds(10));
+    directory.zonesOutOfService(ImmutableSet.of(ZONE), seconds(10.5));
+
+    assertThat(status())
+        .isEqualTo(
+            new UpstreamStatus.Leaving(seconds(10), UpstreamStatus.Cause.ZONE_OUT_OF_SERVICE));
+  }
+
+  /** Upstreams that cannot register again in a second outage would be dropped in it. */
+  @Test
+  void gracePeriodDoesNotRunOutWhileCallsFail() {
+    directory.listed(listed(false), seconds(1));
+    haveOutage(2, 10);
+    directory.listed(ImmutableMap.of(), seconds(10));
+    directory.storeCallFailed();
+    directory.refresh(seconds(14));
+    assertThat(status()).isEqualTo(new UpstreamStatus.Missing(seconds(10)));
+
+    var unused = directory.storeAnswered(seconds(15));
+    directory.refresh(seconds(17.4));
+    assertThat(status()).isInstanceOf(UpstreamStatus.Leaving.class);
+  }
+
   @Test
   void zoneOutOfServiceAndBack() {
     directory.listed(listed(false), seconds(1));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
@@ -29,7 +29,7 @@
   private static final Duration YIELD_INTERVAL = Duration.ofSeconds(30);
 
   /** Other daemons poll the store themselves if the last confirmation of the lease is older. */
-  private static final Duration MAX_CONFIRMATION_AGE = Duration.ofMillis(850);
+  static final Duration MAX_CONFIRMATION_AGE = Duration.ofMillis(850);
 
   private final HostId self;
   private final MetadataStore store;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -22,6 +22,7 @@
 import org.catkinlift.gateway.store.StoredRow;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.gateway.traffic.UpstreamView;
+import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.ClockReading;
@@ -67,6 +68,7 @@
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
   private boolean initialReadCompleted;
+  private boolean storeInContact = true;
   private boolean publishPending;
 
   /**
@@ -154,18 +156,49 @@
       }
       case StoreUpdate.DaemonRowChanged changed -> daemonRowChanged(changed.key(), changed.row());
       case StoreUpdate.InitialReadCompleted completed -> initialReadCompleted = true;
-      case StoreUpdate.ReachabilityChanged reachability -> {
-        directory.storeReachable(reachability.reachable(), nowNanos);
-        log.log(
-            reachability.reachable()
-                ? EventCode.PLATFORM_REACHABLE
-                : EventCode.PLATFORM_UNREACHABLE,
-            ImmutableMap.of("reason", reachability.reason()));
+      case StoreUpdate.CallAnswered answered -> {
+        contactEstablished(directory.storeAnswered(nowNanos), settings.host());
+        return;
+      }
+      case StoreUpdate.CallFailed failed -> {
+        callFailed(failed.reason());
+        return;
       }
     }
     schedulePublish();
   }
 
+  private void callFailed(String reason) {
+    directory.storeCallFailed();
+    if (storeInContact) {
+      storeInContact = false;
+      log.log(EventCode.PLATFORM_UNREACHABLE, ImmutableMap.of("reason", reason));
+    }
+  }
+
+  /**
+   * Handles contact with the store.
+   *
+   * @param outage the length of the outage that has ended; zero if there was none
+   * @param via the host to which the store responded
+   */
+  private void contactEstablished(Duration outage, HostId via) {
+    if (!storeInContact) {
+      storeInContact = true;
+      log.log(EventCode.PLATFORM_REACHABLE, ImmutableMap.of("via", via));
+    }
+    if (!outage.isZero()) {
+      log.log(
+          EventCode.STORE_OUTAGE_ENDED,
+          ImmutableMap.of(
+              "out_ms",
+              outage.toMillis(),
+              "grace_ms",
+              directory.gracePeriod(System.nanoTime()).toMillis()));
+      timers.after(Duration.ZERO, store::restartPolling);
+    }
+  }
+
   private void applyConfiguration(RouteConfiguration newConfiguration) {
     if (newConfiguration.version() <= configuration.version()) {
       log.log(
@@ -286,6 +319,7 @@
     store.peerVersionsReceived(report.observedVersions());
     reporters.reportReceived(report, nowNanos);
     boolean held = lease.isHeld(HostClock.now());
+    boolean storeConfirmed = held && role.isRecentlyConfirmed();
     if (held) {
       keyedServices.reportReceived(report);
     }
@@ -300,13 +334,19 @@
                 Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
                 store.observedVersions(),
                 held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
-                held && role.isRecentlyConfirmed() && !reporters.isPolling(report.host()),
+                storeConfirmed && !reporters.isPolling(report.host()),
+                storeConfirmed,
                 directory.gracePeriod(nowNanos),
                 held ? store.changesSince(report.observedVersions()) : ImmutableList.of())));
   }
 
   private void applyRelayedUpdates(CoordinatorReply reply) {
-    directory.extendGracePeriod(reply.gracePeriod(), System.nanoTime());
+    if (reply.storeConfirmed()) {
+      Duration outage =
+          directory.storeConfirmedByCoordinator(
+              CoordinatorRole.MAX_CONFIRMATION_AGE, reply.gracePeriod(), System.nanoTime());
+      contactEstablished(outage, reply.host());
+    }
     store.applyChanges(reply.changes(), reply.observedVersions());
   }
 
@@ -343,8 +383,8 @@
 
   private UpstreamView toView(UpstreamDirectory.Entry entry) {
     return switch (entry.status()) {
-      case UpstreamStatus.InService in ->
-          new UpstreamView(entry.upstream(), OptionalLong.empty(), OptionalLong.empty());
+      case UpstreamStatus.InService in -> UpstreamView.inService(entry.upstream());
+      case UpstreamStatus.Missing missing -> UpstreamView.inService(entry.upstream());
       case UpstreamStatus.Leaving leaving -> {
         Duration timeLimit =
             switch (leaving.cause()) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -209,6 +209,7 @@
   private static boolean isInService(UpstreamStatus status) {
     return switch (status) {
       case UpstreamStatus.InService in -> true;
+      case UpstreamStatus.Missing missing -> true;
       case UpstreamStatus.Leaving leaving -> false;
     };
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/CoordinatorReply.java
@@ -19,6 +19,7 @@
  * @param shares the shares of requests that overloaded upstreams admit
  * @param relaysUpdates whether the reporting daemon may stop polling the store, because this host
  *     relays its changes
+ * @param storeConfirmed whether the store responded to this host recently
  * @param gracePeriod the remaining time in which unlisted upstreams are kept in service, because
  *     they may register again
  * @param changes the changes of the store that the reporting daemon has not observed
@@ -32,5 +33,6 @@
     ObservedVersions observedVersions,
     AdmissionShares shares,
     boolean relaysUpdates,
+    boolean storeConfirmed,
     Duration gracePeriod,
     ImmutableList<RowChange> changes) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -135,7 +135,8 @@
                             .append(Math.round(share * PER_MILLE))
                             .append('\n')));
     text.append("passes ").append(reply.relaysUpdates());
-    text.append(' ').append(reply.gracePeriod().toMillis()).append('\n');
+    text.append(' ').append(reply.gracePeriod().toMillis());
+    text.append(' ').append(reply.storeConfirmed()).append('\n');
     reply.changes().forEach(change -> appendChange(text, change));
     return text.toString();
   }
@@ -153,6 +154,7 @@
     Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares = new HashMap<>();
     ImmutableList.Builder<RowChange> changes = ImmutableList.builder();
     boolean relaysUpdates = false;
+    boolean storeConfirmed = false;
     var gracePeriod = Duration.ZERO;
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] fields = lines.next().split(" ", -1);
@@ -175,12 +177,15 @@
                     versions,
                     AdmissionShares.ADMIT_ALL,
                     false,
+                    false,
                     Duration.ZERO,
                     ImmutableList.of());
         case "news" -> versions = parseVersions(fields);
         case "passes" -> {
           relaysUpdates = Boolean.parseBoolean(field(fields, 1));
           gracePeriod = Duration.ofMillis(Long.parseLong(field(fields, 2)));
+          // Earlier builds do not state it; a daemon that relays updates is in contact.
+          storeConfirmed = fields.length > 3 ? Boolean.parseBoolean(fields[3]) : relaysUpdates;
         }
         case "row" -> changes.add(parseChange(fields));
         default -> {}
@@ -198,6 +203,7 @@
         versions,
         buildShares(shares),
         relaysUpdates,
+        storeConfirmed,
         gracePeriod,
         changes.build());
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
@@ -65,6 +65,12 @@
    */
   void setPollingEnabled(boolean enabled);
 
+  /**
+   * Repeats the polls that are waiting, because the store is in contact again after an outage.
+   * Polls that wait for a retry would start late, and responses to earlier ones may be lost.
+   */
+  void restartPolling();
+
   /**
    * Records the versions that another daemon has observed. If this daemon stays behind, it polls
    * the store again on a new connection.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/StoreUpdate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/StoreUpdate.java
@@ -43,11 +43,13 @@
   /** All sources have been read for the first time. */
   record InitialReadCompleted() implements StoreUpdate {}
 
+  /** The store responded to a call, whatever the result. */
+  record CallAnswered() implements StoreUpdate {}
+
   /**
-   * The store became reachable or unreachable.
+   * A call was refused or got no response.
    *
-   * @param reachable whether the store is reachable
-   * @param reason the result of the last call
+   * @param reason the cause of the failure
    */
-  record ReachabilityChanged(boolean reachable, String reason) implements StoreUpdate {}
+  record CallFailed(String reason) implements StoreUpdate {}
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamView.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamView.java
@@ -15,6 +15,16 @@
 public record UpstreamView(
     UpstreamRecord upstream, OptionalLong leavingSinceNanos, OptionalLong cutOffNanos) {
 
+  /**
+   * Returns the view of an upstream that gets requests without restriction.
+   *
+   * @param upstream the directory record of the upstream
+   * @return the view
+   */
+  public static UpstreamView inService(UpstreamRecord upstream) {
+    return new UpstreamView(upstream, OptionalLong.empty(), OptionalLong.empty());
+  }
+
   /**
    * Returns whether the upstream gets requests without restriction.
    *
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
@@ -155,6 +155,18 @@
 
   /** Publishes a configuration and the upstreams and waits until the daemon is ready. */
   void serve(UpstreamRecord... upstreams) throws Exception {
+    publish(upstreams);
+    for (int i = 0; i < READY_ATTEMPTS; i++) {
+      if (health() == 200) {
+        return;
+      }
+      Thread.sleep(25);
+    }
+    throw new AssertionError("daemon did not become ready");
+  }
+
+  /** Publishes a configuration and the upstreams. */
+  void publish(UpstreamRecord... upstreams) {
     store.setConfiguration(
         new RouteConfiguration(
             1,
@@ -166,13 +178,6 @@
                 route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT)),
             ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED))));
     store.setUpstreams(upstreams);
-    for (int i = 0; i < READY_ATTEMPTS; i++) {
-      if (health() == 200) {
-        return;
-      }
-      Thread.sleep(25);
-    }
-    throw new AssertionError("daemon did not become ready");
   }
 
   int health() throws IOException {
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
@@ -42,6 +42,11 @@
     loop.execute(() -> listener.accept(update));
   }
 
+  /** Writes a row as another daemon. */
+  void putRow(RowKey key, String value) {
+    loop.execute(() -> put(key, new StoredRow(++version, value)));
+  }
+
   void setConfiguration(RouteConfiguration configuration) {
     emit(new StoreUpdate.ConfigurationChanged(configuration));
   }
@@ -101,6 +106,9 @@
   @Override
   public void setPollingEnabled(boolean enabled) {}
 
+  @Override
+  public void restartPolling() {}
+
   @Override
   public void peerVersionsReceived(ObservedVersions versions) {}
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -71,6 +71,7 @@
             1.5,
             VERSIONS,
             shares,
+            false,
             true,
             Duration.ofMillis(2300),
             ImmutableList.of(
@@ -80,6 +81,16 @@
     assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
   }
 
+  /** A daemon of an earlier build does not state whether the store responded to it. */
+  @Test
+  void relayOfEarlierBuildCountsAsContactWithStore() {
+    CoordinatorReply reply =
+        PeerCodec.decodeReply("coordinator host-2 true 44 11 1500000\npasses true 2300\n");
+
+    assertThat(reply.storeConfirmed()).isTrue();
+    assertThat(reply.gracePeriod()).isEqualTo(Duration.ofMillis(2_300));
+  }
+
   @Test
   void unknownLinesAreSkipped() {
     LoadReport report = PeerCodec.decodeReport("later things\nhost host-1 600000\n");
