Require a gap of 1.5 s before an outage of the store is assumed

Cause: one failed call of the coordinator, on a reset connection, counted as an outage of the store. Its end started a grace period of 2.3 s in which missing upstreams stay in service, and the coordinator's replies extended the period on every daemon.

Change: there was an outage only if a daemon had no contact with the store for 1.5 s, and if a call of its own failed meanwhile or the coordinator reports an outage. An upstream's entry expires after several missed heartbeats, so shorter gaps cannot have caused it. A daemon that was in contact itself ignores the coordinator's grace period.

--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/StoreContact.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/StoreContact.java
@@ -6,10 +6,19 @@
 /**
  * Decides whether the store had an outage in which entries of running upstreams may have expired.
  *
- * <p>An outage ends with contact: a response of the store to any call of this daemon, or an update
- * of a coordinator that had a response recently. Confined to the control thread.
+ * <p>One failed call does not show an outage: only the connection may be faulty. There was an
+ * outage if this daemon had no contact with the store for {@link #MIN_OUTAGE}, and if a call of
+ * this daemon or of the coordinator failed in that time. Contact is a response of the store to any
+ * call of this daemon, or an update of a coordinator that had a response recently. Confined to the
+ * control thread.
  */
 final class StoreContact {
+  /**
+   * The shortest outage in which entries can expire. An upstream has to miss several heartbeats,
+   * and the first and the last of these intervals may lie partly outside of the outage.
+   */
+  static final Duration MIN_OUTAGE = Duration.ofMillis(1_500);
+
   private OptionalLong lastContactNanos = OptionalLong.empty();
   private boolean callFailed;
 
@@ -23,7 +32,7 @@
    */
   Duration established(Duration age, boolean coordinatorSawOutage, long nowNanos) {
     Duration gap = sinceContact(nowNanos);
-    boolean isOutage = callFailed || coordinatorSawOutage;
+    boolean isOutage = (callFailed || coordinatorSawOutage) && gap.compareTo(MIN_OUTAGE) >= 0;
     long contactNanos = nowNanos - age.toNanos();
     if (lastContactNanos.isEmpty() || contactNanos > lastContactNanos.getAsLong()) {
       lastContactNanos = OptionalLong.of(contactNanos);
--- a/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
@@ -93,6 +93,20 @@
     assertThat(status()).isEqualTo(new UpstreamStatus.InService());
   }
 
+  /** A reset connection would keep an upstream that left in service on all daemons. */
+  @Test
+  void oneFailedCallStartsNoGracePeriod() {
+    directory.listed(listed(false), seconds(1));
+    var unused = directory.storeAnswered(seconds(1.9));
+    directory.storeCallFailed();
+    assertThat(directory.storeAnswered(seconds(2.1))).isEqualTo(Duration.ZERO);
+    directory.storeCallFailed();
+    directory.listed(ImmutableMap.of(), seconds(2.5));
+
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(2.5), UpstreamStatus.Cause.UNLISTED));
+  }
+
   /** A daemon whose own calls stay unanswered would keep upstreams that left without end. */
   @Test
   void contactThroughTheCoordinatorEndsTheOutage() {
@@ -129,6 +143,19 @@
     assertThat(directory.gracePeriod(seconds(13))).isEqualTo(Duration.ZERO);
   }
 
+  /** A coordinator that alone had lost the store would delay leaving on all daemons. */
+  @Test
+  void outageOfTheCoordinatorAloneStartsNoGracePeriod() {
+    directory.listed(listed(false), seconds(1));
+    var unused = directory.storeAnswered(seconds(9.8));
+    Duration outage =
+        directory.storeConfirmedByCoordinator(
+            Duration.ZERO, Duration.ofMillis(2_300), seconds(10.2));
+
+    assertThat(outage).isEqualTo(Duration.ZERO);
+    assertThat(directory.gracePeriod(seconds(10.2))).isEqualTo(Duration.ZERO);
+  }
+
   /** An upstream that is missing would get requests although its zone was taken out. */
   @Test
   void missingUpstreamLeavesWithItsZone() {
