Check the cut-off time of a leaving upstream when a request is sent

Change: the pool checks for each send whether the upstream may still get requests: not after the cut-off time, nor when it has left the directory or its address belongs to another upstream. At the cut-off time a timer returns the queued requests.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -150,10 +150,7 @@
     }
     ServiceProfile profile = snapshot.configuration().services().get(upstream.service());
     double coldRequestsPerSecond = profile == null ? 0 : profile.coldRequestsPerSecond();
-    pool.update(upstream, coldRequestsPerSecond, snapshot.daemons(), nowNanos);
-    if (!view.acceptsNewWork() && !view.mayServeHeldKeys(nowNanos)) {
-      pool.drainQueue();
-    }
+    pool.update(view, coldRequestsPerSecond, snapshot.daemons(), nowNanos);
   }
 
   private static boolean isSameEndpoint(UpstreamRecord one, UpstreamRecord other) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -11,9 +11,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.catkinlift.admission.AdmissionPolicy;
 import org.catkinlift.admission.SilencePolicy;
 import org.catkinlift.admission.UpstreamQueue;
+import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
 
 /**
@@ -51,6 +53,8 @@
   private long connectBackoffUntilNanos;
   private long silentSinceNanos;
   private long nextProbeNanos;
+  private OptionalLong cutOffNanos = OptionalLong.empty();
+  private Optional<TimerService.Subscription> cutOffTimer = Optional.empty();
   private boolean retired;
   private boolean addressReassigned;
 
@@ -68,9 +72,11 @@
     return queue.waiting();
   }
 
-  /** Applies the current directory record of the upstream. */
-  void update(UpstreamRecord next, double coldRequestsPerSecond, int daemons, long nowNanos) {
+  /** Applies the current view of the upstream. */
+  void update(UpstreamView view, double coldRequestsPerSecond, int daemons, long nowNanos) {
+    UpstreamRecord next = view.upstream();
     upstream = next;
+    updateCutOff(view.cutOffNanos(), nowNanos);
     if (next.remainingColdTime().isZero() || coldRequestsPerSecond <= 0) {
       return;
     }
@@ -78,6 +84,34 @@
     queue.markCold(coldRequestsPerSecond, daemons, proxy.random(), warmAtNanos, nowNanos);
   }
 
+  private void updateCutOff(OptionalLong next, long nowNanos) {
+    if (next.equals(cutOffNanos)) {
+      return;
+    }
+    cutOffNanos = next;
+    cutOffTimer.ifPresent(TimerService.Subscription::cancel);
+    cutOffTimer = Optional.empty();
+    if (next.isPresent()) {
+      cutOffTimer = Optional.of(proxy.after(next.getAsLong() - nowNanos, this::dispatchQueued));
+    }
+  }
+
+  /**
+   * Returns why nothing may be sent to the upstream any more. Checked when a request is sent, since
+   * it may have waited in the queue or for a connection.
+   */
+  private Optional<String> sendingEnded(long nowNanos) {
+    if (retired) {
+      return Optional.of("upstream has left");
+    }
+    if (addressReassigned) {
+      return Optional.of("another upstream has the address");
+    }
+    return cutOffNanos.isPresent() && nowNanos >= cutOffNanos.getAsLong()
+        ? Optional.of("upstream leaves")
+        : Optional.empty();
+  }
+
   boolean isCold(long nowNanos) {
     return queue.isCold(nowNanos);
   }
@@ -107,11 +141,12 @@
   /** Sends, queues or rejects a request. */
   void offer(ProxyExchange exchange) {
     long now = System.nanoTime();
-    if (addressReassigned) {
-      exchange.notSent("another upstream has the address");
+    Optional<String> ended = sendingEnded(now);
+    if (ended.isPresent()) {
+      exchange.notSent(ended.get());
       return;
     }
-    if (retired || now < connectBackoffUntilNanos || (isSilent(now) && now < nextProbeNanos)) {
+    if (now < connectBackoffUntilNanos || (isSilent(now) && now < nextProbeNanos)) {
       exchange.notSent("upstream does not answer");
       return;
     }
@@ -137,6 +172,11 @@
 
   private void dispatchQueued() {
     long now = System.nanoTime();
+    Optional<String> ended = sendingEnded(now);
+    if (ended.isPresent()) {
+      queue.takeAll().forEach(waiting -> waiting.notSent(ended.get()));
+      return;
+    }
     if (now < connectBackoffUntilNanos) {
       return;
     }
@@ -174,11 +214,11 @@
       silentSinceNanos = System.nanoTime();
     }
     UpstreamConnection connection = takeIdle(exchange);
-    if (connection != null) {
+    if (connection == null) {
+      connect(exchange);
+    } else {
       exchange.connected(this, connection);
-      return;
     }
-    connect(exchange);
   }
 
   /**
@@ -241,14 +281,23 @@
   }
 
   private void connectSucceeded(ProxyExchange exchange, UpstreamConnection connection) {
-    if (exchange.isConnecting(this)) {
+    Optional<String> ended = sendingEnded(System.nanoTime());
+    boolean stillNeeded = exchange.isConnecting(this);
+    if (ended.isPresent()) {
+      queue.requestEnded();
+      connection.close();
+      if (stillNeeded) {
+        exchange.notSent(ended.get());
+      }
+      dispatchQueued();
+    } else if (stillNeeded) {
       exchange.connected(this, connection);
-      return;
+    } else {
+      queue.requestEnded();
+      connection.markIdle();
+      idle.push(connection);
+      dispatchQueued();
     }
-    queue.requestEnded();
-    connection.markIdle();
-    idle.push(connection);
-    dispatchQueued();
   }
 
   private void connectFailed(ProxyExchange exchange, Throwable cause) {
@@ -348,16 +397,12 @@
   /** Closes the pool, because the upstream has left or was restarted. */
   void retire() {
     retired = true;
+    cutOffTimer.ifPresent(TimerService.Subscription::cancel);
     idle.forEach(UpstreamConnection::close);
     idle.clear();
     queue.takeAll().forEach(waiting -> waiting.notSent("upstream has left"));
   }
 
-  /** Returns the queued requests for another upstream, because this one is leaving. */
-  void drainQueue() {
-    queue.takeAll().forEach(waiting -> waiting.notSent("upstream leaves"));
-  }
-
   /** Closes connections that have been idle for too long to be reused. */
   void closeExpiredConnections(long nowNanos) {
     idle.removeIf(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamView.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamView.java
@@ -9,8 +9,8 @@
  * @param upstream the directory record of the upstream
  * @param leavingSinceNanos when this daemon learned that the upstream is leaving, in monotonic
  *     nanoseconds
- * @param cutOffNanos until when requests for held keys may be sent to a leaving upstream, in
- *     monotonic nanoseconds
+ * @param cutOffNanos until when requests for held keys, and those that wait already, may be sent to
+ *     a leaving upstream, in monotonic nanoseconds
  */
 public record UpstreamView(
     UpstreamRecord upstream, OptionalLong leavingSinceNanos, OptionalLong cutOffNanos) {
