Send after the stop signal only what ends before the process

Cause: requests were taken for 3.2 s after the signal and the process ended 0.7 s before the end of the grace period, whatever the timeouts were. With a grace period of 6 s, a request with a timeout of 2.5 s could outlast the process.

Change: ShutdownWindow decides for each request, whenever it is to be sent, whether its deadline lies before the end of the process. What is not sent is refused with 503.

Measured: the two new tests of GatewayTest fail on (200 and a request at the upstream where 503 is expected), and pass now.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
+import org.catkinlift.admission.ShutdownWindow;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.control.EventLoopTimerService;
 import org.catkinlift.gateway.control.GatewayControl;
@@ -35,14 +36,6 @@
   /** The load balancer stops opening connections only after two failed health checks. */
   private static final Duration UNHEALTHY_DETECTION_TIME = Duration.ofMillis(2_600);
 
-  /** The time between the end of the daemon's shutdown and the kill of the process. */
-  private static final Duration FORCED_STOP_MARGIN = Duration.ofMillis(700);
-
-  /**
-   * How long requests are accepted after the stop signal, so that they end within the grace period.
-   */
-  private static final Duration REQUEST_ACCEPTANCE_TIME = Duration.ofMillis(3_200);
-
   private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(100);
 
   private final GatewaySettings settings;
@@ -184,20 +177,19 @@
   public void stop() {
     log.log(EventCode.DAEMON_STOPPING, ImmutableMap.of("host", settings.host()));
     controlLoop.execute(control::resign);
-    long startNanos = System.nanoTime();
+    var window = ShutdownWindow.of(System.nanoTime(), settings.timeLimits().stopGracePeriod());
     trafficLoop.execute(
         () -> {
           stopping = true;
           callerServer.beginStop();
-          trafficTimers.after(UNHEALTHY_DETECTION_TIME, () -> checkStopped(startNanos));
-          trafficTimers.after(REQUEST_ACCEPTANCE_TIME, callerServer::beginRefusing);
+          proxy.beginStop(window);
+          trafficTimers.after(UNHEALTHY_DETECTION_TIME, () -> checkStopped(window));
         });
   }
 
-  private void checkStopped(long startNanos) {
+  private void checkStopped(ShutdownWindow window) {
     callerServer.closeIdle();
-    long limitNanos = settings.timeLimits().stopGracePeriod().minus(FORCED_STOP_MARGIN).toNanos();
-    boolean gracePeriodOver = System.nanoTime() - startNanos > limitNanos;
+    boolean gracePeriodOver = System.nanoTime() - window.exitNanos() > 0;
     boolean drained = callerServer.openConnections() == 0 && proxy.requestsInProgress() == 0;
     if (drained || gracePeriodOver) {
       log.log(
@@ -206,7 +198,7 @@
       stoppedLatch.countDown();
       return;
     }
-    trafficTimers.after(STOP_CHECK_INTERVAL, () -> checkStopped(startNanos));
+    trafficTimers.after(STOP_CHECK_INTERVAL, () -> checkStopped(window));
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -177,11 +177,7 @@
     }
     var exchange = new ProxyExchange(proxy, toCallerRequest(request, fullBody), slot);
     exchanges.put(slot, exchange);
-    if (server.isRefusing()) {
-      exchange.refuseBecauseStopping();
-    } else {
-      exchange.start();
-    }
+    exchange.start();
   }
 
   private CallerRequest toCallerRequest(HttpRequest request, ByteBuf fullBody) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
@@ -27,7 +27,6 @@
   private final ReverseProxy proxy;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private boolean stopping;
-  private boolean refusing;
 
   /**
    * Creates the server.
@@ -116,15 +115,6 @@
     stopping = true;
   }
 
-  boolean isRefusing() {
-    return refusing;
-  }
-
-  /** Refuses new requests from now on, because they might not complete before the daemon exits. */
-  public void beginRefusing() {
-    refusing = true;
-  }
-
   /** Closes the connections without a request in progress. */
   public void closeIdle() {
     new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -159,14 +159,6 @@
     selectUpstream();
   }
 
-  /**
-   * Refuses the request because the daemon is stopping. Another daemon can take it at once, so that
-   * the retry delay is short.
-   */
-  void refuseBecauseStopping() {
-    refuse("daemon is stopping", RETRY_AFTER_STOPPING);
-  }
-
   private boolean readKey(TrafficSnapshot snapshot) {
     if (!proxy.isKeyed(snapshot, service)) {
       return true;
@@ -185,6 +177,10 @@
     if (state == State.ENDED) {
       return;
     }
+    if (!proxy.maySend(this)) {
+      endBecauseStopping();
+      return;
+    }
     state = State.SELECTING_UPSTREAM;
     switch (proxy.selectUpstream(this)) {
       case UpstreamChoice.Selected selected -> {
@@ -198,6 +194,18 @@
     }
   }
 
+  /**
+   * Ends the request because it might outlast the process. Another daemon can take it at once, so
+   * that the retry delay is short.
+   */
+  private void endBecauseStopping() {
+    if (possibleExecutors.isEmpty()) {
+      refuse("daemon is stopping", RETRY_AFTER_STOPPING);
+    } else {
+      respond(BAD_GATEWAY, "daemon is stopping", Optional.empty());
+    }
+  }
+
   private void awaitHandover() {
     long now = System.nanoTime();
     if (handoverWaitStartNanos == 0) {
@@ -240,8 +248,17 @@
     state = State.CONNECTING;
   }
 
-  /** Sends the request on an open connection. */
-  void connected(UpstreamPool via, UpstreamConnection opened) {
+  /**
+   * Sends the request on an open connection, unless it has waited for so long that it might outlast
+   * the process.
+   *
+   * @return whether the connection is in use
+   */
+  boolean connected(UpstreamPool via, UpstreamConnection opened) {
+    if (!proxy.maySend(this)) {
+      endBecauseStopping();
+      return false;
+    }
     pool = via;
     connection = opened;
     state = State.SENT;
@@ -250,6 +267,7 @@
     tries++;
     possibleExecutors.add(pool.upstream().id());
     opened.send(this, upstreamHeaders());
+    return true;
   }
 
   private HttpHeaders upstreamHeaders() {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.admission.ServiceRetryBudget;
+import org.catkinlift.admission.ShutdownWindow;
 import org.catkinlift.admission.UpstreamSelector;
 import org.catkinlift.admission.ZonePreference;
 import org.catkinlift.events.EventCode;
@@ -68,6 +69,7 @@
   private AdmissionShares shares = AdmissionShares.ADMIT_ALL;
   private long sharesReceivedNanos;
   private int requestsInProgress;
+  private Optional<ShutdownWindow> shutdown = Optional.empty();
 
   /**
    * Creates the proxy.
@@ -167,6 +169,21 @@
     sharesReceivedNanos = System.nanoTime();
   }
 
+  /**
+   * Limits what is sent from now on to what can end before the process does.
+   *
+   * @param window the time until the process ends
+   */
+  public void beginStop(ShutdownWindow window) {
+    shutdown = Optional.of(window);
+  }
+
+  /** Returns whether a request may be sent to an upstream, as far as a stop is concerned. */
+  boolean maySend(ProxyExchange exchange) {
+    return shutdown.isEmpty()
+        || shutdown.get().allows(exchange.urgency(), exchange.kind(), System.nanoTime());
+  }
+
   /** Returns whether the admission shares let a request of the given priority through. */
   boolean admits(UpstreamRecord upstream, int priority) {
     boolean isCurrent = System.nanoTime() - sharesReceivedNanos < MAX_SHARES_AGE.toNanos();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -216,8 +216,9 @@
     UpstreamConnection connection = takeIdle(exchange);
     if (connection == null) {
       connect(exchange);
-    } else {
-      exchange.connected(this, connection);
+    } else if (!exchange.connected(this, connection)) {
+      queue.requestEnded();
+      idle.push(connection);
     }
   }
 
@@ -290,9 +291,7 @@
         exchange.notSent(ended.get());
       }
       dispatchQueued();
-    } else if (stillNeeded) {
-      exchange.connected(this, connection);
-    } else {
+    } else if (!stillNeeded || !exchange.connected(this, connection)) {
       queue.requestEnded();
       connection.markIdle();
       idle.push(connection);
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayTest.java
@@ -451,4 +451,55 @@
       fixture.gateway.awaitStopped();
     }
   }
+
+  private static String withDeadline(String path, String id, int millis) {
+    return get(path, id, "").replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: " + millis);
+  }
+
+  /** A request that outlasts the process would be cut without an answer when it exits. */
+  @Test
+  void stoppingDaemonTakesOnlyRequestsThatEndBeforeItExits() throws Exception {
+    try (var shared = new ScriptedUpstream((n, id, out) -> write(out, ok(id, "in time")))) {
+      serve(shared);
+      fixture.gateway.stop();
+      Thread.sleep(3_100);
+
+      assertThat(exchange(withDeadline("/brief/a", "r1", 2_900)).status()).isEqualTo(503);
+      assertThat(exchange(withDeadline("/order/a", "r2", 2_900)).status()).isEqualTo(503);
+      assertThat(shared.requestHeads()).isEmpty();
+      assertThat(exchange(withDeadline("/order/a", "r3", 1_500)).body()).isEqualTo("in time");
+    }
+  }
+
+  /** An order that was queued when the daemon was told to stop would be sent and then cut. */
+  @Test
+  void queuedOrderIsNotSentIfItMightOutlastTheProcess() throws Exception {
+    var arrived = new CountDownLatch(2);
+    var released = new CountDownLatch(1);
+    try (var shared =
+        new ScriptedUpstream(
+            (n, id, out) -> {
+              arrived.countDown();
+              await(released);
+              return write(out, ok(id, "late"));
+            })) {
+      serve(shared);
+      try (var first = fixture.connect();
+          var second = fixture.connect();
+          var queued = fixture.connect()) {
+        first.send(get("/order/a", "r1", ""));
+        second.send(get("/order/a", "r2", ""));
+        await(arrived);
+        queued.send(get("/order/a", "r3", ""));
+        Thread.sleep(200);
+        fixture.gateway.stop();
+        Thread.sleep(200);
+        released.countDown();
+
+        assertThat(first.read().status()).isEqualTo(200);
+        assertThat(queued.read().status()).isEqualTo(503);
+        assertThat(shared.requestHeads()).hasSize(2);
+      }
+    }
+  }
 }
