--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/ShutdownWindow.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/ShutdownWindow.java
@@ -21,8 +21,9 @@
   private static final Duration RESPONSE_MARGIN = Duration.ofMillis(250);
 
   /**
-   * The share of the grace period in which idempotent requests are sent although their deadline is
-   * later than the end of the process. Nearly all end much earlier, and callers repeat the others.
+   * The share of the time until the process ends in which idempotent requests are sent although
+   * their deadline is later than the end of the process. Nearly all end much earlier, and callers
+   * repeat the others.
    */
   private static final double EARLY_SHARE = 1.0 / 3;
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
@@ -21,7 +21,7 @@
  * <p>An upstream's own report of draining is final. An upstream that is missing from a list that
  * was read leaves at once, except in a grace period after an outage of the store: entries expire
  * during an outage, and running upstreams register again soon after it. A failed call to the store
- * changes nothing. Confined to the control thread.
+ * by itself says nothing about upstreams. Confined to the control thread.
  */
 public final class UpstreamDirectory {
   /** Within this time after an outage, all running upstreams are listed again. */
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/LeavingUpstreamTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/LeavingUpstreamTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.catkinlift.gateway.store.StoreUpdate;
 import org.catkinlift.upstreams.UpstreamRecord;
 import org.junit.jupiter.api.Test;
 
@@ -25,6 +26,9 @@
   /** The time after which a leaving upstream must not receive requests, as in the settings. */
   private static final Duration DRAIN = Duration.ofSeconds(2);
 
+  /** Long enough for entries of running upstreams to expire. */
+  private static final Duration OUTAGE = Duration.ofSeconds(2);
+
   /** The number of requests that a daemon sends to an upstream before it has had a response. */
   private static final int INITIAL_LIMIT = 2;
 
@@ -50,6 +54,36 @@
     }
   }
 
+  private int statusOf(String path) throws IOException {
+    try (GatewayFixture.Connection caller = fixture.connect()) {
+      caller.send(get(path, "r" + System.nanoTime(), "X-Shard-Key: 77\r\n"));
+      return caller.read().status();
+    }
+  }
+
+  /** Upstreams whose entries expired in an outage would get no requests until they are back. */
+  @Test
+  void missingUpstreamsAreServedInTheGracePeriodAfterAnOutage() throws Exception {
+    try (var upstream = new ScriptedUpstream((n, id, out) -> write(out, ok(id, "whole")))) {
+      fixture.serve(
+          upstream("u-1", SHARED, upstream.address()), upstream("u-2", KEYED, upstream.address()));
+      fixture.store().emit(new StoreUpdate.CallAnswered());
+      fixture.store().emit(new StoreUpdate.CallFailed("refused"));
+      fixture.awaitLogged("event=5006");
+      Thread.sleep(OUTAGE.toMillis());
+      fixture.store().emit(new StoreUpdate.CallAnswered());
+      fixture.awaitLogged("event=5007");
+      fixture.awaitLogged("event=5010");
+      fixture.store().setUpstreams();
+      Thread.sleep(DRAIN.dividedBy(2).toMillis());
+
+      assertThat(statusOf("/lookup/a")).isEqualTo(200);
+      assertThat(statusOf("/keyed/a")).isEqualTo(200);
+      Thread.sleep(DRAIN.toMillis());
+      assertThat(statusOf("/lookup/a")).isEqualTo(503);
+    }
+  }
+
   private GatewayFixture.Connection send(String id) throws IOException {
     GatewayFixture.Connection caller = fixture.connect();
     caller.send(get("/lookup/a", id, ""));
