--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantResult.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantResult.java
@@ -15,9 +15,17 @@
   /** The upstream rejected the call because it has seen a higher fencing token. */
   record Outdated() implements GrantResult {}
 
-  /** The call cannot have reached the upstream. */
-  record NotSent() implements GrantResult {}
+  /**
+   * The call cannot have reached the upstream.
+   *
+   * @param reason the reason, for logs
+   */
+  record NotSent(String reason) implements GrantResult {}
 
-  /** The upstream may have applied the call, or may apply it later. */
-  record Unanswered() implements GrantResult {}
+  /**
+   * The upstream may have applied the call, or may apply it later.
+   *
+   * @param reason the reason, for logs
+   */
+  record Unanswered(String reason) implements GrantResult {}
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -164,14 +164,18 @@
                 after(answered.answer(), () -> end(caller, callId, result));
               });
       case CallOutcome.NotSent notSent ->
-          after(notSent.reported(), () -> end(caller, callId, new GrantResult.NotSent()));
+          after(
+              notSent.reported(),
+              () -> end(caller, callId, new GrantResult.NotSent("not connected")));
       case CallOutcome.AnswerLost lost -> {
         after(
             lost.arrival(),
             () -> {
               var unused = arrival.apply(timers.nowNanos());
             });
-        after(CallOutcome.LATEST_ARRIVAL, () -> end(caller, callId, new GrantResult.Unanswered()));
+        after(
+            CallOutcome.LATEST_ARRIVAL,
+            () -> end(caller, callId, new GrantResult.Unanswered("timeout")));
       }
     }
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -212,7 +212,7 @@
         new SimulationEvent.CallSent(index, grant),
         grant.assignment().holder(),
         GRANT_TIMEOUT,
-        new GrantResult.NotSent(),
+        new GrantResult.NotSent("not connected"),
         (process, arrivedNanos) ->
             simulation.grant(process, grant, arrivedNanos, isCounted(arrivedNanos)));
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
@@ -94,20 +94,21 @@
   private void connected(
       SimulatedHost from, Call call, Consumer<GrantResult> report, Duration connectDelay) {
     if (!from.holdsRole()) {
-      report.accept(new GrantResult.NotSent());
+      report.accept(new GrantResult.NotSent("not connected"));
       return;
     }
     if (isCut(from, call)) {
       environment.after(
-          CONNECT_TIMEOUT.minus(connectDelay), () -> report.accept(new GrantResult.NotSent()));
+          CONNECT_TIMEOUT.minus(connectDelay),
+          () -> report.accept(new GrantResult.NotSent("not connected")));
       return;
     }
     if (processAt(call.to().address()).isEmpty()) {
-      report.accept(new GrantResult.NotSent());
+      report.accept(new GrantResult.NotSent("not connected"));
       return;
     }
     var exchange = new Exchange(call, report, environment.nowNanos() - connectDelay.toNanos());
-    environment.after(call.timeout(), () -> exchange.end(new GrantResult.Unanswered()));
+    environment.after(call.timeout(), () -> exchange.end(new GrantResult.Unanswered("timeout")));
     if (!isLost()) {
       environment.after(delayUpTo(call.timeout(), from, call), () -> arrived(from, exchange));
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
@@ -1,6 +1,7 @@
 package org.catkinlift.gateway.control;
 
 import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.stream.Collectors;
 import org.catkinlift.events.EventCode;
@@ -72,48 +73,61 @@
     }
   }
 
-  void grantEnded(RangeAction.Grant grant, GrantResult result) {
+  /**
+   * Logs the end of a grant call. Confirmed renewals are not logged: they are most of the calls.
+   *
+   * @param took the time from the decision to the result, including the wait for other calls
+   */
+  void grantEnded(RangeAction.Grant grant, GrantResult result, Duration took) {
+    boolean isRenewal = grant.reason() instanceof GrantReason.Renewal;
+    if (isRenewal && result instanceof GrantResult.Done) {
+      return;
+    }
     RangeAssignment assignment = grant.assignment();
-    callEnded("grant", assignment.holder(), assignment.range(), assignment.fence(), result);
+    callEnded(
+        isRenewal ? "renewal" : "grant",
+        assignment.holder(),
+        assignment.range(),
+        assignment.fence(),
+        result,
+        took);
   }
 
-  void releaseEnded(RangeAction.Release release, GrantResult result) {
-    callEnded("release", release.from(), release.range(), release.fence(), result);
+  /**
+   * Logs the end of a release call.
+   *
+   * @param took the time from the decision to the result, including the wait for other calls
+   */
+  void releaseEnded(RangeAction.Release release, GrantResult result, Duration took) {
+    callEnded("release", release.from(), release.range(), release.fence(), result, took);
   }
 
   private void callEnded(
-      String call, Holder holder, KeyRange range, long fence, GrantResult result) {
-    switch (result) {
-      case GrantResult.Done done ->
-          logCall(EventCode.KEY_GRANT_OR_RELEASE_CONFIRMED, call, holder, range, fence, "done");
-      case GrantResult.Outdated outdated ->
-          logFailure(call, holder, range, fence, "outdated fence");
-      case GrantResult.NotSent notSent -> logFailure(call, holder, range, fence, "not sent");
-      case GrantResult.Unanswered unanswered -> logFailure(call, holder, range, fence, "no answer");
-    }
-  }
-
-  private void logFailure(String call, Holder holder, KeyRange range, long fence, String outcome) {
-    logCall(EventCode.KEY_GRANT_OR_RELEASE_FAILED, call, holder, range, fence, outcome);
-  }
-
-  private void logCall(
-      EventCode code, String call, Holder holder, KeyRange range, long fence, String outcome) {
+      String call, Holder holder, KeyRange range, long fence, GrantResult result, Duration took) {
+    EventCode code =
+        result instanceof GrantResult.Done
+            ? EventCode.KEY_GRANT_OR_RELEASE_CONFIRMED
+            : EventCode.KEY_GRANT_OR_RELEASE_FAILED;
     log.log(
         code,
-        ImmutableMap.of(
-            "call",
-            call,
-            "upstream",
-            holder.upstream(),
-            "started",
-            holder.startedMillis(),
-            "range",
-            range,
-            "fence",
-            fence,
-            "outcome",
-            outcome));
+        ImmutableMap.<String, Object>builder()
+            .put("call", call)
+            .put("upstream", holder.upstream())
+            .put("started", holder.startedMillis())
+            .put("range", range)
+            .put("fence", fence)
+            .put("took_ms", took.toMillis())
+            .put("outcome", describe(result))
+            .buildOrThrow());
+  }
+
+  private static String describe(GrantResult result) {
+    return switch (result) {
+      case GrantResult.Done done -> done.handover().isPresent() ? "done with handover" : "done";
+      case GrantResult.Outdated outdated -> "outdated fence";
+      case GrantResult.NotSent notSent -> "not sent: " + notSent.reason();
+      case GrantResult.Unanswered unanswered -> "no answer: " + unanswered.reason();
+    };
   }
 
   private static String format(Collection<Holder> holders) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -225,10 +225,14 @@
       }
       case RangeAction.Grant grant -> {
         keyEvents.grantStarted(service, grant);
-        grants.grant(grant, roleHeld, result -> grantEnded(coordinator, grant, result));
+        long startNanos = System.nanoTime();
+        grants.grant(grant, roleHeld, result -> grantEnded(coordinator, grant, result, startNanos));
+      }
+      case RangeAction.Release release -> {
+        long startNanos = System.nanoTime();
+        grants.release(
+            release, roleHeld, result -> releaseEnded(coordinator, release, result, startNanos));
       }
-      case RangeAction.Release release ->
-          grants.release(release, roleHeld, result -> releaseEnded(coordinator, release, result));
     }
   }
 
@@ -323,14 +327,19 @@
   }
 
   private void grantEnded(
-      RangeCoordinator coordinator, RangeAction.Grant grant, GrantResult result) {
-    coordinator.callEnded(grant.callId(), result, System.nanoTime());
-    keyEvents.grantEnded(grant, result);
+      RangeCoordinator coordinator, RangeAction.Grant grant, GrantResult result, long startNanos) {
+    long nowNanos = System.nanoTime();
+    coordinator.callEnded(grant.callId(), result, nowNanos);
+    keyEvents.grantEnded(grant, result, Duration.ofNanos(nowNanos - startNanos));
   }
 
   private void releaseEnded(
-      RangeCoordinator coordinator, RangeAction.Release release, GrantResult result) {
-    coordinator.callEnded(release.callId(), result, System.nanoTime());
-    keyEvents.releaseEnded(release, result);
+      RangeCoordinator coordinator,
+      RangeAction.Release release,
+      GrantResult result,
+      long startNanos) {
+    long nowNanos = System.nanoTime();
+    coordinator.callEnded(release.callId(), result, nowNanos);
+    keyEvents.releaseEnded(release, result, Duration.ofNanos(nowNanos - startNanos));
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/logging/EventLog.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/logging/EventLog.java
@@ -1,6 +1,7 @@
 package org.catkinlift.gateway.logging;
 
 import com.google.common.collect.ImmutableMap;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +26,9 @@
   private static final String END_MARKER = "";
   private static final int RESERVED_CAPACITY = QUEUE_CAPACITY / 2;
 
+  /** Larger writes to a pipe are not atomic, and readers of logs may cut them off. */
+  private static final int MAX_WRITE_BYTES = 4_096;
+
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
   private final AtomicLong droppedLines = new AtomicLong();
   private final OutputStream output;
@@ -137,8 +141,7 @@
                   + "\n");
         }
         boolean ended = batch.remove(END_MARKER);
-        output.write(String.join("", batch).getBytes(StandardCharsets.UTF_8));
-        output.flush();
+        write(batch);
         if (ended) {
           return;
         }
@@ -151,4 +154,25 @@
       droppedLines.incrementAndGet();
     }
   }
+
+  /** Writes lines in as few writes as their limited size allows; a longer line has its own. */
+  private void write(List<String> batch) throws IOException {
+    var pending = new ByteArrayOutputStream(MAX_WRITE_BYTES);
+    for (String line : batch) {
+      byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+      if (pending.size() + bytes.length > MAX_WRITE_BYTES) {
+        flush(pending);
+      }
+      pending.writeBytes(bytes);
+    }
+    flush(pending);
+  }
+
+  private void flush(ByteArrayOutputStream pending) throws IOException {
+    if (pending.size() > 0) {
+      output.write(pending.toByteArray());
+      output.flush();
+      pending.reset();
+    }
+  }
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
@@ -75,12 +75,41 @@
     assertThat(writtenLines()).contains("upstream=u-2 started=6 replaced=u-1@5 previous=");
   }
 
+  private static RangeAction.Grant grant(GrantReason reason) {
+    var assignment = new RangeAssignment(RANGE, holder("u-1", 5), 9, ImmutableList.of());
+    return new RangeAction.Grant(1, assignment, Duration.ofSeconds(5), Optional.empty(), reason);
+  }
+
   @Test
-  void aFailedCallNamesItsFencingToken() throws Exception {
+  void aFailedCallNamesItsFencingTokenAndTheReason() throws Exception {
     keyEvents.releaseEnded(
-        new RangeAction.Release(1, holder("u-1", 5), RANGE, 9), new GrantResult.Unanswered());
+        new RangeAction.Release(1, holder("u-1", 5), RANGE, 9),
+        new GrantResult.Unanswered("timeout"),
+        Duration.ofMillis(30));
 
     assertThat(writtenLines())
-        .contains("call=release upstream=u-1 started=5 range=10-20 fence=9 outcome=\"no answer\"");
+        .contains(
+            "call=release upstream=u-1 started=5 range=10-20 fence=9 took_ms=30"
+                + " outcome=\"no answer: timeout\"");
+  }
+
+  @Test
+  void aConfirmedReleaseSaysWhetherTheAnswerHadAHandover() throws Exception {
+    keyEvents.releaseEnded(
+        new RangeAction.Release(1, holder("u-1", 5), RANGE, 9),
+        new GrantResult.Done(Optional.of("h")),
+        Duration.ofMillis(30));
+
+    assertThat(writtenLines()).contains("took_ms=30 outcome=\"done with handover\"");
+  }
+
+  @Test
+  void onlyFailedRenewalsAreLogged() throws Exception {
+    RangeAction.Grant renewal = grant(new GrantReason.Renewal());
+    keyEvents.grantEnded(renewal, new GrantResult.Done(Optional.empty()), Duration.ofMillis(1));
+    keyEvents.grantEnded(renewal, new GrantResult.Outdated(), Duration.ofMillis(2));
+
+    assertThat(writtenLines().lines().count()).isEqualTo(1);
+    assertThat(writtenLines()).contains("call=renewal upstream=u-1 started=5 range=10-20 fence=9");
   }
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/logging/EventLogTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/logging/EventLogTest.java
@@ -6,6 +6,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.catkinlift.events.EventCode;
 import org.junit.jupiter.api.Test;
@@ -61,4 +64,37 @@
     assertThat(text).contains("event=1002 severity=INFO text=\"request refused\"");
     assertThat(text).contains("request=\"r 1\" reason=\"a'b'c\" status=503");
   }
+
+  /** Guards against lines that are lost when many events are logged at once. */
+  @Test
+  void manyLinesAreWrittenInBoundedWrites() throws Exception {
+    var output = new RecordingOutput();
+    EventLog log = EventLog.start("host-1", output);
+    for (int i = 0; i < 200; i++) {
+      log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("request", "r" + i));
+    }
+    log.close();
+
+    assertThat(Collections.max(output.writeLengths)).isAtMost(4_096);
+    assertThat(output.lines).isEqualTo(200);
+  }
+
+  /** Records the length of each write. */
+  private static final class RecordingOutput extends OutputStream {
+    private final List<Integer> writeLengths = new ArrayList<>();
+    private int lines;
+
+    @Override
+    public void write(int b) {
+      throw new UnsupportedOperationException("single bytes are not expected");
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) {
+      writeLengths.add(length);
+      for (int i = offset; i < offset + length; i++) {
+        lines += bytes[i] == '\n' ? 1 : 0;
+      }
+    }
+  }
 }
