Make the ownership simulation as unkind as the daemon and the platform

Cause: the simulation found no two holders, and was kinder than the daemon and the users' pages in several places. It sent each call at once and on a new connection, answered promptly, applied a late call after 2 s at the earliest and a late store write after exactly 3 s, and knew no busy host, no role that is given up, and no upstream that comes back at another address.

Change: calls wait in lanes (2 grants, 4 releases of a process at an upstream), also while the role is away. Calls use kept connections. Answers may be slow. A late call is applied 0 to 12 s later, a late write up to 6 s later, also one sent during an outage. Hosts may stall, step down and be terminated; all hosts may restart before many slow first grants; an outage may let the role lapse and return. UpstreamBehavior names three things that upstreams may do besides: check the token of a waiting grant at its arrival, ignore the token of a release for keys that they never had, and answer twice.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
@@ -29,7 +29,11 @@
   private final ImmutableList<SimulatedHost> hosts;
 
   OwnershipSimulation(long seed, double faultProbability) {
-    environment = new SimulationEnvironment(seed, faultProbability);
+    this(seed, faultProbability, UpstreamBehavior.STRICT);
+  }
+
+  OwnershipSimulation(long seed, double faultProbability, UpstreamBehavior behavior) {
+    environment = new SimulationEnvironment(seed, faultProbability, behavior);
     store = new SimulatedStore(environment);
     directory = new SimulatedDirectory(environment, store);
     load = new SimulatedLoad(environment);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
@@ -8,13 +8,17 @@
 final class RandomFaults {
   private static final Duration STEP = Duration.ofMillis(700);
   private static final int MAX_FAULTS_PER_STEP = 2;
-  private static final int KINDS = 24;
-  private static final int KINDS_WITH_SLOW_LINKS = 27;
+  private static final int KINDS = 41;
+  private static final int KINDS_WITH_SLOW_LINKS = 41;
   private static final Duration REBOOT_TIME = Duration.ofMillis(800);
 
   /** Longer than a grant, so that no release ends its hold. */
   private static final Duration LONG_CUT = Duration.ofSeconds(8);
 
+  /** Longer than a new coordinator waits for the holds of an earlier one. */
+  private static final Duration RESTART_INTERVAL = Duration.ofSeconds(15);
+
+  private static final Duration OUTAGE_SLOWNESS = Duration.ofSeconds(4);
   private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
 
   private final OwnershipSimulation simulation;
@@ -50,6 +54,16 @@
     simulation.store().setDown(false);
   }
 
+  /**
+   * Runs the simulation with restarts of all hosts among the other faults, one in each interval.
+   */
+  void runWithRestartsOfAllHosts(Duration length) {
+    for (long i = 0; i < length.dividedBy(RESTART_INTERVAL); i++) {
+      restartAllHosts();
+      run(RESTART_INTERVAL);
+    }
+  }
+
   private void inject() {
     SimulatedHost host = pick(simulation.hosts());
     SimulatedUpstream upstream = pick(simulation.upstreams());
@@ -76,10 +90,43 @@
           slowThenCut(upstream, length);
         }
       }
+      case 27, 28 -> host.stall(shortDowntime());
+      case 29 -> host.stall(length);
+      case 30, 31 -> upstream.relocate(shortDowntime());
+      case 32 -> restartAllHosts();
+      case 33 -> storeOutage();
+      case 34, 35 -> simulation.hosts().forEach(SimulatedHost::stepDown);
+      case 36 -> simulation.hosts().forEach(h -> h.terminate(length));
       default -> {}
     }
   }
 
+  /** Restarts all hosts at once, and slows down the many first grants that follow. */
+  private void restartAllHosts() {
+    Duration length = Duration.ofMillis(random.nextInt(4_000));
+    simulation.hosts().forEach(h -> h.crash(REBOOT_TIME));
+    for (SimulatedHost host : simulation.hosts()) {
+      simulation.upstreams().stream()
+          .filter(u -> random.nextInt(2) == 0)
+          .forEach(u -> simulation.network().slow(host, u, REBOOT_TIME.plus(length)));
+    }
+  }
+
+  /** Makes the role lapse and return to the same process, with calls that still wait. */
+  private void storeOutage() {
+    simulation.hosts().forEach(this::slowAll);
+    simulation.store().setDown(true);
+    simulation
+        .environment()
+        .after(
+            Duration.ofMillis(1_500 + random.nextInt(1_500)),
+            () -> simulation.store().setDown(false));
+  }
+
+  private void slowAll(SimulatedHost host) {
+    simulation.upstreams().forEach(u -> simulation.network().slow(host, u, OUTAGE_SLOWNESS));
+  }
+
   private <T> T pick(List<T> items) {
     return items.get(random.nextInt(items.size()));
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedDirectory.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedDirectory.java
@@ -2,10 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.upstreams.UpstreamRecord;
 
@@ -22,12 +25,23 @@
   private final SimulatedStore store;
   private final List<SimulatedHost> subscribers = new ArrayList<>();
   private final Map<UpstreamId, UpstreamRecord> records = new TreeMap<>();
+  private final Deque<NetworkAddress> freeAddresses = new ArrayDeque<>();
+  private int newAddresses;
 
   SimulatedDirectory(SimulationEnvironment environment, SimulatedStore store) {
     this.environment = environment;
     this.store = store;
   }
 
+  /** Returns a free address in exchange for one that is no longer used. */
+  NetworkAddress exchangeAddress(NetworkAddress unused) {
+    boolean isNew = freeAddresses.isEmpty() || environment.random().nextBoolean();
+    NetworkAddress next =
+        isNew ? NetworkAddress.of("10.0.2." + ++newAddresses, 80) : freeAddresses.removeFirst();
+    freeAddresses.addLast(unused);
+    return next;
+  }
+
   void subscribe(SimulatedHost host) {
     subscribers.add(host);
     refresh(host);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -15,6 +15,7 @@
   private static final Duration MAX_GRANT_DURATION = Duration.ofSeconds(10);
   private static final Duration LOAD_TIME_CONSTANT = Duration.ofSeconds(2);
   private static final Duration GRANT_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration TERMINATION_TIME = Duration.ofMillis(500);
   private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(2_500);
 
   /** The rules do not count grants that arrive this soon after their sender was resumed. */
@@ -27,6 +28,8 @@
   private ImmutableList<UpstreamRecord> knownUpstreams = ImmutableList.of();
   private UnreachableUpstreams unreachable;
   private CoordinatorLease lease;
+  private SimulatedCallLanes callLanes;
+  private SimulatedConnections connections;
   private KeyLoad load;
   private Optional<RangeCoordinator> coordinator = Optional.empty();
   private boolean disconnectedFromStore;
@@ -48,6 +51,9 @@
     incarnation++;
     coordinator = Optional.empty();
     unreachable = new UnreachableUpstreams();
+    connections = new SimulatedConnections(environment);
+    callLanes =
+        new SimulatedCallLanes((call, callback) -> simulation.network().send(this, call, callback));
     lease =
         new CoordinatorLease(
             HostId.of("host-" + index),
@@ -64,6 +70,10 @@
     return lease;
   }
 
+  SimulatedConnections connections() {
+    return connections;
+  }
+
   long nanos() {
     return environment.nowNanos() - suspendedNanos;
   }
@@ -115,6 +125,9 @@
   }
 
   void crash(Duration downtime) {
+    if (!up) {
+      return;
+    }
     up = false;
     deferredTasks.clear();
     environment.after(
@@ -126,6 +139,27 @@
         });
   }
 
+  /** Gives up the role, which another host may take at once. */
+  void stepDown() {
+    if (up && !suspended) {
+      lease.stepDown().ifPresent(v -> simulation.store().clearLease(this, v));
+    }
+  }
+
+  /** Ends the daemon after it has given up the role. */
+  void terminate(Duration downtime) {
+    if (!up || suspended) {
+      return;
+    }
+    boolean heldRole = lease.isHeld(now());
+    long version = lease.rowVersion();
+    lease.resign();
+    if (heldRole) {
+      simulation.store().clearLease(this, version);
+    }
+    environment.after(TERMINATION_TIME, () -> crash(downtime));
+  }
+
   void suspend(Duration length) {
     if (suspended || !up) {
       return;
@@ -136,8 +170,21 @@
 
   private void resume(Duration suspendedFor) {
     suspendedNanos += suspendedFor.toNanos();
-    suspended = false;
     resumedAtNanos = environment.nowNanos();
+    runDeferredTasks();
+  }
+
+  /** Keeps the daemon from doing anything for some time, while its clocks run on. */
+  void stall(Duration length) {
+    if (suspended || !up) {
+      return;
+    }
+    suspended = true;
+    environment.after(length, this::runDeferredTasks);
+  }
+
+  private void runDeferredTasks() {
+    suspended = false;
     List<Runnable> tasks = new ArrayList<>(deferredTasks);
     deferredTasks.clear();
     tasks.forEach(this::runIfUp);
@@ -188,15 +235,12 @@
 
   private void send(RangeCoordinator requester, long callId, SimulatedNetwork.Call call) {
     environment.record(call.sent());
-    simulation
-        .network()
-        .send(
-            this,
-            call,
-            result -> {
-              environment.record(new SimulationEvent.CallEnded(call.sent(), result));
-              requester.callEnded(callId, result, nanos());
-            });
+    callLanes.call(
+        call,
+        result -> {
+          environment.record(new SimulationEvent.CallEnded(call.sent(), result));
+          requester.callEnded(callId, result, nanos());
+        });
   }
 
   private ImmutableList<Candidate> candidates() {
@@ -213,8 +257,14 @@
         grant.assignment().holder(),
         GRANT_TIMEOUT,
         new GrantResult.NotSent(),
-        (process, arrivedNanos) ->
-            simulation.grant(process, grant, arrivedNanos, isCounted(arrivedNanos)));
+        (process, arrivedNanos) -> {
+          boolean isCounted = isCounted(arrivedNanos);
+          boolean mayApply = process.admits(grant) || !environment.behavior().checksAtArrival();
+          return () ->
+              mayApply
+                  ? simulation.grant(process, grant, arrivedNanos, isCounted)
+                  : new GrantResult.Outdated();
+        });
   }
 
   private SimulatedNetwork.Call callFor(RangeAction.Release release) {
@@ -223,7 +273,7 @@
         release.from(),
         RELEASE_TIMEOUT,
         new GrantResult.Done(Optional.empty()),
-        (process, arrivedNanos) -> process.release(release));
+        (process, arrivedNanos) -> () -> process.release(release));
   }
 
   private boolean isCounted(long arrivedNanos) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
@@ -6,15 +6,20 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.UpstreamId;
 
 /** Delivers the calls of hosts to upstreams: in time, late, or not at all. */
 final class SimulatedNetwork {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
-  private static final Duration MIN_QUEUE_TIME = Duration.ofSeconds(2);
+  private static final Duration MIN_QUEUE_TIME = Duration.ZERO;
   private static final Duration MAX_QUEUE_TIME = Duration.ofSeconds(12);
 
+  private static final Duration MAX_COPY_DELAY = Duration.ofSeconds(2);
+  private static final SimulatedCallLanes.CallEnd NOT_SENT =
+      new SimulatedCallLanes.CallEnd(new GrantResult.NotSent(), false);
+
   private final SimulationEnvironment environment;
   private final ImmutableList<SimulatedUpstream> upstreams;
   private final Map<Link, Long> cutUntilNanos = new HashMap<>();
@@ -28,9 +33,10 @@
    */
   private record Link(SimulatedHost host, NetworkAddress upstream) {}
 
-  /** Applies a call at the process that it has arrived at. */
+  /** Takes a call at the process that it has arrived at. */
   interface CallHandler {
-    GrantResult handle(UpstreamProcess process, long arrivedNanos);
+    /** Returns what applies the call, now or after it has waited. */
+    Supplier<GrantResult> arrived(UpstreamProcess process, long arrivedNanos);
   }
 
   /**
@@ -73,15 +79,28 @@
    * @param call the call
    * @param callback receives the result at the sender
    */
-  void send(SimulatedHost from, Call call, Consumer<GrantResult> callback) {
+  void send(SimulatedHost from, Call call, Consumer<SimulatedCallLanes.CallEnd> callback) {
+    if (!from.holdsRole()) {
+      callback.accept(NOT_SENT);
+      return;
+    }
+    Optional<SimulatedConnections.Connection> idle =
+        processAt(call.to().address())
+            .flatMap(p -> from.connections().takeIdle(call.to().address(), p));
+    if (idle.isPresent()) {
+      exchange(from, call, reportTo(from, callback), idle.get(), environment.nowNanos());
+      return;
+    }
+    long startNanos = from.nanos();
     Duration connectDelay = delayUpTo(CONNECT_TIMEOUT, from, call);
     // A sender that is suspended while the connection is established sends after its resumption.
     environment.after(
         connectDelay,
-        from.ifUnchanged(() -> connected(from, call, reportTo(from, callback), connectDelay)));
+        from.ifUnchanged(() -> connected(from, call, reportTo(from, callback), startNanos)));
   }
 
-  private Consumer<GrantResult> reportTo(SimulatedHost from, Consumer<GrantResult> callback) {
+  private Consumer<SimulatedCallLanes.CallEnd> reportTo(
+      SimulatedHost from, Consumer<SimulatedCallLanes.CallEnd> callback) {
     return result -> from.runIfUp(() -> callback.accept(result));
   }
 
@@ -92,22 +111,38 @@
   }
 
   private void connected(
-      SimulatedHost from, Call call, Consumer<GrantResult> report, Duration connectDelay) {
-    if (!from.holdsRole()) {
-      report.accept(new GrantResult.NotSent());
+      SimulatedHost from, Call call, Consumer<SimulatedCallLanes.CallEnd> report, long startNanos) {
+    Duration connectDelay = Duration.ofNanos(from.nanos() - startNanos);
+    if (connectDelay.compareTo(CONNECT_TIMEOUT) > 0 || !from.holdsRole()) {
+      report.accept(NOT_SENT);
       return;
     }
     if (isCut(from, call)) {
-      environment.after(
-          CONNECT_TIMEOUT.minus(connectDelay), () -> report.accept(new GrantResult.NotSent()));
+      environment.after(CONNECT_TIMEOUT.minus(connectDelay), () -> report.accept(NOT_SENT));
       return;
     }
-    if (processAt(call.to().address()).isEmpty()) {
-      report.accept(new GrantResult.NotSent());
+    Optional<UpstreamProcess> process = processAt(call.to().address());
+    if (process.isEmpty()) {
+      report.accept(NOT_SENT);
       return;
     }
-    var exchange = new Exchange(call, report, environment.nowNanos() - connectDelay.toNanos());
-    environment.after(call.timeout(), () -> exchange.end(new GrantResult.Unanswered()));
+    exchange(
+        from,
+        call,
+        report,
+        from.connections().open(call.to().address(), process.get()),
+        environment.nowNanos() - connectDelay.toNanos());
+  }
+
+  private void exchange(
+      SimulatedHost from,
+      Call call,
+      Consumer<SimulatedCallLanes.CallEnd> report,
+      SimulatedConnections.Connection connection,
+      long sentNanos) {
+    var exchange = new Exchange(call, report, connection, sentNanos);
+    connection.callStarted(exchange::answered);
+    environment.after(call.timeout(), exchange::giveUp);
     if (!isLost()) {
       environment.after(delayUpTo(call.timeout(), from, call), () -> arrived(from, exchange));
     }
@@ -127,23 +162,26 @@
   }
 
   private Optional<UpstreamProcess> processAt(NetworkAddress address) {
-    return upstreamAt(address).process();
+    return upstreams.stream()
+        .filter(u -> u.address().equals(address))
+        .flatMap(u -> u.process().stream())
+        .findFirst();
   }
 
-  private SimulatedUpstream upstreamAt(NetworkAddress address) {
-    return upstreams.stream().filter(u -> u.address().equals(address)).findFirst().orElseThrow();
+  private boolean isRunning(UpstreamProcess process) {
+    return upstreams.stream().anyMatch(u -> u.isRunning(process));
   }
 
   /** Delivers a call to the process that is up, which need not be the one that it is meant for. */
   private void arrived(SimulatedHost from, Exchange exchange) {
     Call call = exchange.call;
     Optional<UpstreamProcess> process = processAt(call.to().address());
-    if (process.isEmpty() || isCut(from, call)) {
+    if (process.isEmpty() || isCut(from, call) || !exchange.connection.isOpenTo(process.get())) {
       return;
     }
     UpstreamId expected = call.to().upstream();
     if (!process.get().id().equals(expected)) {
-      answer(from, exchange, call.resultAtOtherUpstream());
+      answer(from, exchange, new SimulatedConnections.Response(call.resultAtOtherUpstream(), true));
       return;
     }
     long arrivedNanos = environment.nowNanos();
@@ -151,44 +189,83 @@
         environment.nextIsFaulty()
             ? environment.delayBetween(MIN_QUEUE_TIME, MAX_QUEUE_TIME)
             : Duration.ZERO;
-    environment.after(queueTime, () -> apply(from, exchange, process.get(), arrivedNanos));
+    Supplier<GrantResult> application = call.handler().arrived(process.get(), arrivedNanos);
+    environment.after(
+        queueTime, () -> apply(from, exchange, process.get(), arrivedNanos, application));
   }
 
   /** Applies a call. A call that is queued ends with the process. */
   private void apply(
-      SimulatedHost from, Exchange exchange, UpstreamProcess process, long arrivedNanos) {
-    if (upstreamAt(exchange.call.to().address()).isRunning(process)) {
-      GrantResult result = exchange.call.handler().handle(process, arrivedNanos);
+      SimulatedHost from,
+      Exchange exchange,
+      UpstreamProcess process,
+      long arrivedNanos,
+      Supplier<GrantResult> application) {
+    if (isRunning(process)) {
+      GrantResult result = application.get();
       environment.record(
           new SimulationEvent.CallApplied(
               process, exchange.call.sent(), exchange.sentNanos, arrivedNanos, result));
-      answer(from, exchange, result);
+      answer(from, exchange, new SimulatedConnections.Response(result, false));
     }
   }
 
-  private void answer(SimulatedHost from, Exchange exchange, GrantResult result) {
+  private void answer(
+      SimulatedHost from, Exchange exchange, SimulatedConnections.Response response) {
     if (!environment.nextIsFaulty() && !isCut(from, exchange.call)) {
-      environment.after(environment.usualDelay(), () -> exchange.end(result));
+      Duration delay = delayUpTo(exchange.call.timeout(), from, exchange.call);
+      environment.after(delay, () -> exchange.connection.received(response, false));
+      if (environment.behavior().answersTwice() && environment.nextIsFaulty()) {
+        sendCopy(exchange, response, delay);
+      }
     }
   }
 
+  /** Sends a second copy of an answer, which may say that it is the last on its connection. */
+  private void sendCopy(
+      Exchange exchange, SimulatedConnections.Response response, Duration firstDelay) {
+    boolean isLast = environment.random().nextBoolean();
+    Duration delay = firstDelay.plus(environment.delayBetween(Duration.ZERO, MAX_COPY_DELAY));
+    environment.after(delay, () -> exchange.connection.received(response, isLast));
+  }
+
   /** A call on its connection, which reports the first of its results. */
   private static final class Exchange {
     private final Call call;
-    private final Consumer<GrantResult> report;
+    private final Consumer<SimulatedCallLanes.CallEnd> report;
+    private final SimulatedConnections.Connection connection;
     private final long sentNanos;
     private boolean ended;
 
-    private Exchange(Call call, Consumer<GrantResult> report, long sentNanos) {
+    private Exchange(
+        Call call,
+        Consumer<SimulatedCallLanes.CallEnd> report,
+        SimulatedConnections.Connection connection,
+        long sentNanos) {
       this.call = call;
       this.report = report;
+      this.connection = connection;
       this.sentNanos = sentNanos;
     }
 
-    private void end(GrantResult result) {
+    private void answered(SimulatedConnections.Response response) {
+      GrantResult result =
+          response.isFromOtherUpstream() ? call.resultAtOtherUpstream() : response.result();
+      end(new SimulatedCallLanes.CallEnd(result, true));
+    }
+
+    private void giveUp() {
+      if (ended) {
+        return;
+      }
+      connection.close();
+      end(new SimulatedCallLanes.CallEnd(new GrantResult.Unanswered(), false));
+    }
+
+    private void end(SimulatedCallLanes.CallEnd end) {
       if (!ended) {
         ended = true;
-        report.accept(result);
+        report.accept(end);
       }
     }
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedStore.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedStore.java
@@ -6,7 +6,10 @@
 /** A linearizable store whose replies may be lost and whose operations may be applied late. */
 final class SimulatedStore {
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
-  private static final Duration LATE_OPERATION_DELAY = Duration.ofSeconds(3);
+  private static final Duration MAX_LATE_OPERATION_DELAY = Duration.ofSeconds(6);
+
+  /** One of this many calls that the store cannot answer is applied nevertheless. */
+  private static final int CALLS_PER_UNANSWERED_OPERATION = 4;
 
   private final SimulationEnvironment environment;
   private boolean down;
@@ -33,9 +36,16 @@
   private void call(SimulatedHost from, Runnable operation, Runnable onTimeout) {
     boolean unavailable = down || from.isDisconnectedFromStore();
     if (unavailable || environment.nextIsFaulty()) {
-      if (!unavailable && environment.random().nextBoolean()) {
+      boolean isApplied =
+          unavailable
+              ? environment.random().nextInt(CALLS_PER_UNANSWERED_OPERATION) == 0
+              : environment.random().nextBoolean();
+      if (isApplied) {
         boolean isPrompt = environment.random().nextBoolean();
-        Duration delay = isPrompt ? environment.usualDelay() : LATE_OPERATION_DELAY;
+        Duration delay =
+            isPrompt
+                ? environment.usualDelay()
+                : environment.delayBetween(Duration.ZERO, MAX_LATE_OPERATION_DELAY);
         environment.after(delay, () -> runWithoutReply(operation));
       }
       environment.after(CALL_TIMEOUT, onTimeout);
@@ -78,6 +88,20 @@
         () -> from.runIfUp(requester::callFailed));
   }
 
+  /** Empties the row of the role on condition of its version. */
+  void clearLease(SimulatedHost from, long expectedVersion) {
+    call(
+        from,
+        () -> {
+          if (leaseVersion == expectedVersion) {
+            version++;
+            leaseVersion = version;
+            lease = Optional.empty();
+          }
+        },
+        () -> {});
+  }
+
   void readLease(SimulatedHost from) {
     CoordinatorLease requester = from.lease();
     call(
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedUpstream.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedUpstream.java
@@ -20,7 +20,7 @@
   private final SimulationEnvironment environment;
   private final SimulatedDirectory directory;
   private final int index;
-  private final NetworkAddress address;
+  private NetworkAddress address;
   private int starts;
   private int replacements;
   private UpstreamRecord record;
@@ -51,7 +51,7 @@
   private void start() {
     var id = UpstreamId.of("u-" + index + "-" + replacements);
     record = newRecord(id);
-    process = Optional.of(new UpstreamProcess(id, record.startedMillis()));
+    process = Optional.of(new UpstreamProcess(id, record.startedMillis(), environment.behavior()));
     environment.record(new SimulationEvent.ProcessStarted(record));
     starts++;
     directory.publish(record);
@@ -84,6 +84,19 @@
     environment.after(downtime, this::startIfDown);
   }
 
+  /** Ends the process; one with the same id starts at another address, which may have been used. */
+  void relocate(Duration downtime) {
+    end();
+    environment.after(
+        downtime,
+        () -> {
+          if (process.isEmpty()) {
+            address = directory.exchangeAddress(address);
+            start();
+          }
+        });
+  }
+
   private void end() {
     if (process.isPresent()) {
       process = Optional.empty();
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEnvironment.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEnvironment.java
@@ -16,8 +16,10 @@
   private final SimulationTrace trace = new SimulationTrace();
   private final SplittableRandom random;
   private final double faultProbability;
+  private final UpstreamBehavior behavior;
 
-  SimulationEnvironment(long seed, double faultProbability) {
+  SimulationEnvironment(long seed, double faultProbability, UpstreamBehavior behavior) {
+    this.behavior = behavior;
     this.random = new SplittableRandom(seed);
     this.faultProbability = faultProbability;
   }
@@ -26,6 +28,10 @@
     return timers;
   }
 
+  UpstreamBehavior behavior() {
+    return behavior;
+  }
+
   SplittableRandom random() {
     return random;
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
@@ -18,6 +18,7 @@
 
   private final UpstreamId id;
   private final long startedMillis;
+  private final UpstreamBehavior behavior;
   private final Map<Integer, Long> highestFences = new HashMap<>();
   private final Map<Integer, Hold> holds = new HashMap<>();
 
@@ -44,7 +45,12 @@
   }
 
   UpstreamProcess(UpstreamId id, long startedMillis) {
+    this(id, startedMillis, UpstreamBehavior.STRICT);
+  }
+
+  UpstreamProcess(UpstreamId id, long startedMillis, UpstreamBehavior behavior) {
     this.id = id;
+    this.behavior = behavior;
     this.startedMillis = startedMillis;
   }
 
@@ -65,20 +71,29 @@
   GrantResult grant(RangeAction.Grant grant, long arrivedNanos, boolean isCounted) {
     long fence = grant.assignment().fence();
     ImmutableList<Integer> keys = KeySample.in(grant.assignment().range());
-    if (keys.stream().anyMatch(k -> highestFences.getOrDefault(k, 0L) > fence)) {
+    if (!behavior.checksAtArrival() && !admits(grant)) {
       return new GrantResult.Outdated();
     }
     long expiryNanos = arrivedNanos + (long) (grant.duration().toNanos() * CLOCK_SLOWDOWN);
     for (int key : keys) {
-      highestFences.put(key, fence);
+      highestFences.merge(key, fence, Math::max);
       holds.put(key, lastHold(key).extend(fence, expiryNanos, isCounted));
     }
     return new GrantResult.Done(Optional.empty());
   }
 
+  /** Returns whether a grant's fencing token is as high as the highest one seen. */
+  boolean admits(RangeAction.Grant grant) {
+    long fence = grant.assignment().fence();
+    return KeySample.in(grant.assignment().range()).stream()
+        .allMatch(k -> highestFences.getOrDefault(k, 0L) <= fence);
+  }
+
   GrantResult release(RangeAction.Release release) {
     for (int key : KeySample.in(release.range())) {
-      highestFences.merge(key, release.fence(), Math::max);
+      if (behavior.seesTokensOfUnheldKeys() || highestFences.containsKey(key)) {
+        highestFences.merge(key, release.fence(), Math::max);
+      }
       holds.computeIfPresent(key, (k, hold) -> hold.released());
     }
     return new GrantResult.Done(Optional.of("handover"));
