Suspend senders on slow links in the ownership simulation again

Change: half of the calls find that the upstream has closed the idle connections, and with slow links hosts are suspended while they connect.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -15,7 +15,7 @@
   private static final int SEEDS = 300;
 
   /** A seed in which a host is suspended while it connects for a grant. */
-  private static final long SEED_OF_SUSPENDED_SENDER = 179;
+  private static final long SEED_OF_SUSPENDED_SENDER = 20;
 
   private static final double FAULT_PROBABILITY = 0.05;
   private static final Duration RUN = Duration.ofSeconds(60);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
@@ -97,6 +97,11 @@
       case 33 -> storeOutage();
       case 34, 35 -> simulation.hosts().forEach(SimulatedHost::stepDown);
       case 36 -> simulation.hosts().forEach(h -> h.terminate(length));
+      case 37, 38, 39 -> {
+        if (withSlowLinks) {
+          suspendOnSlowLinks(host);
+        }
+      }
       default -> {}
     }
   }
@@ -123,6 +128,14 @@
             () -> simulation.store().setDown(false));
   }
 
+  /** Suspends a host while its calls take long to connect, for longer than its role lasts. */
+  private void suspendOnSlowLinks(SimulatedHost host) {
+    slowAll(host);
+    Duration delay = Duration.ofMillis(random.nextInt(1_500));
+    Duration length = Duration.ofMillis(2_500 + random.nextInt(14_000));
+    simulation.environment().after(delay, () -> host.suspend(length));
+  }
+
   private void slowAll(SimulatedHost host) {
     simulation.upstreams().forEach(u -> simulation.network().slow(host, u, OUTAGE_SLOWNESS));
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
@@ -17,6 +17,10 @@
   private static final Duration MAX_QUEUE_TIME = Duration.ofSeconds(12);
 
   private static final Duration MAX_COPY_DELAY = Duration.ofSeconds(2);
+
+  /** One of this many calls finds that the upstream has closed the idle connections. */
+  private static final int CALLS_PER_CLOSED_CONNECTION = 2;
+
   private static final SimulatedCallLanes.CallEnd NOT_SENT =
       new SimulatedCallLanes.CallEnd(new GrantResult.NotSent(), false);
 
@@ -86,6 +90,7 @@
     }
     Optional<SimulatedConnections.Connection> idle =
         processAt(call.to().address())
+            .filter(p -> environment.random().nextInt(CALLS_PER_CLOSED_CONNECTION) != 0)
             .flatMap(p -> from.connections().takeIdle(call.to().address(), p));
     if (idle.isPresent()) {
       exchange(from, call, reportTo(from, callback), idle.get(), environment.nowNanos());
