--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/HttpCall.java
@@ -20,6 +20,8 @@
  * @param maxResponseBytes the maximum size of the response with its head, in bytes
  * @param maxConcurrent the maximum number of such calls, to the same address and target, at a time;
  *     further ones wait for their turn
+ * @param ownConnection whether the call gets a new connection that no other call uses, so that a
+ *     late copy of the response to another call cannot be taken for the response to this one
  * @param sendCondition asked right before the request is sent; if false, it is not sent
  */
 public record HttpCall(
@@ -32,6 +34,7 @@
     Duration connectTimeout,
     int maxResponseBytes,
     int maxConcurrent,
+    boolean ownConnection,
     BooleanSupplier sendCondition) {
   /** The maximum size of any response; fits a page of rows with their encoding. */
   public static final int MAX_RESPONSE_BYTES = 16 << 20;
@@ -62,6 +65,7 @@
     private Duration connectTimeout = DEFAULT_TIMEOUT;
     private int maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES;
     private int maxConcurrent = Integer.MAX_VALUE;
+    private boolean ownConnection;
     private BooleanSupplier sendCondition = () -> true;
 
     private Builder(NetworkAddress address) {
@@ -118,6 +122,13 @@
       return this;
     }
 
+    /** Sends the call on a new connection that no other call uses. */
+    @CanIgnoreReturnValue
+    public Builder ownConnection() {
+      ownConnection = true;
+      return this;
+    }
+
     /** Sets what must still hold right before the request is sent. */
     @CanIgnoreReturnValue
     public Builder sendCondition(BooleanSupplier value) {
@@ -141,6 +152,7 @@
           connectTimeout,
           maxResponseBytes,
           maxConcurrent,
+          ownConnection,
           sendCondition);
     }
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
@@ -100,7 +100,7 @@
       callback.accept(new CallResult.NotSent(CONDITION_ENDED));
       return;
     }
-    Connection connection = takeIdle(call.address());
+    Connection connection = call.ownConnection() ? null : takeIdle(call.address());
     if (connection != null) {
       connection.send(call, callback);
       return;
@@ -180,6 +180,7 @@
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private Consumer<CallResult> pendingCallback;
+    private boolean reusable;
     private ScheduledFuture<?> timeout;
     private long idleSinceNanos;
 
@@ -190,6 +191,7 @@
     private void send(HttpCall call, Consumer<CallResult> callback) {
       byte[] body = call.body().getBytes(StandardCharsets.UTF_8);
       pendingCallback = callback;
+      reusable = !call.ownConnection();
       byteLimit.allow(call.maxResponseBytes());
       timeout =
           loop.schedule(
@@ -233,7 +235,8 @@
               response.status().code(),
               headers.buildKeepingLast(),
               response.content().toString(StandardCharsets.UTF_8));
-      if (HttpUtil.isKeepAlive(response) && !followedByBytes && pendingCallback != null) {
+      boolean keepOpen = reusable && HttpUtil.isKeepAlive(response) && !followedByBytes;
+      if (keepOpen && pendingCallback != null) {
         idleSinceNanos = System.nanoTime();
         idleConnections.computeIfAbsent(address, a -> new ArrayDeque<>()).push(this);
       } else {
