--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -14,7 +14,7 @@
   private static final int SEEDS = 300;
 
   /** A seed in which a host is suspended while it connects for a grant. */
-  private static final long SEED_OF_SUSPENDED_SENDER = 20;
+  private static final long SEED_OF_SUSPENDED_SENDER = 262;
 
   private static final double FAULT_PROBABILITY = 0.05;
   private static final Duration RUN = Duration.ofSeconds(60);
@@ -82,6 +82,20 @@
     }
   }
 
+  /** The check above fails if answers to different calls share a connection. */
+  @Test
+  void answersThatArriveTwiceOnKeptConnectionsBreakOwnership() {
+    long violations = 0;
+    for (long seed = 1; seed <= SEEDS && violations == 0; seed++) {
+      var simulation =
+          new OwnershipSimulation(seed, FAULT_PROBABILITY, UpstreamBehavior.ANSWERS_TWICE);
+      simulation.network().keepConnections();
+      new RandomFaults(simulation).run(RUN);
+      violations = simulation.violations().size();
+    }
+    assertThat(violations).isGreaterThan(0);
+  }
+
   private static void assertOneHolderOnSlowLinks(long seed) {
     var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY);
     RandomFaults.withSlowLinks(simulation).run(RUN);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
@@ -25,6 +25,8 @@
   private final ImmutableList<SimulatedUpstream> upstreams;
   private final Map<Link, Long> cutUntilNanos = new HashMap<>();
   private final Map<Link, Long> slowUntilNanos = new HashMap<>();
+  private final Map<Link, SimulatedConnection> lastConnections = new HashMap<>();
+  private boolean keepsConnections;
 
   /**
    * The path from a host to an upstream.
@@ -61,6 +63,11 @@
     this.upstreams = upstreams;
   }
 
+  /** Makes hosts send calls on the connections of earlier calls, which the daemon does not. */
+  void keepConnections() {
+    keepsConnections = true;
+  }
+
   /** Drops everything that a host sends to an upstream for some time. */
   void cut(SimulatedHost host, SimulatedUpstream upstream, Duration length) {
     var link = new Link(host, upstream.address());
@@ -85,6 +92,11 @@
       callback.accept(NOT_SENT);
       return;
     }
+    Optional<SimulatedConnection> idle = idleConnection(from, call);
+    if (idle.isPresent()) {
+      exchange(from, call, reportTo(from, callback), idle.get(), environment.nowNanos());
+      return;
+    }
     long startNanos = from.nanos();
     Duration connectDelay = delayUpTo(CONNECT_TIMEOUT, from, call);
     // A sender that is suspended while the connection is established sends after its resumption.
@@ -93,6 +105,12 @@
         from.ifUnchanged(() -> connected(from, call, reportTo(from, callback), startNanos)));
   }
 
+  private Optional<SimulatedConnection> idleConnection(SimulatedHost from, Call call) {
+    return Optional.ofNullable(lastConnections.get(new Link(from, call.to().address())))
+        .filter(SimulatedConnection::isIdle)
+        .filter(c -> processAt(call.to().address()).filter(c::isOpenTo).isPresent());
+  }
+
   private Consumer<SimulatedCallLanes.CallEnd> reportTo(
       SimulatedHost from, Consumer<SimulatedCallLanes.CallEnd> callback) {
     return result -> from.runIfUp(() -> callback.accept(result));
@@ -120,12 +138,11 @@
       report.accept(NOT_SENT);
       return;
     }
-    exchange(
-        from,
-        call,
-        report,
-        new SimulatedConnection(process.get()),
-        environment.nowNanos() - connectDelay.toNanos());
+    var connection = new SimulatedConnection(process.get(), keepsConnections);
+    if (keepsConnections) {
+      lastConnections.put(new Link(from, call.to().address()), connection);
+    }
+    exchange(from, call, report, connection, environment.nowNanos() - connectDelay.toNanos());
   }
 
   private void exchange(
