--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -100,6 +100,10 @@
     }
   }
 
+  boolean isAnyUnreachable() {
+    return !coordinator.unreachable().isEmpty();
+  }
+
   RangeMap storedMap() {
     return storedMap;
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCoordinatorTest.java
@@ -312,6 +312,24 @@
     assertWaitingFirstGrantIsWaitedFor(UpstreamBehavior.STRICT);
   }
 
+  /**
+   * Guards against the order of events in the users' record: the last of four grants without an
+   * answer makes the upstream unreachable, its release is confirmed at once, and the grant is
+   * applied afterwards with the time of its arrival.
+   */
+  @Tag("known-red")
+  @Test
+  void grantThatIsAppliedAfterTheUpstreamCountsAsUnreachableIsWaitedFor() {
+    driver.setBehavior(UpstreamBehavior.CHECKS_AT_ARRIVAL);
+    driver.setGrantOutcome(
+        a, new CallOutcome.AppliedLate(Duration.ofMillis(5), Duration.ofMillis(1_250)));
+    driver.setCandidates(a);
+    driver.runUntil(driver::isAnyUnreachable);
+    driver.setCandidates(b);
+
+    assertMovesWithoutOverlap(b);
+  }
+
   private void assertWaitingFirstGrantIsWaitedFor(UpstreamBehavior behavior) {
     driver.setBehavior(behavior);
     driver.setGrantOutcome(a, APPLIED_LATE);
