--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/EarlierHoldsTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/EarlierHoldsTest.java
@@ -25,8 +25,7 @@
   private final RangeMap mapOfA =
       new RangeMap(
           6,
-          ImmutableList.of(
-              new RangeAssignment(KeyRange.ALL, Holder.of(a), 5, ImmutableList.of())));
+          ImmutableList.of(new RangeAssignment(KeyRange.ALL, Holder.of(a), 5, ImmutableList.of())));
   private long nowNanos;
 
   private static UpstreamRecord upstream(int number) {
