Log why keys move and which attempt of a request is repeated

The users' record has one request at the same upstream three times, and a key that stays with its new holder for 151 ms. The logs could say neither: 2005 has no request id, and 3014 not why keys were assigned anew.

- 1004 is logged for each repeated attempt, with request, key, upstream and the reason why the attempt before it failed.
- 3014 has the reason: first_holder, holder_left, holder_restarted, balance, busy_key, join or merge.
The planner returns it with the map.

No decision is changed. RangePlannerTest, RangeCoordinatorTest and KeyEventLogTest pass.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeAction.java
@@ -1,5 +1,6 @@
 package org.catkinlift.ranges;
 
+import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -21,8 +22,11 @@
    *
    * @param map the new map
    * @param expectedVersion the version that the stored map must have; 0 if it must not exist
+   * @param reasons why each assignment with a new fencing token was made, by fencing token
    */
-  record WriteMap(RangeMap map, long expectedVersion) implements RangeAction {}
+  record WriteMap(
+      RangeMap map, long expectedVersion, ImmutableMap<Long, ReassignmentReason> reasons)
+      implements RangeAction {}
 
   /**
    * Grant keys to their holder, or renew the grant.
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -240,13 +240,14 @@
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
     RangeMap current = dropReleasedHolders(map.get(), nowNanos);
-    Optional<RangeMap> planned = RangePlanner.plan(current, candidates, load, this::isMovable);
+    Optional<RangePlan> planned = RangePlanner.plan(current, candidates, load, this::isMovable);
     if (planned.isEmpty() && current.equals(map.get())) {
       return Optional.empty();
     }
-    mapBeingWritten = Optional.of(planned.orElse(current));
+    RangePlan next = planned.orElse(RangePlan.withoutReassignments(current));
+    mapBeingWritten = Optional.of(next.map());
     storeCallInFlight = true;
-    return Optional.of(new RangeAction.WriteMap(mapBeingWritten.get(), mapVersion));
+    return Optional.of(new RangeAction.WriteMap(next.map(), mapVersion, next.reasons()));
   }
 
   /** Only keys with a granted holder may move, so that no key takes part in two moves at a time. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -1,6 +1,7 @@
 package org.catkinlift.ranges;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -71,6 +72,7 @@
   private final Map<UpstreamId, Candidate> candidates = new HashMap<>();
   private final Map<UpstreamId, Double> plannedLoad = new HashMap<>();
   private final List<RangeAssignment> assignments = new ArrayList<>();
+  private final Map<Long, ReassignmentReason> reasons = new HashMap<>();
   private long nextFence;
   private boolean changed;
 
@@ -89,7 +91,7 @@
    * @param movable whether an assignment may be moved for balance
    * @return the next map, or empty if the current one is kept
    */
-  public static Optional<RangeMap> plan(
+  public static Optional<RangePlan> plan(
       RangeMap map,
       Collection<Candidate> candidates,
       KeyLoad load,
@@ -105,12 +107,13 @@
     return planner.result();
   }
 
-  private Optional<RangeMap> result() {
+  private Optional<RangePlan> result() {
     if (!changed) {
       return Optional.empty();
     }
     assignments.sort(BY_FIRST_KEY);
-    return Optional.of(new RangeMap(nextFence, ImmutableList.copyOf(assignments)));
+    var map = new RangeMap(nextFence, ImmutableList.copyOf(assignments));
+    return Optional.of(new RangePlan(map, ImmutableMap.copyOf(reasons)));
   }
 
   private void keepOrReassign(RangeMap map) {
@@ -122,7 +125,11 @@
       } else if (Holder.of(candidate.upstream()).equals(assignment.holder())) {
         keep(assignment);
       } else {
-        assign(assignment.range(), candidate, possibleHolders(assignment));
+        assign(
+            assignment.range(),
+            candidate,
+            possibleHolders(assignment),
+            ReassignmentReason.HOLDER_RESTARTED);
       }
     }
     if (map.assignments().isEmpty()) {
@@ -158,14 +165,27 @@
     plannedLoad.merge(assignment.holder().upstream(), load.of(assignment.range()), Double::sum);
   }
 
-  private void assign(KeyRange range, Candidate target, ImmutableList<Holder> previousHolders) {
+  private void assign(
+      KeyRange range,
+      Candidate target,
+      ImmutableList<Holder> previousHolders,
+      ReassignmentReason reason) {
     Holder holder = Holder.of(target.upstream());
-    keep(new RangeAssignment(range, holder, nextFence++, othersThan(holder, previousHolders)));
+    ImmutableList<Holder> others = othersThan(holder, previousHolders);
+    keep(new RangeAssignment(range, holder, newFence(reason), others));
+  }
+
+  /** Returns an unused fencing token for a change of the map. */
+  private long newFence(ReassignmentReason reason) {
     changed = true;
+    reasons.put(nextFence, reason);
+    return nextFence++;
   }
 
   private void reassign(RangeAssignment assignment) {
     ImmutableList<Holder> previousHolders = possibleHolders(assignment);
+    ReassignmentReason reason =
+        assignment.fence() == 0 ? ReassignmentReason.FIRST_HOLDER : ReassignmentReason.HOLDER_LEFT;
     double maxPiece = maxPieceLoadPerSlot();
     KeyRange rest = assignment.range();
     while (true) {
@@ -173,10 +193,10 @@
       int count = Math.max(1, load.keysFromStart(rest, maxPiece * target.capacity()));
       // A short remainder is assigned together with the piece before it.
       if (count >= rest.size() || load.of(rest) <= maxPiece * target.capacity() * 1.5) {
-        assign(rest, target, previousHolders);
+        assign(rest, target, previousHolders, reason);
         return;
       }
-      assign(new KeyRange(rest.first(), rest.first() + count - 1), target, previousHolders);
+      assign(new KeyRange(rest.first(), rest.first() + count - 1), target, previousHolders, reason);
       rest = new KeyRange(rest.first() + count, rest.last());
     }
   }
@@ -272,7 +292,6 @@
     }
     assignments.set(index, movedTo(assignment, neighbor.get()));
     ranges.merge(assignment.holder().upstream(), -1, Integer::sum);
-    changed = true;
     return true;
   }
 
@@ -298,7 +317,10 @@
     plannedLoad.merge(target.upstream().id(), moved, Double::sum);
     Holder holder = Holder.of(target.upstream());
     return new RangeAssignment(
-        assignment.range(), holder, nextFence++, othersThan(holder, possibleHolders(assignment)));
+        assignment.range(),
+        holder,
+        newFence(ReassignmentReason.JOIN),
+        othersThan(holder, possibleHolders(assignment)));
   }
 
   private static ImmutableList<Holder> othersThan(Holder holder, List<Holder> previousHolders) {
@@ -426,7 +448,8 @@
     KeyRange range = assignment.range();
     assignments.remove(assignment);
     plannedLoad.merge(assignment.holder().upstream(), -load.of(range), Double::sum);
-    assign(new KeyRange(key, key), receiver, possibleHolders(assignment));
+    assign(
+        new KeyRange(key, key), receiver, possibleHolders(assignment), ReassignmentReason.BUSY_KEY);
     if (key > range.first()) {
       keep(assignment.withRange(new KeyRange(range.first(), key - 1)));
     }
@@ -450,13 +473,13 @@
     plannedLoad.merge(assignment.holder().upstream(), -load.of(range), Double::sum);
     ImmutableList<Holder> previousHolders = possibleHolders(assignment);
     if (count >= range.size()) {
-      assign(range, receiver, previousHolders);
+      assign(range, receiver, previousHolders, ReassignmentReason.BALANCE);
       return;
     }
     int boundary = atStart ? range.first() + count : range.last() - count + 1;
     var left = new KeyRange(range.first(), boundary - 1);
     var right = new KeyRange(boundary, range.last());
-    assign(atStart ? left : right, receiver, previousHolders);
+    assign(atStart ? left : right, receiver, previousHolders, ReassignmentReason.BALANCE);
     keep(assignment.withRange(atStart ? right : left));
   }
 
@@ -468,9 +491,9 @@
       if (left.holder().equals(right.holder()) && movable.test(left) && movable.test(right)) {
         var merged = new KeyRange(left.range().first(), right.range().last());
         assignments.remove(i);
+        long fence = newFence(ReassignmentReason.MERGE);
         assignments.set(
-            i - 1, new RangeAssignment(merged, left.holder(), nextFence++, ImmutableList.of()));
-        changed = true;
+            i - 1, new RangeAssignment(merged, left.holder(), fence, ImmutableList.of()));
       }
     }
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -36,7 +36,8 @@
   }
 
   private Optional<RangeMap> plan(RangeMap map, Candidate... candidates) {
-    return RangePlanner.plan(map, ImmutableList.copyOf(candidates), load, a -> !a.isMoving());
+    return RangePlanner.plan(map, ImmutableList.copyOf(candidates), load, a -> !a.isMoving())
+        .map(RangePlan::map);
   }
 
   private static int keysOf(RangeMap map) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyEventLog.java
@@ -15,6 +15,7 @@
 import org.catkinlift.ranges.RangeAction;
 import org.catkinlift.ranges.RangeAssignment;
 import org.catkinlift.ranges.RangeMap;
+import org.catkinlift.ranges.ReassignmentReason;
 
 /** Logs which upstream gets which keys, and why no other upstream holds them any more. */
 final class KeyEventLog {
@@ -25,26 +26,21 @@
   }
 
   /** Logs each assignment that a new map changes, before the map is written. */
-  void mapPlanned(ServiceName service, RangeMap current, RangeMap next) {
-    for (RangeMap.Reassignment change : next.reassignmentsSince(current)) {
+  void mapPlanned(ServiceName service, RangeMap current, RangeAction.WriteMap write) {
+    for (RangeMap.Reassignment change : write.map().reassignmentsSince(current)) {
       RangeAssignment assignment = change.assignment();
-      log.log(
-          EventCode.KEYS_REASSIGNED,
-          ImmutableMap.of(
-              "service",
-              service,
-              "range",
-              assignment.range(),
-              "fence",
-              assignment.fence(),
-              "upstream",
-              assignment.holder().upstream(),
-              "started",
-              assignment.holder().startedMillis(),
-              "replaced",
-              format(change.replacedHolders()),
-              "previous",
-              format(assignment.previousHolders())));
+      ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
+      fields.put("service", service).put("range", assignment.range());
+      fields.put("fence", assignment.fence());
+      fields.put("upstream", assignment.holder().upstream());
+      fields.put("started", assignment.holder().startedMillis());
+      fields.put("replaced", format(change.replacedHolders()));
+      fields.put("previous", format(assignment.previousHolders()));
+      ReassignmentReason reason = write.reasons().get(assignment.fence());
+      if (reason != null) {
+        fields.put("reason", reason);
+      }
+      log.log(EventCode.KEYS_REASSIGNED, fields.buildOrThrow());
     }
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -220,7 +220,7 @@
       case RangeAction.ReadMap read ->
           store.read(mapRow(service), result -> mapRead(service, coordinator, result));
       case RangeAction.WriteMap write -> {
-        keyEvents.mapPlanned(service, coordinator.map().orElse(RangeMap.EMPTY), write.map());
+        keyEvents.mapPlanned(service, coordinator.map().orElse(RangeMap.EMPTY), write);
         writeMap(service, coordinator, write, claimVersion);
       }
       case RangeAction.Grant grant -> {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -333,6 +333,7 @@
       giveUp();
       return;
     }
+    proxy.requestRetried(this, pool.upstream(), lastFailure);
     state = State.SELECTING_UPSTREAM;
     if (delay.isZero()) {
       selectUpstream();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -338,6 +338,16 @@
     log.log(code, fields.buildOrThrow());
   }
 
+  /** Records that a request is sent again after an attempt that got no answer or did not run. */
+  void requestRetried(ProxyExchange exchange, UpstreamRecord upstream, String reason) {
+    ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
+    fields.put("request", exchange.request().id()).put("upstream", upstream.id());
+    if (exchange.key() != ProxyExchange.NO_KEY) {
+      fields.put("key", exchange.key());
+    }
+    log.log(EventCode.REQUEST_RETRIED, fields.put("reason", reason).buildOrThrow());
+  }
+
   void malformedRequest(int status, String reason) {
     metrics.requestEnded("malformed", status, 0);
     log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("status", status, "reason", reason));
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,6 +20,7 @@
 import org.catkinlift.ranges.RangeAction;
 import org.catkinlift.ranges.RangeAssignment;
 import org.catkinlift.ranges.RangeMap;
+import org.catkinlift.ranges.ReassignmentReason;
 import org.junit.jupiter.api.Test;
 
 /** Guards against two holders of a key that the log lines cannot explain. */
@@ -70,9 +72,11 @@
         new RangeMap(
             3,
             ImmutableList.of(new RangeAssignment(RANGE, holder("u-2", 6), 2, ImmutableList.of())));
-    keyEvents.mapPlanned(SERVICE, current, next);
+    var reasons = ImmutableMap.of(2L, ReassignmentReason.BUSY_KEY);
+    keyEvents.mapPlanned(SERVICE, current, new RangeAction.WriteMap(next, 1, reasons));
 
-    assertThat(writtenLines()).contains("upstream=u-2 started=6 replaced=u-1@5 previous=");
+    assertThat(writtenLines())
+        .containsMatch("upstream=u-2 started=6 replaced=u-1@5 previous=(\"\")? reason=busy_key");
   }
 
   private static RangeAction.Grant grant(GrantReason reason) {
