Let keys return to a former holder only after its requests have ended

Its requests get 421 from both holders, wait for the handover or are refused.

Cause: two rules of the planner undo each other. An overloaded upstream gives its busiest key away alone (busy_key). Such a key is often light enough to count as idle, so that the next round without other moves joins it to the holder of the adjacent keys (join), which is the upstream that has just given it away. Joins undo each other too: a range that was joined to its neighbor could be joined to the neighbor's neighbor before the round that merges it.

A range is joined only if it is not about to be merged, and only to an upstream that stays below the utilization up to which busy keys move to it.

Not shown: that the return of the key is what the record's rule broke on.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyRange.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/KeyRange.java
@@ -55,6 +55,16 @@
     return first <= other.last && other.first <= last;
   }
 
+  /** Returns a number of keys at the start of this range. */
+  KeyRange firstKeys(int count) {
+    return new KeyRange(first, first + count - 1);
+  }
+
+  /** Returns a number of keys at the end of this range. */
+  KeyRange lastKeys(int count) {
+    return new KeyRange(last - count + 1, last);
+  }
+
   public int size() {
     return last - first + 1;
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -37,6 +37,7 @@
   private final Duration maxGrantDuration;
   private final KeyLoad load;
   private final PossibleHolds holds = new PossibleHolds();
+  private final FormerHolders formerHolders = new FormerHolders();
   private final Map<Long, Call> calls = new HashMap<>();
 
   private List<AssignmentState> assignmentStates = new ArrayList<>();
@@ -81,6 +82,7 @@
     mapBeingWritten = Optional.empty();
     assignmentStates = new ArrayList<>();
     holds.clear();
+    formerHolders.clear();
     calls.clear();
     storeCallInFlight = false;
   }
@@ -162,6 +164,10 @@
     List<AssignmentState> previousStates = assignmentStates;
     boolean firstMap = map.isEmpty();
     assignmentStates = new ArrayList<>();
+    map.ifPresent(
+        before ->
+            next.reassignmentsSince(before)
+                .forEach(change -> formerHolders.changed(change, nowNanos)));
     for (RangeAssignment assignment : next.assignments()) {
       assignmentStates.add(
           firstMap
@@ -239,8 +245,15 @@
     nextPlanNanos = nowNanos + PLAN_INTERVAL.toNanos();
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
+    formerHolders.removeExpired(nowNanos);
     RangeMap current = dropReleasedHolders(map.get(), nowNanos);
-    Optional<RangePlan> planned = RangePlanner.plan(current, candidates, load, this::isMovable);
+    Optional<RangePlan> planned =
+        RangePlanner.plan(
+            current,
+            candidates,
+            load,
+            this::isMovable,
+            (keys, upstream) -> !formerHolders.includes(upstream, keys));
     if (planned.isEmpty() && current.equals(map.get())) {
       return Optional.empty();
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -12,9 +12,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.catkinlift.model.UpstreamId;
 
 /**
@@ -73,11 +73,17 @@
   private final Map<UpstreamId, Double> plannedLoad = new HashMap<>();
   private final List<RangeAssignment> assignments = new ArrayList<>();
   private final Map<Long, ReassignmentReason> reasons = new HashMap<>();
+  private final BiPredicate<KeyRange, UpstreamId> mayReceive;
   private long nextFence;
   private boolean changed;
 
-  private RangePlanner(RangeMap map, Collection<Candidate> candidates, KeyLoad load) {
+  private RangePlanner(
+      RangeMap map,
+      Collection<Candidate> candidates,
+      KeyLoad load,
+      BiPredicate<KeyRange, UpstreamId> mayReceive) {
     this.load = load;
+    this.mayReceive = mayReceive;
     this.nextFence = map.nextFence();
     candidates.forEach(c -> this.candidates.put(c.upstream().id(), c));
   }
@@ -89,17 +95,19 @@
    * @param candidates the upstreams that may hold keys
    * @param load the load of each key
    * @param movable whether an assignment may be moved for balance
+   * @param mayReceive whether an upstream may get keys whose holder could keep them
    * @return the next map, or empty if the current one is kept
    */
   public static Optional<RangePlan> plan(
       RangeMap map,
       Collection<Candidate> candidates,
       KeyLoad load,
-      Predicate<RangeAssignment> movable) {
+      Predicate<RangeAssignment> movable,
+      BiPredicate<KeyRange, UpstreamId> mayReceive) {
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
-    var planner = new RangePlanner(map, candidates, load);
+    var planner = new RangePlanner(map, candidates, load, mayReceive);
     planner.keepOrReassign(map);
     if (!planner.changed) {
       planner.balance(movable);
@@ -273,6 +281,7 @@
     return IntStream.range(0, assignments.size())
         .filter(i -> hasMany(assignments.get(i), ranges))
         .filter(i -> movable.test(assignments.get(i)))
+        .filter(i -> !isNextToRangeOfSameHolder(i))
         .filter(i -> assignments.get(i).range().size() <= MAX_JOINED_KEYS)
         .filter(i -> load.of(assignments.get(i).range()) <= maxLoad)
         .boxed()
@@ -280,6 +289,16 @@
         .toList();
   }
 
+  /** Such a range is merged with its neighbor, which leaves the keys where they are. */
+  private boolean isNextToRangeOfSameHolder(int index) {
+    Holder holder = assignments.get(index).holder();
+    return adjacentTo(index).anyMatch(i -> assignments.get(i).holder().equals(holder));
+  }
+
+  private IntStream adjacentTo(int index) {
+    return IntStream.of(index - 1, index + 1).filter(i -> i >= 0 && i < assignments.size());
+  }
+
   private static boolean hasMany(RangeAssignment assignment, Map<UpstreamId, Integer> ranges) {
     return ranges.get(assignment.holder().upstream()) > MAX_RANGES_PER_UPSTREAM;
   }
@@ -301,16 +320,27 @@
     return ranges;
   }
 
-  /** Returns the less utilized holder of the adjacent ranges, if it differs from the holder. */
+  /** Returns the less utilized of the other holders of adjacent ranges that may get the range. */
   private Optional<Candidate> neighborOf(int index) {
-    UpstreamId holder = assignments.get(index).holder().upstream();
-    return Stream.of(index - 1, index + 1)
-        .filter(i -> i >= 0 && i < assignments.size())
-        .map(i -> candidates.get(assignments.get(i).holder().upstream()))
-        .filter(c -> c != null && c.acceptsMoreKeys() && !c.upstream().id().equals(holder))
+    RangeAssignment assignment = assignments.get(index);
+    return adjacentTo(index)
+        .mapToObj(i -> candidates.get(assignments.get(i).holder().upstream()))
+        .filter(c -> c != null && c.acceptsMoreKeys())
+        .filter(c -> !c.upstream().id().equals(assignment.holder().upstream()))
+        .filter(c -> mayReceive.test(assignment.range(), c.upstream().id()))
+        .filter(c -> hasRoomFor(load.of(assignment.range()), c))
         .min(Comparator.comparingDouble(this::utilization));
   }
 
+  /**
+   * Returns whether an upstream that takes over an idle range stays far enough from overload that
+   * the keys need not move away again.
+   */
+  private boolean hasRoomFor(double joinedLoad, Candidate candidate) {
+    return utilization(candidate) + joinedLoad / candidate.capacity()
+        <= OVERLOAD_UTILIZATION * MAX_UTILIZATION_RATIO_AFTER_MOVE;
+  }
+
   private RangeAssignment movedTo(RangeAssignment assignment, Candidate target) {
     double moved = load.of(assignment.range());
     plannedLoad.merge(assignment.holder().upstream(), -moved, Double::sum);
@@ -403,10 +433,12 @@
         fromEnd == 0
             || (fromStart > 0 && loadAtStart(range, fromStart) >= loadAtEnd(range, fromEnd));
     double movedLoad = atStart ? loadAtStart(range, fromStart) : loadAtEnd(range, fromEnd);
-    if (movedLoad < loadToMove / 4) {
+    int count = atStart ? fromStart : fromEnd;
+    KeyRange moved = atStart ? range.firstKeys(count) : range.lastKeys(count);
+    if (movedLoad < loadToMove / 4 || !mayReceive.test(moved, receiver.upstream().id())) {
       return false;
     }
-    splitAndMove(assignment, atStart, atStart ? fromStart : fromEnd, receiver);
+    splitAndMove(assignment, atStart, count, receiver);
     return true;
   }
 
@@ -434,6 +466,7 @@
         candidates.values().stream()
             .filter(c -> c.acceptsMoreKeys() && rangesOf(c) < MAX_RANGES_WITH_BUSY_KEYS)
             .filter(c -> !c.upstream().id().equals(donor.upstream().id()))
+            .filter(c -> mayReceive.test(new KeyRange(key, key), c.upstream().id()))
             .min(Comparator.comparingDouble(c -> utilization(c) + keyLoad / c.capacity()));
     if (receiver.isEmpty()
         || utilization(receiver.get()) + keyLoad / receiver.get().capacity()
@@ -459,11 +492,11 @@
   }
 
   private double loadAtStart(KeyRange range, int count) {
-    return load.of(new KeyRange(range.first(), range.first() + count - 1));
+    return load.of(range.firstKeys(count));
   }
 
   private double loadAtEnd(KeyRange range, int count) {
-    return load.of(new KeyRange(range.last() - count + 1, range.last()));
+    return load.of(range.lastKeys(count));
   }
 
   private void splitAndMove(
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -36,7 +36,8 @@
   }
 
   private Optional<RangeMap> plan(RangeMap map, Candidate... candidates) {
-    return RangePlanner.plan(map, ImmutableList.copyOf(candidates), load, a -> !a.isMoving())
+    return RangePlanner.plan(
+            map, ImmutableList.copyOf(candidates), load, a -> !a.isMoving(), (k, u) -> true)
         .map(RangePlan::map);
   }
 
