Known red: a process at a new address ends the holds at the former address

The coordinator keeps its record of grants by upstream id. When an operator changes the address of an upstream, the next probe is answered by another process, whose instance differs. The coordinator takes this for a restart, drops the holds and grants the slots there, while the process at the former address still holds them under its last grant (up to 10 min after an outage).

OwnershipWorld can move an upstream to another address for this.

Not fixed: whether the new process has to wait or the change is refused is to be decided.

--- a/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipWorld.java
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/ownership/OwnershipWorld.java
@@ -23,9 +23,11 @@
 import org.catkinlift.model.GrantChecking;
 import org.catkinlift.model.HostDefinition;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ServiceDefinition;
 import org.catkinlift.model.ServiceKind;
 import org.catkinlift.model.SlotOwner;
+import org.catkinlift.model.UpstreamDefinition;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.timer.VirtualTimerService;
 
@@ -71,6 +73,36 @@
     configure();
   }
 
+  /**
+   * Starts a process for an upstream at another address, to which the configuration moves the
+   * upstream. The former process keeps running.
+   */
+  void moveUpstream(UpstreamId id, NetworkAddress address) {
+    UpstreamDefinition before = upstreams.get(id).definition();
+    var after =
+        new UpstreamDefinition(
+            id,
+            before.zone(),
+            before.cell(),
+            address,
+            before.concurrencyLimit(),
+            before.connectionLimit());
+    var process = new FakeUpstream(after, timers, checks);
+    process.restart();
+    upstreams.put(id, process);
+    ServiceDefinition current = configuration.services().get(service.name());
+    var changed =
+        new ServiceDefinition(
+            current.name(),
+            current.kind(),
+            current.zones(),
+            current.upstreams().stream()
+                .map(u -> u.id().equals(id) ? after : u)
+                .collect(toImmutableList()),
+            current.zoneLimit());
+    accept(configuration.toBuilder().services(ImmutableMap.of(service.name(), changed)).build());
+  }
+
   void advance(Duration duration) {
     timers.advance(duration);
   }
