--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -1,5 +1,6 @@
 package org.catkinlift.gateway.traffic;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -16,6 +17,7 @@
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.KeyRange;
+import org.catkinlift.retries.AttemptHistory;
 import org.catkinlift.routes.RequestKind;
 import org.catkinlift.routes.Route;
 import org.catkinlift.timer.TimerService;
@@ -67,9 +69,9 @@
   private final CallerRequest request;
   private final ResponseSlot slot;
   private final ResponseRelay relay;
-  private final Set<UpstreamId> possibleExecutors = new HashSet<>();
   private final Set<UpstreamConnection> refusingConnections = new HashSet<>();
 
+  private AttemptHistory attempts = AttemptHistory.NONE;
   private Route route;
   private ServiceName service;
   private int key = NO_KEY;
@@ -199,11 +201,7 @@
    * that the retry delay is short.
    */
   private void endBecauseStopping() {
-    if (possibleExecutors.isEmpty()) {
-      refuse("daemon is stopping", RETRY_AFTER_STOPPING);
-    } else {
-      respond(BAD_GATEWAY, "daemon is stopping", Optional.empty());
-    }
+    refuse("daemon is stopping", RETRY_AFTER_STOPPING);
   }
 
   private void awaitHandover() {
@@ -265,7 +263,7 @@
     sentNanos = System.nanoTime();
     relay.attach(opened);
     tries++;
-    possibleExecutors.add(pool.upstream().id());
+    attempts = attempts.sent(pool.upstream().id());
     opened.send(this, upstreamHeaders());
     return true;
   }
@@ -296,11 +294,7 @@
   /** Handles a rejection by the upstream's admission policy. */
   void rejected(String reason, Duration retryAfter, long waitNanos) {
     lastFailure = reason + " wait_ms=" + Duration.ofNanos(waitNanos).toMillis();
-    if (possibleExecutors.isEmpty()) {
-      refuse(lastFailure, retryAfter);
-    } else {
-      respond(BAD_GATEWAY, lastFailure, Optional.empty());
-    }
+    refuse(lastFailure, retryAfter);
   }
 
   /** Handles the loss of the connection before the response was complete. */
@@ -310,6 +304,7 @@
     }
     connection = null;
     lastFailure = reason;
+    attempts = attempts.outcomeUnknown();
     pool.requestFailed();
     proxy.upstreamFailed(pool.upstream(), "answer", reason);
     relay.detach();
@@ -327,10 +322,10 @@
 
   private void retry(Duration delay, boolean reachedUpstream) {
     boolean attemptsExhausted =
-        possibleExecutors.size() >= route.maxAttempts() || tries >= MAX_TRIES;
+        attempts.possibleExecutors().size() >= route.maxAttempts() || tries >= MAX_TRIES;
     boolean pastDeadline = System.nanoTime() + delay.toNanos() >= urgency.deadlineNanos();
     if (attemptsExhausted || pastDeadline || (reachedUpstream && !proxy.tryAcquireRetry(service))) {
-      giveUp();
+      refuse(lastFailure, spreadRetryAfter());
       return;
     }
     proxy.requestRetried(this, pool.upstream(), lastFailure);
@@ -348,14 +343,6 @@
     }
   }
 
-  private void giveUp() {
-    if (possibleExecutors.isEmpty()) {
-      refuse(lastFailure, spreadRetryAfter());
-    } else {
-      respond(BAD_GATEWAY, lastFailure, Optional.empty());
-    }
-  }
-
   /** Returns a retry delay that fits the caller's deadline and differs between callers. */
   private Duration spreadRetryAfter() {
     long remainingNanos = urgency.deadlineNanos() - System.nanoTime();
@@ -363,8 +350,9 @@
         DEFAULT_RETRY_AFTER.toNanos(), remainingNanos, proxy.random());
   }
 
-  Set<UpstreamId> possibleExecutors() {
-    return possibleExecutors;
+  /** Returns the upstreams that may have executed the request. */
+  ImmutableSet<UpstreamId> possibleExecutors() {
+    return attempts.possibleExecutors();
   }
 
   /** Returns whether an upstream refused this request on the given connection. */
@@ -437,7 +425,7 @@
       pool.addressReassigned();
     }
     relay.discard();
-    possibleExecutors.remove(pool.upstream().id());
+    attempts = attempts.notExecuted();
     refusingConnections.add(connection);
     connection = null;
     lastFailure = "upstream refused with " + status;
@@ -460,12 +448,8 @@
 
   /** Refuses a request whose key has moved to a holder that only other daemons know so far. */
   private void refuseMisdirected() {
-    if (possibleExecutors.isEmpty()) {
-      long remainingNanos = urgency.deadlineNanos() - System.nanoTime();
-      refuse(lastFailure, AdmissionPolicy.retryAfter(0, remainingNanos, proxy.random()));
-    } else {
-      respond(BAD_GATEWAY, lastFailure, Optional.empty());
-    }
+    long remainingNanos = urgency.deadlineNanos() - System.nanoTime();
+    refuse(lastFailure, AdmissionPolicy.retryAfter(0, remainingNanos, proxy.random()));
   }
 
   /** Ends the request because its deadline has passed. */
@@ -473,10 +457,10 @@
     switch (state) {
       case SELECTING_UPSTREAM, AWAITING_HANDOVER, QUEUED, CONNECTING -> {
         cancelAttempt();
-        if (possibleExecutors.isEmpty()) {
-          refuse("deadline in queue " + lastFailure, spreadRetryAfter());
-        } else {
+        if (attempts.mayHaveBeenExecuted()) {
           respond(GATEWAY_TIMEOUT, "deadline " + lastFailure, Optional.empty());
+        } else {
+          refuse("deadline in queue " + lastFailure, spreadRetryAfter());
         }
       }
       case SENT -> {
@@ -537,8 +521,17 @@
     finish("caller left", 0);
   }
 
+  /**
+   * Refuses the request, or reports an unknown outcome if an attempt may have been executed.
+   *
+   * @param retryAfter the delay after which the caller may send a refused request again
+   */
   private void refuse(String reason, Duration retryAfter) {
-    respond(SERVICE_UNAVAILABLE, reason, Optional.of(retryAfter));
+    if (attempts.mayHaveBeenExecuted()) {
+      respond(BAD_GATEWAY, reason, Optional.empty());
+    } else {
+      respond(SERVICE_UNAVAILABLE, reason, Optional.of(retryAfter));
+    }
   }
 
   private void respond(int status, String reason, Optional<Duration> retryAfter) {
