Look up former holders by upstream

A plan asks for each move and each possible receiver whether keys have left it; with a list of all departures the cost of a round grew with departures times upstreams. KeyReturnTest passes.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/FormerHolders.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/FormerHolders.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 import org.catkinlift.model.UpstreamId;
 
 /**
@@ -13,12 +15,12 @@
  */
 final class FormerHolders {
   /** Longer than a request takes that was sent to the former holder. */
-  static final Duration RETURN_DELAY = Duration.ofSeconds(4);
+  private static final Duration RETURN_DELAY = Duration.ofSeconds(4);
 
-  private final Deque<Departure> departures = new ArrayDeque<>();
+  private final Map<UpstreamId, Deque<Departure>> departures = new HashMap<>();
 
   /** The move of keys away from an upstream. */
-  private record Departure(KeyRange range, UpstreamId from, long atNanos) {
+  private record Departure(KeyRange range, long atNanos) {
 
     boolean isOver(long nowNanos) {
       return nowNanos - atNanos >= RETURN_DELAY.toNanos();
@@ -34,7 +36,7 @@
    * Records the moves of a change of the map.
    *
    * @param change the change
-   * @param nowNanos the time at which it came into force; not before that of earlier changes
+   * @param nowNanos the time at which it came into force
    */
   void changed(RangeMap.Reassignment change, long nowNanos) {
     RangeAssignment assignment = change.assignment();
@@ -42,21 +44,22 @@
         .map(Holder::upstream)
         .filter(from -> !from.equals(assignment.holder().upstream()))
         .distinct()
-        .forEach(from -> departures.add(new Departure(assignment.range(), from, nowNanos)));
+        .forEach(from -> add(from, new Departure(assignment.range(), nowNanos)));
+  }
+
+  private void add(UpstreamId from, Departure departure) {
+    departures.computeIfAbsent(from, f -> new ArrayDeque<>()).add(departure);
   }
 
   /** Removes the departures after which keys may return. */
   void removeExpired(long nowNanos) {
-    while (!departures.isEmpty() && departures.peek().isOver(nowNanos)) {
-      departures.remove();
-    }
+    departures.values().forEach(own -> own.removeIf(d -> d.isOver(nowNanos)));
+    departures.values().removeIf(Deque::isEmpty);
   }
 
-  /**
-   * Returns whether some of the keys have left an upstream so recently that they must not return.
-   */
+  /** Returns whether some of the keys have left an upstream so recently that they stay away. */
   boolean includes(UpstreamId upstream, KeyRange range) {
-    return departures.stream()
-        .anyMatch(d -> d.from().equals(upstream) && d.range().overlaps(range));
+    Deque<Departure> own = departures.get(upstream);
+    return own != null && own.stream().anyMatch(d -> d.range().overlaps(range));
   }
 }
