Let keys return to a later incarnation of their former holder

An upstream that starts again has none of the requests that were sent before. Without its former keys, its service would be short of an upstream for 4 s after a restart.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -253,7 +253,7 @@
             candidates,
             load,
             this::isMovable,
-            (keys, upstream) -> !formerHolders.includes(upstream, keys));
+            (keys, holder) -> !formerHolders.includes(holder, keys));
     if (planned.isEmpty() && current.equals(map.get())) {
       return Optional.empty();
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -73,7 +73,7 @@
   private final Map<UpstreamId, Double> plannedLoad = new HashMap<>();
   private final List<RangeAssignment> assignments = new ArrayList<>();
   private final Map<Long, ReassignmentReason> reasons = new HashMap<>();
-  private final BiPredicate<KeyRange, UpstreamId> mayReceive;
+  private final BiPredicate<KeyRange, Holder> mayReceive;
   private long nextFence;
   private boolean changed;
 
@@ -81,7 +81,7 @@
       RangeMap map,
       Collection<Candidate> candidates,
       KeyLoad load,
-      BiPredicate<KeyRange, UpstreamId> mayReceive) {
+      BiPredicate<KeyRange, Holder> mayReceive) {
     this.load = load;
     this.mayReceive = mayReceive;
     this.nextFence = map.nextFence();
@@ -103,7 +103,7 @@
       Collection<Candidate> candidates,
       KeyLoad load,
       Predicate<RangeAssignment> movable,
-      BiPredicate<KeyRange, UpstreamId> mayReceive) {
+      BiPredicate<KeyRange, Holder> mayReceive) {
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
@@ -327,7 +327,7 @@
         .mapToObj(i -> candidates.get(assignments.get(i).holder().upstream()))
         .filter(c -> c != null && c.acceptsMoreKeys())
         .filter(c -> !c.upstream().id().equals(assignment.holder().upstream()))
-        .filter(c -> mayReceive.test(assignment.range(), c.upstream().id()))
+        .filter(c -> mayReceive.test(assignment.range(), Holder.of(c.upstream())))
         .filter(c -> hasRoomFor(load.of(assignment.range()), c))
         .min(Comparator.comparingDouble(this::utilization));
   }
@@ -435,7 +435,7 @@
     double movedLoad = atStart ? loadAtStart(range, fromStart) : loadAtEnd(range, fromEnd);
     int count = atStart ? fromStart : fromEnd;
     KeyRange moved = atStart ? range.firstKeys(count) : range.lastKeys(count);
-    if (movedLoad < loadToMove / 4 || !mayReceive.test(moved, receiver.upstream().id())) {
+    if (movedLoad < loadToMove / 4 || !mayReceive.test(moved, Holder.of(receiver.upstream()))) {
       return false;
     }
     splitAndMove(assignment, atStart, count, receiver);
@@ -466,7 +466,7 @@
         candidates.values().stream()
             .filter(c -> c.acceptsMoreKeys() && rangesOf(c) < MAX_RANGES_WITH_BUSY_KEYS)
             .filter(c -> !c.upstream().id().equals(donor.upstream().id()))
-            .filter(c -> mayReceive.test(new KeyRange(key, key), c.upstream().id()))
+            .filter(c -> mayReceive.test(new KeyRange(key, key), Holder.of(c.upstream())))
             .min(Comparator.comparingDouble(c -> utilization(c) + keyLoad / c.capacity()));
     if (receiver.isEmpty()
         || utilization(receiver.get()) + keyLoad / receiver.get().capacity()
