Wait for the long grant of an upstream that was removed before a restart

Callers could be served by two upstreams for one key: an upstream under a long grant is removed from the configuration, and its coordinator restarts at the end of the platform's outage. Its slots were given to others at once.

Cause: the restarted coordinator waits until each configured upstream has accepted an empty grant, and then takes an empty record of an owner for the proof that it holds nothing. A removed upstream gets no empty grant. Besides, the first answer of an upstream cleared its record as if it had been restarted.

When the assignment of the earlier run is loaded, each unit whose owner is no longer configured counts as held until the longest grant of that run has expired, unless the upstream has confirmed a grant of this run or was restarted. The wait also keeps the role's promises long, since it is part of the ledger.

Moves that were made during the outage and reached neither the platform nor another daemon are not covered.

--- a/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipRemovedUpstreamTest.java
+++ b/catkinlift-bench/src/test/java/org/catkinlift/bench/ownership/OwnershipRemovedUpstreamTest.java
@@ -13,7 +13,6 @@
 import org.catkinlift.model.ServiceDefinition;
 import org.catkinlift.model.ServiceKind;
 import org.catkinlift.model.UpstreamId;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against taking the removal of an upstream from the configuration as its end. */
@@ -69,7 +68,6 @@
   }
 
   /** The grant is unknown to the new run, and the upstream is not among those that must answer. */
-  @Tag("known-red")
   @Test
   void slotsOfRemovedUpstreamWaitForItsLongGrantAfterRestartOfCoordinator() {
     FakeUpstream removed = cutOffUnderLongGrant();
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/Coordinator.java
@@ -183,7 +183,7 @@
 
   private SlotControl slotControl(ServiceDefinition service) {
     return new SlotControl(
-        context, service, unitTable(service), epochs, grantClient, leases, freeze);
+        context, service, unitTable(service), epochs, grantClient, leases, freeze, unknownGrants);
   }
 
   /**
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/GrantLedger.java
@@ -33,6 +33,7 @@
 
   private long answeredAt;
   private int unansweredRequests;
+  private boolean earlierGrantsEnded;
   private Optional<SentGrant> newestGrant = Optional.empty();
   private Optional<HostId> confirmedDispatcher = Optional.empty();
 
@@ -47,6 +48,10 @@
       return new Hold(Math.max(untilNanos, next.untilNanos), next.sequence);
     }
 
+    Hold lastingUntil(long nanos) {
+      return new Hold(Math.max(untilNanos, nanos), sequence);
+    }
+
     Hold endingBy(long nanos) {
       return new Hold(Math.min(untilNanos, nanos), sequence);
     }
@@ -95,13 +100,21 @@
         return false;
       }
       newestCallBeforeInstance = newestSentCall;
-      holds.clear();
-      confirmedDispatcher = Optional.empty();
+      if (reading.isPresent()) {
+        instanceReplaced();
+      }
     }
     reading = Optional.of(new ClockReading(instance, clockMillis, nowNanos));
     return true;
   }
 
+  /** The first reading, in contrast, does not show whether the upstream was restarted. */
+  private void instanceReplaced() {
+    holds.clear();
+    confirmedDispatcher = Optional.empty();
+    earlierGrantsEnded = true;
+  }
+
   /** The newest grant has replaced all earlier grants of its service once it is confirmed. */
   private void onConfirmed(Epoch sequence) {
     newestGrant
@@ -109,6 +122,7 @@
         .ifPresent(
             g -> {
               confirmedDispatcher = Optional.of(g.dispatcher);
+              earlierGrantsEnded = true;
               endReplacedGrants(g);
             });
   }
@@ -176,6 +190,22 @@
         Optional.of(new SentGrant(content.service(), content.dispatcher(), sequence, until));
   }
 
+  /**
+   * Records a unit that an earlier run of the coordinator may have granted to the upstream. Ignored
+   * if the upstream has confirmed a grant of this run or was restarted since, because then it holds
+   * no earlier grant.
+   *
+   * @param untilNanos the time by which each grant of the earlier run has expired
+   */
+  void onGrantedByEarlierRun(ServiceName service, int unit, long untilNanos) {
+    if (!earlierGrantsEnded) {
+      holds.merge(
+          new HeldUnit(service, unit),
+          new Hold(untilNanos, Epoch.NONE),
+          (known, earlier) -> known.lastingUntil(earlier.untilNanos));
+    }
+  }
+
   /**
    * Records that the upstream has released units. A unit that was granted again after the release
    * request was sent stays held.
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/SlotControl.java
@@ -49,6 +49,7 @@
   private final AssignmentWriter writer;
   private final HomeMapUpdater homeMapUpdater;
   private final PlacementFreeze freeze;
+  private final UnknownGrants unknownGrants;
   private final UnitLoads loads;
   private final CellLoads cellLoads;
   private final KeyReturns keyReturns;
@@ -72,7 +73,8 @@
       EpochIssuer epochs,
       UpstreamGrantClient grantClient,
       DispatchLeases leases,
-      PlacementFreeze freeze) {
+      PlacementFreeze freeze,
+      UnknownGrants unknownGrants) {
     this.context = context;
     this.service = service;
     this.table = table;
@@ -81,6 +83,7 @@
     this.grantClient = grantClient;
     this.leases = leases;
     this.freeze = freeze;
+    this.unknownGrants = unknownGrants;
     this.writer = new AssignmentWriter(rowName(), context.ids());
     this.loads = new UnitLoads(table);
     this.keyReturns = new KeyReturns(table, loads);
@@ -173,7 +176,7 @@
       return ImmutableSet.of();
     }
     if (!loaded) {
-      loadAssignment();
+      loadAssignment(nowNanos);
     }
     homeMapUpdater.plan(slotCount, nowNanos, out);
     applyHomeMap(nowNanos);
@@ -195,7 +198,7 @@
   }
 
   /** Loads the newer of the assignments stored on the platform and in the version store. */
-  private void loadAssignment() {
+  private void loadAssignment(long nowNanos) {
     Optional<Assignment> known = context.store().assignment(service.name(), context.cell());
     Optional<Assignment> stored = writer.storedAssignment();
     Optional<Assignment> latest =
@@ -204,12 +207,28 @@
             .or(() -> known);
     latest.ifPresent(table::load);
     latest.ifPresent(a -> publishedVersion = a.version());
+    holdUnitsOfRemovedUpstreams(nowNanos);
     homeVersion = 0;
     table.owned(u -> true).forEach(u -> table.owner(u).ifPresent(changedUpstreams::add));
     assignmentChanged = true;
     loaded = true;
   }
 
+  /** Only an upstream under the {@code hold} rule can have a grant that this run does not know. */
+  private void holdUnitsOfRemovedUpstreams(long nowNanos) {
+    if (ServiceRules.hold(service).isEmpty()) {
+      return;
+    }
+    ImmutableSet<UpstreamId> configured =
+        service.upstreamsOf(context.cell()).stream()
+            .map(UpstreamDefinition::id)
+            .collect(toImmutableSet());
+    for (int unit : table.owned(u -> !configured.contains(u))) {
+      UpstreamId owner = table.owner(unit).orElseThrow();
+      unknownGrants.onRemovedOwner(owner, service.name(), unit, nowNanos);
+    }
+  }
+
   /**
    * Publishes the load of the cell. After a change of the home map the load counts as measured
    * under the new map only after one half-life, when the averages include the slots that were
--- a/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnknownGrants.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ownership/UnknownGrants.java
@@ -1,6 +1,7 @@
 package org.catkinlift.ownership;
 
 import com.google.common.collect.ImmutableSet;
+import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 
 /**
@@ -9,7 +10,8 @@
  * <p>A coordinator that restarts at the end of a platform outage has lost the state of its long
  * grants and of moves that were not yet written to the platform. It grants nothing until every
  * upstream has accepted an empty grant of the new term, which replaces any earlier grant, or until
- * the longest possible grant has certainly expired.
+ * the longest possible grant has certainly expired. An upstream that is no longer configured gets
+ * no empty grant; the units that it owned wait until the longest possible grant has expired.
  */
 final class UnknownGrants {
   private final UpstreamGrantClient grantClient;
@@ -35,6 +37,11 @@
     return over;
   }
 
+  /** Records a unit whose owner in the assignment of the earlier run is no longer configured. */
+  void onRemovedOwner(UpstreamId owner, ServiceName service, int unit, long nowNanos) {
+    grantClient.ledger(owner, nowNanos).onGrantedByEarlierRun(service, unit, untilNanos);
+  }
+
   /**
    * Returns the time at which earlier long grants have certainly expired; a past time once none can
    * be valid.
--- a/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ownership/GrantLedgerTest.java
@@ -144,4 +144,25 @@
     assertThat(ledger.mayHold(SERVICE, 8, 2 * SECOND)).isTrue();
     assertThat(ledger.latestGrantEnd()).isLessThan(3 * SECOND);
   }
+
+  /** Guards against taking the first answer of an upstream for a sign that it was restarted. */
+  @Test
+  void firstReadingEndsNoGrantOfAnEarlierRun() {
+    ledger.onGrantedByEarlierRun(SERVICE, 7, 300 * SECOND);
+    receiveReading(1, "i", SECOND);
+    assertThat(ledger.mayHold(SERVICE, 7, 300 * SECOND)).isTrue();
+    assertThat(ledger.latestGrantEnd()).isEqualTo(300 * SECOND);
+    receiveReading(2, "j", 2 * SECOND);
+    assertThat(ledger.mayHold(SERVICE, 7, 2 * SECOND)).isFalse();
+  }
+
+  /** Guards against waiting for a grant of an earlier run that a confirmed one has replaced. */
+  @Test
+  void confirmedGrantHasReplacedThoseOfAnEarlierRun() {
+    receiveReading(1, "i", SECOND);
+    ledger.onGranted(grant(SERVICE, 8), Epoch.of(2, 1), LEASE);
+    ledger.onReply(2, new Reply.Granted("i", 1000, Epoch.of(2, 1)), SECOND);
+    ledger.onGrantedByEarlierRun(SERVICE, 7, 300 * SECOND);
+    assertThat(ledger.mayHold(SERVICE, 7, SECOND)).isFalse();
+  }
 }
