Let upstreams of the ownership tests work on keys

Change: UpstreamWork holds running requests and releases that wait for them; a release is answered when the work that it met has ended. OwnershipCheck reports a grant of a key on which another process is at work before its hold would have expired without the release. CoordinatorDriver starts work.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorDriver.java
@@ -4,12 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.timer.VirtualTimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
@@ -22,16 +23,25 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration STEP = Duration.ofMillis(10);
   private static final Duration STORE_DELAY = Duration.ofMillis(5);
+  private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
   private static final Duration MAX_GRANT_DURATION = Duration.ofSeconds(10);
   private static final Duration RUN_LIMIT = Duration.ofSeconds(30);
+
+  /** The time after which a release without an answer is given up. */
+  private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(2_500);
+
   private static final CallOutcome PROMPT =
       new CallOutcome.Answered(Duration.ofMillis(5), Duration.ofMillis(5));
 
+  private static final GrantResult UNANSWERED = new GrantResult.Unanswered("timeout");
+
   private final VirtualTimerService timers = new VirtualTimerService();
   private final KeyLoad load = new KeyLoad(Duration.ofSeconds(2), 0);
   private final Map<UpstreamId, UpstreamProcess> processes = new LinkedHashMap<>();
   private final Map<UpstreamId, CallOutcome> grantOutcomes = new LinkedHashMap<>();
   private final Map<UpstreamId, CallOutcome> releaseOutcomes = new LinkedHashMap<>();
+  private final Map<Integer, Double> busySlots = new LinkedHashMap<>();
+  private final Set<Long> releasesInFlight = new HashSet<>();
   private final OwnershipCheck check = new OwnershipCheck();
   private UpstreamBehavior behavior = UpstreamBehavior.STRICT;
   private RangeCoordinator coordinator;
@@ -84,10 +94,44 @@
 
   /** Ends the run of an upstream and starts another one at the same address with the same id. */
   void restart(UpstreamRecord upstream) {
+    processOf(upstream.id()).end();
     processes.put(
         upstream.id(), new UpstreamProcess(upstream.id(), upstream.startedMillis(), behavior));
   }
 
+  /** Starts to execute a request at an upstream that holds its key. */
+  void startWork(UpstreamRecord upstream, int key, Duration duration) {
+    UpstreamProcess process = processOf(upstream.id());
+    long execution = process.startWork(key, timers.nowNanos()).orElseThrow();
+    after(
+        duration,
+        () -> {
+          boolean unusedSuccess = process.endWork(execution, timers.nowNanos());
+        });
+  }
+
+  boolean isAtWork(UpstreamRecord upstream, int key) {
+    return processOf(upstream.id()).isAtWork(key);
+  }
+
+  boolean holds(UpstreamRecord upstream, int key) {
+    return processOf(upstream.id()).holds(key, timers.nowNanos());
+  }
+
+  /** Returns the number of releases without a result. */
+  int releasesInFlight() {
+    return releasesInFlight.size();
+  }
+
+  /** Measures that a key keeps some slots busy from now on. */
+  void setBusySlots(int key, double slots) {
+    busySlots.put(key, slots);
+  }
+
+  Duration now() {
+    return Duration.ofNanos(timers.nowNanos());
+  }
+
   void run(Duration duration) {
     timers.advance(duration);
   }
@@ -123,6 +167,7 @@
 
   private void tick() {
     check.checkAllKeys(processes.values(), timers.nowNanos());
+    busySlots.forEach((key, slots) -> load.add(key, slots * TICK.toNanos() / NANOS_PER_SECOND));
     for (RangeAction action : coordinator.tick(candidates, timers.nowNanos())) {
       execute(action);
     }
@@ -144,11 +189,16 @@
       }
       case RangeAction.Release release -> {
         UpstreamId upstream = release.from().upstream();
+        releasesInFlight.add(release.callId());
         call(
             caller,
             release.callId(),
             releaseOutcomes.getOrDefault(upstream, PROMPT),
-            arrivedNanos -> () -> processOf(upstream).release(release));
+            arrivedNanos -> {
+              UpstreamProcess process = processOf(upstream);
+              return answer -> process.release(release, answer);
+            });
+        after(RELEASE_TIMEOUT, () -> end(caller, release.callId(), UNANSWERED));
       }
     }
   }
@@ -167,43 +217,32 @@
       RangeCoordinator caller,
       long callId,
       CallOutcome outcome,
-      Function<Long, Supplier<GrantResult>> arrival) {
+      LongFunction<CallApplication> arrival) {
     switch (outcome) {
       case CallOutcome.Answered answered ->
           after(
               answered.arrival(),
-              () -> {
-                GrantResult result = arrival.apply(timers.nowNanos()).get();
-                after(answered.answer(), () -> end(caller, callId, result));
-              });
+              () ->
+                  arrival
+                      .apply(timers.nowNanos())
+                      .apply(
+                          result -> after(answered.answer(), () -> end(caller, callId, result))));
       case CallOutcome.NotSent notSent ->
           after(
               notSent.reported(),
               () -> end(caller, callId, new GrantResult.NotSent("not connected")));
       case CallOutcome.AnswerLost lost -> {
-        after(
-            lost.arrival(),
-            () -> {
-              var unused = arrival.apply(timers.nowNanos()).get();
-            });
-        after(
-            CallOutcome.LATEST_ARRIVAL,
-            () -> end(caller, callId, new GrantResult.Unanswered("timeout")));
+        after(lost.arrival(), () -> arrival.apply(timers.nowNanos()).apply(result -> {}));
+        after(CallOutcome.LATEST_ARRIVAL, () -> end(caller, callId, UNANSWERED));
       }
       case CallOutcome.AppliedLate late -> {
         after(
             late.arrival(),
             () -> {
-              Supplier<GrantResult> application = arrival.apply(timers.nowNanos());
-              after(
-                  late.waitTime(),
-                  () -> {
-                    var unused = application.get();
-                  });
+              CallApplication application = arrival.apply(timers.nowNanos());
+              after(late.waitTime(), () -> application.apply(result -> {}));
             });
-        after(
-            CallOutcome.LATEST_ARRIVAL,
-            () -> end(caller, callId, new GrantResult.Unanswered("timeout")));
+        after(CallOutcome.LATEST_ARRIVAL, () -> end(caller, callId, UNANSWERED));
       }
       case CallOutcome.AnsweredByCopy copy ->
           after(copy.answer(), () -> end(caller, callId, new GrantResult.Done(Optional.empty())));
@@ -211,15 +250,16 @@
   }
 
   private void end(RangeCoordinator caller, long callId, GrantResult result) {
+    releasesInFlight.remove(callId);
     caller.callEnded(callId, result, timers.nowNanos());
   }
 
   /** Returns what applies a grant that has arrived. */
-  private Supplier<GrantResult> arrived(
-      UpstreamId upstream, RangeAction.Grant grant, long arrivedNanos) {
+  private CallApplication arrived(UpstreamId upstream, RangeAction.Grant grant, long arrivedNanos) {
     UpstreamProcess process = processOf(upstream);
     boolean mayApply = process.admits(grant) || !behavior.checksAtArrival();
-    return () -> mayApply ? grant(process, grant, arrivedNanos) : new GrantResult.Outdated();
+    return answer ->
+        answer.accept(mayApply ? grant(process, grant, arrivedNanos) : new GrantResult.Outdated());
   }
 
   private GrantResult grant(UpstreamProcess process, RangeAction.Grant grant, long arrivedNanos) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipCheck.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipCheck.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import org.catkinlift.model.UpstreamId;
 
-/** Finds keys that two upstreams hold, and fencing tokens out of order, from what they hold. */
+/**
+ * Finds keys that two upstreams hold, fencing tokens out of order, and grants of keys on which
+ * another upstream is at work, from what the upstreams hold and execute.
+ */
 final class OwnershipCheck {
   private final List<OwnershipViolation> violations = new ArrayList<>();
 
@@ -34,6 +37,7 @@
       if (granted.holds(key, nowNanos)) {
         checkFence(key, granted, nowNanos);
         checkExclusive(key, granted, running, nowNanos);
+        checkNoWorkElsewhere(key, granted, running, nowNanos);
       }
     }
   }
@@ -47,6 +51,18 @@
     }
   }
 
+  private void checkNoWorkElsewhere(
+      int key, UpstreamProcess granted, Collection<UpstreamProcess> running, long nowNanos) {
+    for (UpstreamProcess other : running) {
+      if (other != granted && other.isAtWorkBeforeExpiry(key, nowNanos)) {
+        String details = granted.describe(key) + ", at work " + other.describe(key);
+        violations.add(
+            new OwnershipViolation(
+                OwnershipViolation.Rule.NO_WORK_ELSEWHERE, key, nowNanos, details));
+      }
+    }
+  }
+
   private void checkFence(int key, UpstreamProcess granted, long nowNanos) {
     Map<UpstreamId, Long> fencesOfKey = fences.computeIfAbsent(key, k -> new HashMap<>());
     long fence = granted.lastGrantedFence(key);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipViolation.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipViolation.java
@@ -14,7 +14,8 @@
   /** A rule on the ownership of keys. */
   enum Rule {
     ONE_HOLDER("two holders"),
-    RISING_FENCES("fencing token not above that of others");
+    RISING_FENCES("fencing token not above that of others"),
+    NO_WORK_ELSEWHERE("grant during work of another");
 
     private final String violation;
 
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -254,20 +254,26 @@
         (process, arrivedNanos) -> {
           boolean isCounted = isCounted(arrivedNanos);
           boolean mayApply = process.admits(grant) || !environment.behavior().checksAtArrival();
-          return () ->
-              mayApply
-                  ? simulation.grant(process, grant, arrivedNanos, isCounted)
-                  : new GrantResult.Outdated();
+          return answer ->
+              answer.accept(
+                  mayApply
+                      ? simulation.grant(process, grant, arrivedNanos, isCounted)
+                      : new GrantResult.Outdated());
         });
   }
 
   private SimulatedNetwork.Call callFor(RangeAction.Release release) {
+    var sent = new SimulationEvent.CallSent(index, release);
     return new SimulatedNetwork.Call(
-        new SimulationEvent.CallSent(index, release),
+        sent,
         release.from(),
         RELEASE_TIMEOUT,
         new GrantResult.HolderEnded(),
-        (process, arrivedNanos) -> () -> process.release(release));
+        (process, arrivedNanos) ->
+            answer -> {
+              environment.record(new SimulationEvent.ReleaseStarted(process, sent));
+              process.release(release, answer);
+            });
   }
 
   private boolean isCounted(long arrivedNanos) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedNetwork.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.UpstreamId;
 
@@ -39,7 +38,7 @@
   /** Takes a call at the process that it has arrived at. */
   interface CallHandler {
     /** Returns what applies the call, now or after it has waited. */
-    Supplier<GrantResult> arrived(UpstreamProcess process, long arrivedNanos);
+    CallApplication arrived(UpstreamProcess process, long arrivedNanos);
   }
 
   /**
@@ -200,7 +199,7 @@
         environment.nextIsFaulty()
             ? environment.delayBetween(MIN_QUEUE_TIME, MAX_QUEUE_TIME)
             : Duration.ZERO;
-    Supplier<GrantResult> application = call.handler().arrived(process.get(), arrivedNanos);
+    CallApplication application = call.handler().arrived(process.get(), arrivedNanos);
     environment.after(
         queueTime, () -> apply(from, exchange, process.get(), arrivedNanos, application));
   }
@@ -211,16 +210,28 @@
       Exchange exchange,
       UpstreamProcess process,
       long arrivedNanos,
-      Supplier<GrantResult> application) {
+      CallApplication application) {
     if (isRunning(process)) {
-      GrantResult result = application.get();
-      environment.record(
-          new SimulationEvent.CallApplied(
-              process, exchange.call.sent(), exchange.sentNanos, arrivedNanos, result));
-      answer(from, exchange, new SimulatedConnection.Response(result, false));
+      application.apply(result -> applied(from, exchange, process, arrivedNanos, result));
     }
   }
 
+  private void applied(
+      SimulatedHost from,
+      Exchange exchange,
+      UpstreamProcess process,
+      long arrivedNanos,
+      GrantResult result) {
+    if (!isRunning(process)) {
+      environment.after(environment.usualDelay(), exchange::giveUp);
+      return;
+    }
+    environment.record(
+        new SimulationEvent.CallApplied(
+            process, exchange.call.sent(), exchange.sentNanos, arrivedNanos, result));
+    answer(from, exchange, new SimulatedConnection.Response(result, false));
+  }
+
   private void answer(
       SimulatedHost from, Exchange exchange, SimulatedConnection.Response response) {
     if (!environment.nextIsFaulty() && !isCut(from, exchange.call)) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedUpstream.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedUpstream.java
@@ -99,6 +99,7 @@
 
   private void end() {
     if (process.isPresent()) {
+      process.get().end();
       process = Optional.empty();
       environment.record(new SimulationEvent.ProcessEnded(record));
       directory.removeAfterSilence(record);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEvent.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEvent.java
@@ -132,6 +132,65 @@
     }
   }
 
+  /**
+   * An upstream has stopped new work on keys because of a release, which it has not answered yet.
+   *
+   * @param process the process that the release arrived at
+   * @param sent the release as it was sent
+   */
+  record ReleaseStarted(UpstreamProcess process, CallSent sent) implements SimulationEvent {
+    @Override
+    public boolean concerns(int key) {
+      return sent.concerns(key);
+    }
+
+    @Override
+    public String toString() {
+      return "%s/%d: stopped for %s".formatted(process.id(), process.startedMillis(), sent);
+    }
+  }
+
+  /**
+   * An upstream has started to execute a request.
+   *
+   * @param process the process
+   * @param key the key of the request
+   * @param request identifies the request, which may be executed more than once
+   */
+  record WorkStarted(UpstreamProcess process, int key, long request) implements SimulationEvent {
+    @Override
+    public boolean concerns(int other) {
+      return key == other;
+    }
+
+    @Override
+    public String toString() {
+      return "%s/%d: started request %d".formatted(process.id(), process.startedMillis(), request);
+    }
+  }
+
+  /**
+   * An upstream has executed a request.
+   *
+   * @param process the process
+   * @param key the key of the request
+   * @param request identifies the request
+   * @param status the status of the response
+   */
+  record WorkEnded(UpstreamProcess process, int key, long request, int status)
+      implements SimulationEvent {
+    @Override
+    public boolean concerns(int other) {
+      return key == other;
+    }
+
+    @Override
+    public String toString() {
+      return "%s/%d: ended request %d with %d"
+          .formatted(process.id(), process.startedMillis(), request, status);
+    }
+  }
+
   /**
    * An upstream has applied or refused a call.
    *
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/UpstreamProcess.java
@@ -5,10 +5,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.catkinlift.model.UpstreamId;
 
 /**
- * What one run of an upstream holds, measured by the slowest clock that an upstream may have.
+ * What one run of an upstream holds and executes, measured by the slowest clock that an upstream
+ * may have.
  *
  * <p>A run starts without grants and without fencing tokens. Only a sample of the keys is tracked.
  */
@@ -20,29 +23,8 @@
   private final long startedMillis;
   private final UpstreamBehavior behavior;
   private final Map<Integer, Long> highestFences = new HashMap<>();
-  private final Map<Integer, Hold> holds = new HashMap<>();
-
-  /**
-   * The hold of a key.
-   *
-   * @param fence the fencing token of the last grant
-   * @param expiryNanos the end of the hold
-   * @param countedExpiryNanos the end of the hold without grants that the rules do not count
-   */
-  private record Hold(long fence, long expiryNanos, long countedExpiryNanos) {
-    private static final Hold NONE = new Hold(0, 0, 0);
-
-    private Hold extend(long newFence, long newExpiryNanos, boolean isCounted) {
-      return new Hold(
-          newFence,
-          Math.max(expiryNanos, newExpiryNanos),
-          isCounted ? Math.max(countedExpiryNanos, newExpiryNanos) : countedExpiryNanos);
-    }
-
-    private Hold released() {
-      return new Hold(fence, 0, 0);
-    }
-  }
+  private final Map<Integer, KeyHold> holds = new HashMap<>();
+  private final UpstreamWork work = new UpstreamWork();
 
   UpstreamProcess(UpstreamId id, long startedMillis) {
     this(id, startedMillis, UpstreamBehavior.STRICT);
@@ -89,18 +71,69 @@
         .allMatch(k -> highestFences.getOrDefault(k, 0L) <= fence);
   }
 
-  GrantResult release(RangeAction.Release release) {
+  /**
+   * Applies a release: ends the holds at once, and answers at the end of the work on the keys.
+   *
+   * @param answer receives the result
+   */
+  void release(RangeAction.Release release, Consumer<GrantResult> answer) {
+    Map<Integer, KeyHold> endedHolds = new HashMap<>(holds);
     for (int key : KeySample.in(release.range())) {
       if (behavior.seesTokensOfUnheldKeys() || highestFences.containsKey(key)) {
         highestFences.merge(key, release.fence(), Math::max);
       }
       holds.computeIfPresent(key, (k, hold) -> hold.released());
     }
-    return new GrantResult.Done(Optional.of("handover"));
+    if (behavior.confirmsReleasesDuringWork()) {
+      work.released(release.range(), endedHolds::get, result -> {});
+      answer.accept(new GrantResult.Done(Optional.of("handover")));
+    } else {
+      work.released(release.range(), endedHolds::get, answer);
+    }
+  }
+
+  /**
+   * Starts to execute a request.
+   *
+   * @return the execution, or empty if the key is not held
+   */
+  OptionalLong startWork(int key, long nowNanos) {
+    return holds(key, nowNanos) ? OptionalLong.of(work.start(key)) : OptionalLong.empty();
+  }
+
+  /**
+   * Ends an execution.
+   *
+   * @return whether the lease of the key lasted until now, so that the response is no failure
+   */
+  boolean endWork(long execution, long nowNanos) {
+    return work.end(execution).filter(e -> holdOf(e).expiryNanos() > nowNanos).isPresent();
+  }
+
+  /** Returns the hold under which a request is executed, as if it had not been released. */
+  private KeyHold holdOf(UpstreamWork.Execution execution) {
+    return execution.releasedHold().or(lastHold(execution.key()));
+  }
+
+  /** Ends this run with all that it executes. */
+  void end() {
+    work.abort();
+  }
+
+  boolean isAtWork(int key) {
+    return !work.on(key).isEmpty();
+  }
+
+  /**
+   * Returns whether a request is executed on a key under a hold that would not have expired yet
+   * without a release. Grants that the rules do not count are left out.
+   */
+  boolean isAtWorkBeforeExpiry(int key, long nowNanos) {
+    return work.on(key).stream().anyMatch(e -> holdOf(e).countedExpiryNanos() > nowNanos);
   }
 
-  private Hold lastHold(int key) {
-    return holds.getOrDefault(key, Hold.NONE);
+  private KeyHold lastHold(int key) {
+    return holds.getOrDefault(key, KeyHold.NONE);
   }
 
   boolean holds(int key, long nowNanos) {
@@ -122,7 +155,7 @@
   }
 
   String describe(int key) {
-    Hold hold = lastHold(key);
+    KeyHold hold = lastHold(key);
     return "%s fence %d until %d ms"
         .formatted(id, hold.fence(), Duration.ofNanos(hold.expiryNanos()).toMillis());
   }
