Check grants during work in the ownership simulation

Change: requests keep keys at work, some past a release or the lease; some responses are lost and the request is executed again. Faults move keys away during work. Existing seeds, bounds and runs stay as they are.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -4,6 +4,9 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -13,6 +16,12 @@
 final class OwnershipRandomFaultTest {
   private static final int SEEDS = 300;
 
+  private static final int SEEDS_WITH_WORK = 40;
+  private static final int SEEDS_WITH_VIOLATION = 5;
+  private static final int SEEDS_WITH_FEW_UPSTREAMS = 100;
+  private static final int FEW_UPSTREAMS = 3;
+  private static final int UPSTREAMS = 10;
+
   /** A seed in which a host is suspended while it connects for a grant. */
   private static final long SEED_OF_SUSPENDED_SENDER = 262;
 
@@ -96,6 +105,77 @@
     assertThat(violations).isGreaterThan(0);
   }
 
+  /** Guards against a grant of a key on which its last holder is still at work. */
+  @Test
+  void noKeyIsGrantedDuringWorkUnderRandomFaults() {
+    assertNoGrantDuringWork(UpstreamBehavior.STRICT, s -> new RandomFaults(s).run(RUN));
+  }
+
+  /** As above, with many grants and releases that arrive late. */
+  @Test
+  void noKeyIsGrantedDuringWorkOnSlowLinks() {
+    assertNoGrantDuringWork(UpstreamBehavior.STRICT, s -> RandomFaults.withSlowLinks(s).run(RUN));
+  }
+
+  /** As above, with coordinators that know nothing of earlier releases. */
+  @Test
+  void noKeyIsGrantedDuringWorkAfterRestartsOfAllHosts() {
+    assertNoGrantDuringWork(
+        UpstreamBehavior.STRICT, s -> RandomFaults.withSlowLinks(s).runWithRestartsOfAllHosts(RUN));
+  }
+
+  /** As above, with late copies of answers. */
+  @Test
+  void noKeyIsGrantedDuringWorkWhenAnswersArriveTwice() {
+    assertNoGrantDuringWork(UpstreamBehavior.ANSWERS_TWICE, s -> new RandomFaults(s).run(RUN));
+  }
+
+  /** As above, with few upstreams, so that keys come back to upstreams that they have just left. */
+  @Test
+  void noKeyIsGrantedDuringWorkAmongFewUpstreams() {
+    for (long seed = 1; seed <= SEEDS_WITH_FEW_UPSTREAMS; seed++) {
+      OwnershipSimulation simulation =
+          withWork(seed, UpstreamBehavior.ANSWERS_TWICE, FEW_UPSTREAMS);
+      RandomFaults.withSlowLinks(simulation).run(RUN);
+      assertNoViolation(seed, simulation);
+    }
+  }
+
+  /** The checks above fail if releases are confirmed during the work on their keys. */
+  @Test
+  void releasesThatAreConfirmedDuringWorkBreakOwnership() {
+    Set<OwnershipViolation.Rule> brokenRules = new HashSet<>();
+    for (long seed = 1; seed <= SEEDS_WITH_VIOLATION; seed++) {
+      OwnershipSimulation simulation =
+          withWork(seed, UpstreamBehavior.CONFIRMS_RELEASES_DURING_WORK, UPSTREAMS);
+      new RandomFaults(simulation).run(RUN);
+      simulation.violations().forEach(v -> brokenRules.add(v.rule()));
+    }
+    assertThat(brokenRules).containsExactly(OwnershipViolation.Rule.NO_WORK_ELSEWHERE);
+  }
+
+  private static void assertNoGrantDuringWork(
+      UpstreamBehavior behavior, Consumer<OwnershipSimulation> run) {
+    for (long seed = 1; seed <= SEEDS_WITH_WORK; seed++) {
+      OwnershipSimulation simulation = withWork(seed, behavior, UPSTREAMS);
+      run.accept(simulation);
+      assertNoViolation(seed, simulation);
+    }
+  }
+
+  private static OwnershipSimulation withWork(
+      long seed, UpstreamBehavior behavior, int upstreamCount) {
+    var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY, behavior, upstreamCount);
+    simulation.startRequests();
+    return simulation;
+  }
+
+  private static void assertNoViolation(long seed, OwnershipSimulation simulation) {
+    assertWithMessage("seed %s%s", seed, traceOfFirstViolation(simulation))
+        .that(simulation.violations())
+        .isEmpty();
+  }
+
   private static void assertOneHolderOnSlowLinks(long seed) {
     var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY);
     RandomFaults.withSlowLinks(simulation).run(RUN);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipSimulation.java
@@ -7,11 +7,11 @@
 
 /**
  * Simulates hosts, a store and upstreams on virtual time, with the faults that can occur on the
- * platform. Checks ownership by what the upstreams hold.
+ * platform. Checks ownership by what the upstreams hold and execute.
  */
 final class OwnershipSimulation {
   private static final int HOSTS = 3;
-  private static final int UPSTREAMS = 10;
+  private static final int USUAL_UPSTREAMS = 10;
 
   /**
    * Two holds of a key overlap from the moment when a grant is applied, which is checked each time.
@@ -27,18 +27,27 @@
   private final SimulatedLoad load;
   private final ImmutableList<SimulatedUpstream> upstreams;
   private final ImmutableList<SimulatedHost> hosts;
+  private final long seed;
+  private boolean hasRequests;
 
   OwnershipSimulation(long seed, double faultProbability) {
     this(seed, faultProbability, UpstreamBehavior.STRICT);
   }
 
   OwnershipSimulation(long seed, double faultProbability, UpstreamBehavior behavior) {
+    this(seed, faultProbability, behavior, USUAL_UPSTREAMS);
+  }
+
+  /** Creates a simulation with some number of upstreams. With fewer, keys come back more often. */
+  OwnershipSimulation(
+      long seed, double faultProbability, UpstreamBehavior behavior, int upstreamCount) {
+    this.seed = seed;
     environment = new SimulationEnvironment(seed, faultProbability, behavior);
     store = new SimulatedStore(environment);
     directory = new SimulatedDirectory(environment, store);
     load = new SimulatedLoad(environment);
     upstreams =
-        IntStream.range(0, UPSTREAMS)
+        IntStream.range(0, upstreamCount)
             .mapToObj(i -> new SimulatedUpstream(environment, directory, i))
             .collect(ImmutableList.toImmutableList());
     network = new SimulatedNetwork(environment, upstreams);
@@ -78,6 +87,16 @@
     return hosts;
   }
 
+  /** Lets upstreams work on keys from now on, so that their releases take time. */
+  void startRequests() {
+    hasRequests = true;
+    SimulatedRequests.start(environment, upstreams, seed);
+  }
+
+  boolean hasRequests() {
+    return hasRequests;
+  }
+
   ImmutableList<OwnershipViolation> violations() {
     return check.violations();
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
@@ -18,6 +18,7 @@
   /** Longer than a new coordinator waits for the holds of an earlier one. */
   private static final Duration RESTART_INTERVAL = Duration.ofSeconds(15);
 
+  private static final int UNLISTED_AT_ONCE = 6;
   private static final Duration OUTAGE_SLOWNESS = Duration.ofSeconds(4);
   private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
 
@@ -90,6 +91,11 @@
           slowThenCut(upstream, length);
         }
       }
+      case 22, 23, 24, 25, 26 -> {
+        if (simulation.hasRequests()) {
+          disturbWork(upstream);
+        }
+      }
       case 27, 28 -> host.stall(shortDowntime());
       case 29 -> host.stall(length);
       case 30, 31 -> upstream.relocate(shortDowntime());
@@ -106,6 +112,35 @@
     }
   }
 
+  /**
+   * Moves the keys of an upstream away while it works on them. A short removal moves them back soon
+   * after, a cut loses the answers to the releases, and a restart ends the work that they wait for.
+   */
+  private void disturbWork(SimulatedUpstream upstream) {
+    Duration delay = Duration.ofMillis(random.nextInt(1_500));
+    upstream.unlist(Duration.ofMillis(300 + random.nextInt(2_000)));
+    switch (random.nextInt(3)) {
+      case 0 ->
+          simulation.environment().after(delay, () -> cutFromAllHosts(upstream, shortDowntime()));
+      case 1 ->
+          simulation
+              .environment()
+              .after(delay, () -> upstream.restart(Duration.ofMillis(1 + random.nextInt(300))));
+      default -> unlistSeveral();
+    }
+  }
+
+  /** Removes upstreams shortly after each other, so that keys move before a move has ended. */
+  private void unlistSeveral() {
+    for (int i = 0; i < UNLISTED_AT_ONCE; i++) {
+      SimulatedUpstream upstream = pick(simulation.upstreams());
+      Duration length = Duration.ofMillis(200 + random.nextInt(800));
+      simulation
+          .environment()
+          .after(Duration.ofMillis(random.nextInt(3_000)), () -> upstream.unlist(length));
+    }
+  }
+
   /** Restarts all hosts at once, and slows down the many first grants that follow. */
   private void restartAllHosts() {
     Duration length = Duration.ofMillis(random.nextInt(4_000));
