--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -328,7 +328,9 @@
       refuse(lastFailure, spreadRetryAfter());
       return;
     }
-    proxy.requestRetried(this, pool.upstream(), lastFailure);
+    if (reachedUpstream) {
+      proxy.requestRetried(this, pool.upstream(), lastFailure);
+    }
     state = State.SELECTING_UPSTREAM;
     if (delay.isZero()) {
       selectUpstream();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -337,7 +337,7 @@
     log.log(code, fields.buildOrThrow());
   }
 
-  /** Records that a request is sent again after an attempt that got no answer or did not run. */
+  /** Records that another attempt follows one that reached an upstream in vain. */
   void requestRetried(ProxyExchange exchange, UpstreamRecord upstream, String reason) {
     ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
     fields.put("request", exchange.request().id()).put("upstream", upstream.id());
