Keep the end of the return delay, so that the exhaustive search sees it

The search copies lists and maps of the coordinator, and takes times in the past as equal. It shared the queues of departures between copies and merged states in which keys may and may not return. KeyReturnTest and RangePlannerTest pass.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/FormerHolders.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/FormerHolders.java
@@ -1,9 +1,9 @@
 package org.catkinlift.ranges;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -16,15 +16,10 @@
   /** Longer than the callers' usual deadlines, after which a request no longer waits. */
   private static final Duration RETURN_DELAY = Duration.ofSeconds(4);
 
-  private final Map<Holder, Deque<Departure>> departures = new HashMap<>();
+  private final Map<Holder, List<Departure>> departures = new HashMap<>();
 
-  /** The end of the hold of a former holder. */
-  private record Departure(KeyRange range, long atNanos) {
-
-    boolean isOver(long nowNanos) {
-      return nowNanos - atNanos >= RETURN_DELAY.toNanos();
-    }
-  }
+  /** Keys that a holder has left, and until when they stay away. */
+  private record Departure(KeyRange range, long untilNanos) {}
 
   /** Forgets all former holders. */
   void clear() {
@@ -33,18 +28,19 @@
 
   /** Records that the hold of a former holder has ended. */
   void holdEnded(Holder holder, KeyRange range, long nowNanos) {
-    departures.computeIfAbsent(holder, h -> new ArrayDeque<>()).add(new Departure(range, nowNanos));
+    var departure = new Departure(range, nowNanos + RETURN_DELAY.toNanos());
+    departures.computeIfAbsent(holder, h -> new ArrayList<>()).add(departure);
   }
 
   /** Removes the departures after which keys may return. */
   void removeExpired(long nowNanos) {
-    departures.values().forEach(own -> own.removeIf(d -> d.isOver(nowNanos)));
-    departures.values().removeIf(Deque::isEmpty);
+    departures.values().forEach(own -> own.removeIf(d -> nowNanos >= d.untilNanos()));
+    departures.values().removeIf(List::isEmpty);
   }
 
   /** Returns whether some of the keys have left a holder so recently that they stay away. */
   boolean includes(Holder holder, KeyRange range) {
-    Deque<Departure> own = departures.get(holder);
+    List<Departure> own = departures.get(holder);
     return own != null && own.stream().anyMatch(d -> d.range().overlaps(range));
   }
 }
