--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangePlannerTest.java
@@ -234,7 +234,7 @@
     ImmutableList.Builder<RangeAssignment> assignments = ImmutableList.builder();
     assignments.add(first);
     int key = first[first.length - 1].range().last() + 1;
-    long fence = first.length + 1;
+    long fence = first.length + 1L;
     for (int i = 0; i < 20; i++) {
       assignments.add(assignment(key, key + 99, 2 + i % 2, fence++));
       key += 100;
