--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -326,6 +326,7 @@
     RangeAssignment assignment = state.assignment();
     Duration duration = storeFailing ? maxGrantDuration : GRANT_DURATION;
     if (!state.isGranted()) {
+      // A first grant is sent only when no previous holder can hold the keys any more.
       assignment
           .previousHolders()
           .forEach(h -> formerHolders.holdEnded(h, assignment.range(), nowNanos));
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangePlanner.java
@@ -95,8 +95,8 @@
    * @param candidates the upstreams that may hold keys
    * @param load the load of each key
    * @param movable whether an assignment may be moved for balance
-   * @param mayReceive whether a holder may receive keys; if there is no other, it gets the keys of
-   *     a holder that has left all the same
+   * @param mayReceive whether an upstream may receive keys for balance; for keys that lose their
+   *     holder, an upstream that may not is the last choice
    * @return the next map, or empty if the current one is kept
    */
   public static Optional<RangePlan> plan(
@@ -290,7 +290,7 @@
         .toList();
   }
 
-  /** Such a range is merged with its neighbor, which leaves the keys where they are. */
+  /** Returns whether a range is merged with a neighbor instead, which moves no keys. */
   private boolean isNextToRangeOfSameHolder(int index) {
     Holder holder = assignments.get(index).holder();
     return adjacentTo(index).anyMatch(i -> assignments.get(i).holder().equals(holder));
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/LostResponseTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/LostResponseTest.java
@@ -20,8 +20,8 @@
  * was lost, whatever the later attempts show.
  */
 final class LostResponseTest {
-  /** The statuses by which a daemon promises that a request was not and will not be executed. */
-  private static final int[] NOT_EXECUTED_STATUSES = {408, 421, 429, 503};
+  /** Statuses that leave open whether the request was executed. */
+  private static final ImmutableList<Integer> UNKNOWN_OUTCOME_STATUSES = ImmutableList.of(502, 504);
 
   /** Longer than the time for which a leaving upstream gets requests, as in the settings. */
   private static final Duration AFTER_DRAIN = Duration.ofMillis(2_200);
@@ -73,7 +73,7 @@
       throws Exception {
     int status = statusAfterLaterRefusals("/keyed/a", "421 Misdirected Request");
 
-    assertThat(NOT_EXECUTED_STATUSES).asList().doesNotContain(status);
+    assertThat(status).isIn(UNKNOWN_OUTCOME_STATUSES);
   }
 
   /** A caller that relies on the status would send an executed request again. */
@@ -81,7 +81,7 @@
   void requestExecutedByFirstAttemptIsNotReportedAsNotExecutedAfterLaterRefusal() throws Exception {
     int status = statusAfterLaterRefusals("/keyed/a", "503 Full");
 
-    assertThat(NOT_EXECUTED_STATUSES).asList().doesNotContain(status);
+    assertThat(status).isIn(UNKNOWN_OUTCOME_STATUSES);
   }
 
   /** With one upstream only, a repeat goes to the one whose response was lost. */
@@ -90,7 +90,7 @@
       throws Exception {
     int status = statusAfterLaterRefusals("/lookup/a", "503 Full");
 
-    assertThat(NOT_EXECUTED_STATUSES).asList().doesNotContain(status);
+    assertThat(status).isIn(UNKNOWN_OUTCOME_STATUSES);
   }
 
   private void leaveAll() {
@@ -133,7 +133,7 @@
   void requestExecutedByUpstreamThatLeavesIsNotReportedAsNotExecuted() throws Exception {
     int status = statusAfterUpstreamLeft("/lookup/a", UPDATE_TIME);
 
-    assertThat(NOT_EXECUTED_STATUSES).asList().doesNotContain(status);
+    assertThat(status).isIn(UNKNOWN_OUTCOME_STATUSES);
   }
 
   /** The keys have no owner for a second attempt, which says nothing about the first one. */
@@ -141,6 +141,6 @@
   void requestExecutedByFormerHolderOfItsKeyIsNotReportedAsNotExecuted() throws Exception {
     int status = statusAfterUpstreamLeft("/keyed/a", AFTER_DRAIN);
 
-    assertThat(NOT_EXECUTED_STATUSES).asList().doesNotContain(status);
+    assertThat(status).isIn(UNKNOWN_OUTCOME_STATUSES);
   }
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyEventLogTest.java
@@ -76,7 +76,7 @@
     keyEvents.mapPlanned(SERVICE, current, new RangeAction.WriteMap(next, 1, reasons));
 
     assertThat(writtenLines())
-        .containsMatch("upstream=u-2 started=6 replaced=u-1@5 previous=(\"\")? reason=busy_key");
+        .contains("upstream=u-2 started=6 replaced=u-1@5 previous=\"\" reason=busy_key");
   }
 
   private static RangeAction.Grant grant(GrantReason reason) {
