--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -70,6 +70,8 @@
   KEYS_GRANTED_TO_NEW_HOLDER(3015, Severity.INFO, "keys granted to new holder"),
   /** An upstream confirmed a grant or release of keys. */
   KEY_GRANT_OR_RELEASE_CONFIRMED(3016, Severity.DEBUG, "key grant or release confirmed"),
+  /** What the coordinator of keyed services did and how busy its control thread was. */
+  COORDINATOR_LOAD(3017, Severity.INFO, "coordinator load"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -75,6 +75,12 @@
     return map;
   }
 
+  /** Returns how far the assignments of the map in force are carried out. */
+  public GrantProgress progress() {
+    int granted = (int) assignmentStates.stream().filter(AssignmentState::isGranted).count();
+    return new GrantProgress(assignmentStates.size(), granted, calls.size());
+  }
+
   /** Discards all state, because the role was lost. */
   public void stop() {
     active = false;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
@@ -34,13 +34,16 @@
   private final HostId self;
   private final MetadataStore store;
   private final CoordinatorLease lease;
+  private final double cpuCapacity;
   private final EventLog log;
 
   private boolean held;
   private long earliestYieldNanos;
 
-  CoordinatorRole(HostId self, MetadataStore store, CoordinatorLease lease, EventLog log) {
+  CoordinatorRole(
+      HostId self, double cpuCapacity, MetadataStore store, CoordinatorLease lease, EventLog log) {
     this.self = self;
+    this.cpuCapacity = cpuCapacity;
     this.store = store;
     this.lease = lease;
     this.log = log;
@@ -68,7 +71,7 @@
         Math.max(earliestYieldNanos, now.nanos() + YIELD_DELAY_AFTER_CLAIM.toNanos());
     log.log(
         held ? EventCode.COORDINATOR_ROLE_TAKEN : EventCode.COORDINATOR_ROLE_LOST,
-        ImmutableMap.of("row_version", lease.rowVersion()));
+        ImmutableMap.of("row_version", lease.rowVersion(), "cpu", cpuCapacity));
     return true;
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -103,7 +103,7 @@
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
-    this.role = new CoordinatorRole(settings.host(), store, lease, log);
+    this.role = new CoordinatorRole(settings.host(), settings.cpuCapacity(), store, lease, log);
     this.keyedServices =
         new KeyedServices(
             store,
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -59,6 +59,7 @@
   private final UpstreamSpeeds upstreamSpeeds = new UpstreamSpeeds();
   private final Map<ServiceName, RangeCoordinator> coordinators = new HashMap<>();
   private final Map<ServiceName, KeyLoad> loads = new HashMap<>();
+  private final Map<ServiceName, CoordinatorLoadLog> loadLogs = new HashMap<>();
   private final Map<UpstreamId, Long> unreachableUntilNanos = new HashMap<>();
   private final AdmissionShareController shareController =
       new AdmissionShareController(System.nanoTime());
@@ -115,6 +116,7 @@
     coordinators.values().forEach(RangeCoordinator::stop);
     coordinators.clear();
     loads.clear();
+    loadLogs.clear();
     capacities.clear();
     shareController.clear();
   }
@@ -144,6 +146,7 @@
         var load = new KeyLoad(LOAD_TIME_CONSTANT, nowNanos);
         var coordinator = new RangeCoordinator(maxGrantDuration, load);
         loads.put(service.name(), load);
+        loadLogs.put(service.name(), new CoordinatorLoadLog(log, service.name(), nowNanos));
         coordinators.put(service.name(), coordinator);
         coordinator.start(nowNanos);
       }
@@ -164,6 +167,7 @@
           for (RangeAction action : coordinator.tick(candidates, nowNanos)) {
             execute(service, coordinator, action, claimVersion);
           }
+          loadLogs.get(service).roundEnded(coordinator.progress(), nowNanos, System.nanoTime());
         });
   }
 
@@ -220,6 +224,7 @@
       case RangeAction.ReadMap read ->
           store.read(mapRow(service), result -> mapRead(service, coordinator, result));
       case RangeAction.WriteMap write -> {
+        loadLogs.get(service).mapWriteStarted();
         keyEvents.mapPlanned(service, coordinator.map().orElse(RangeMap.EMPTY), write);
         writeMap(service, coordinator, write, claimVersion);
       }
@@ -229,14 +234,14 @@
         grants.grant(
             grant,
             termHeld(service, coordinator),
-            result -> grantEnded(coordinator, grant, result, startNanos));
+            result -> grantEnded(service, coordinator, grant, result, startNanos));
       }
       case RangeAction.Release release -> {
         long startNanos = System.nanoTime();
         grants.release(
             release,
             termHeld(service, coordinator),
-            result -> releaseEnded(coordinator, release, result, startNanos));
+            result -> releaseEnded(service, coordinator, release, result, startNanos));
       }
     }
   }
@@ -340,19 +345,33 @@
   }
 
   private void grantEnded(
-      RangeCoordinator coordinator, RangeAction.Grant grant, GrantResult result, long startNanos) {
+      ServiceName service,
+      RangeCoordinator coordinator,
+      RangeAction.Grant grant,
+      GrantResult result,
+      long startNanos) {
     long nowNanos = System.nanoTime();
     coordinator.callEnded(grant.callId(), result, nowNanos);
+    countCall(service, result);
     keyEvents.grantEnded(grant, result, Duration.ofNanos(nowNanos - startNanos));
   }
 
   private void releaseEnded(
+      ServiceName service,
       RangeCoordinator coordinator,
       RangeAction.Release release,
       GrantResult result,
       long startNanos) {
     long nowNanos = System.nanoTime();
     coordinator.callEnded(release.callId(), result, nowNanos);
+    countCall(service, result);
     keyEvents.releaseEnded(release, result, Duration.ofNanos(nowNanos - startNanos));
   }
+
+  private void countCall(ServiceName service, GrantResult result) {
+    CoordinatorLoadLog loadLog = loadLogs.get(service);
+    if (loadLog != null) {
+      loadLog.callEnded(result);
+    }
+  }
 }
