Test a restart of all hosts of a large deployment on virtual time

RestartOfAllHostsTest: the control thread of the coordinator is a resource, each step of a call takes processor time, and a call that the thread gets to too late is given up, as in the daemon. With 195 upstreams and six ranges each not all keys are ever held at the same time. The bound is recovery, 15 s.

The lanes of the simulation can carry the calls of any simulation.

--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartOfAllHostsTest.java
@@ -0,0 +1,51 @@
+package org.catkinlift.ranges;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a coordinator that is too busy with grants that come too late to ever grant all
+ * keys after a restart of all hosts.
+ */
+@Tag("known-red")
+final class RestartOfAllHostsTest {
+  /** The time in which service is back after a restart of all hosts (`recovery`). */
+  private static final Duration RECOVERY = Duration.ofSeconds(15);
+
+  private static final Duration OBSERVED = Duration.ofSeconds(30);
+  private static final Duration STEP = Duration.ofMillis(100);
+  private static final int RANGES_EACH = 6;
+
+  @ParameterizedTest
+  @CsvSource({"31, 0", "98, 0", "195, 0", "195, 39"})
+  void allKeysAreGrantedWithinRecoveryAndStayGranted(int upstreams, int silentUpstreams) {
+    var fleet = new RestartedFleet(upstreams, RANGES_EACH, silentUpstreams);
+    fleet.run(RECOVERY);
+
+    double lowest = 1;
+    for (Duration t = Duration.ZERO; t.compareTo(OBSERVED) < 0; t = t.plus(STEP)) {
+      fleet.run(STEP);
+      lowest = Math.min(lowest, fleet.heldShare());
+    }
+
+    assertWithMessage("share of held keys").that(lowest).isEqualTo(1.0);
+    assertWithMessage("roles taken").that(fleet.rolesTaken()).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"98", "195", "390"})
+  void callsASecondDoNotGrowWithTheNumberOfRanges(int upstreams) {
+    var fleet = new RestartedFleet(upstreams, RANGES_EACH, 0);
+    fleet.run(RECOVERY);
+    int before = fleet.callsStarted();
+    fleet.run(OBSERVED);
+
+    // A host of 0.3 cores finishes 400 calls a second.
+    assertThat((fleet.callsStarted() - before) / OBSERVED.toSeconds()).isAtMost(400);
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartedFleet.java
@@ -0,0 +1,246 @@
+package org.catkinlift.ranges;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.catkinlift.model.NetworkAddress;
+import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.UpstreamId;
+import org.catkinlift.model.ZoneName;
+import org.catkinlift.timer.VirtualTimerService;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/**
+ * A deployment after a restart of all its hosts, on virtual time: the store has a map, no upstream
+ * holds keys, and one host takes the coordinator role. Its control thread spends processor time on
+ * each round of decisions and each step of a call, and loses the role if a round is too late to
+ * renew it.
+ */
+final class RestartedFleet {
+  private static final Duration MAX_GRANT_DURATION = Duration.ofSeconds(10);
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+  private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration ROUND_TRIP = Duration.ofMillis(3);
+  private static final Duration STORE_DELAY = Duration.ofMillis(6);
+
+  /** The role lasts 1.8 s and is renewed every 0.6 s. */
+  private static final Duration MAX_ROUND_DELAY = Duration.ofMillis(1_200);
+
+  private static final Duration TIME_WITHOUT_ROLE = Duration.ofSeconds(2);
+
+  /** Processor time on a host of 0.3 cores. */
+  private static final Duration ROUND_TIME = Duration.ofMillis(2);
+
+  private static final Duration START_TIME = Duration.ofNanos(500_000);
+  private static final Duration CONNECTED_TIME = Duration.ofNanos(1_250_000);
+  private static final Duration ANSWERED_TIME = Duration.ofNanos(750_000);
+
+  private final VirtualTimerService timers = new VirtualTimerService();
+  private final SimulatedControlThread thread = new SimulatedControlThread(timers);
+  private final KeyLoad load = new KeyLoad(Duration.ofSeconds(2), 0);
+  private final Map<KeyRange, Long> heldUntilNanos = new HashMap<>();
+  private final ImmutableList<Candidate> candidates;
+  private final ImmutableSet<UpstreamId> silent;
+  private RangeCoordinator coordinator;
+  private FleetCalls calls;
+  private RangeMap storedMap;
+  private long storedVersion = 1;
+  private long lastRoundNanos;
+  private int rolesTaken;
+  private int callsStarted;
+  private int mapsWritten;
+
+  /**
+   * Creates a deployment.
+   *
+   * @param upstreams the number of upstreams
+   * @param rangesEach the number of ranges of each upstream
+   * @param silentUpstreams how many upstreams accept no connection
+   */
+  RestartedFleet(int upstreams, int rangesEach, int silentUpstreams) {
+    candidates =
+        IntStream.range(0, upstreams)
+            .mapToObj(RestartedFleet::candidate)
+            .collect(ImmutableList.toImmutableList());
+    silent =
+        candidates.stream()
+            .limit(silentUpstreams)
+            .map(c -> c.upstream().id())
+            .collect(ImmutableSet.toImmutableSet());
+    storedMap = mapOf(candidates, upstreams * rangesEach);
+    takeRole();
+    scheduleRound(TICK_INTERVAL);
+  }
+
+  private static Candidate candidate(int number) {
+    var upstream =
+        UpstreamRecord.builder()
+            .id(UpstreamId.of("u-" + number))
+            .startedMillis(1)
+            .service(ServiceName.of("desk"))
+            .address(NetworkAddress.of("10.0." + number / 250 + "." + (number % 250 + 1), 80))
+            .zone(ZoneName.of("z"))
+            .concurrencyLimit(4)
+            .build();
+    return new Candidate(upstream, upstream.concurrencyLimit(), true);
+  }
+
+  private static RangeMap mapOf(ImmutableList<Candidate> candidates, int ranges) {
+    ImmutableList.Builder<RangeAssignment> assignments = ImmutableList.builder();
+    for (int i = 0; i < ranges; i++) {
+      var range =
+          new KeyRange(
+              (int) ((long) KeyRange.KEY_COUNT * i / ranges),
+              (int) ((long) KeyRange.KEY_COUNT * (i + 1) / ranges) - 1);
+      Holder holder = Holder.of(candidates.get(i % candidates.size()).upstream());
+      assignments.add(new RangeAssignment(range, holder, i + 1, ImmutableList.of()));
+    }
+    return new RangeMap(ranges + 1, assignments.build());
+  }
+
+  private void takeRole() {
+    rolesTaken++;
+    coordinator = new RangeCoordinator(MAX_GRANT_DURATION, load);
+    coordinator.start(timers.nowNanos());
+    calls = new FleetCalls();
+    lastRoundNanos = timers.nowNanos();
+  }
+
+  private void scheduleRound(Duration delay) {
+    thread.runAfter(delay, ROUND_TIME, this::round);
+  }
+
+  private void round() {
+    long nowNanos = timers.nowNanos();
+    if (nowNanos - lastRoundNanos > MAX_ROUND_DELAY.toNanos()) {
+      coordinator.stop();
+      takeRole();
+      lastRoundNanos = nowNanos + TIME_WITHOUT_ROLE.toNanos();
+      scheduleRound(TIME_WITHOUT_ROLE);
+      return;
+    }
+    lastRoundNanos = nowNanos;
+    coordinator.tick(candidates, nowNanos).forEach(this::execute);
+    scheduleRound(TICK_INTERVAL);
+  }
+
+  private void execute(RangeAction action) {
+    RangeCoordinator caller = coordinator;
+    switch (action) {
+      case RangeAction.ReadMap read ->
+          thread.runAfter(
+              STORE_DELAY,
+              ROUND_TIME,
+              () -> caller.mapRead(storedMap, storedVersion, timers.nowNanos()));
+      case RangeAction.WriteMap write ->
+          thread.runAfter(STORE_DELAY, ROUND_TIME, () -> written(caller, write));
+      case RangeAction.Grant grant -> calls.start(grant, r -> end(caller, grant.callId(), r));
+      case RangeAction.Release release ->
+          end(caller, release.callId(), new GrantResult.Done(Optional.of("h")));
+    }
+  }
+
+  private void written(RangeCoordinator caller, RangeAction.WriteMap write) {
+    mapsWritten++;
+    storedVersion++;
+    storedMap = write.map();
+    caller.mapWritten(storedVersion, timers.nowNanos());
+  }
+
+  private void end(RangeCoordinator caller, long callId, GrantResult result) {
+    caller.callEnded(callId, result, timers.nowNanos());
+  }
+
+  /** The calls of one term, bounded for each upstream as the HTTP client of the gateway does. */
+  private final class FleetCalls {
+    private final SimulatedCallLanes<RangeAction.Grant> lanes =
+        new SimulatedCallLanes<>(
+            (grant, callback) -> thread.run(START_TIME, () -> connect(grant, callback)));
+
+    private void start(RangeAction.Grant grant, Consumer<GrantResult> callback) {
+      NetworkAddress address = grant.assignment().holder().address();
+      lanes.call(new SimulatedCallLanes.Target(address, true), grant, callback);
+    }
+
+    private void connect(RangeAction.Grant grant, Consumer<SimulatedCallLanes.CallEnd> callback) {
+      callsStarted++;
+      long startNanos = timers.nowNanos();
+      boolean isSilent = silent.contains(grant.assignment().holder().upstream());
+      Duration delay = isSilent ? CONNECT_TIMEOUT.plusNanos(1) : ROUND_TRIP;
+      thread.runAfter(
+          delay,
+          CONNECTED_TIME,
+          () -> {
+            if (isOlderThan(startNanos, CONNECT_TIMEOUT)) {
+              notSent(callback);
+            } else {
+              send(grant, callback);
+            }
+          });
+    }
+
+    private void send(RangeAction.Grant grant, Consumer<SimulatedCallLanes.CallEnd> callback) {
+      long sentNanos = timers.nowNanos();
+      KeyRange range = grant.assignment().range();
+      heldUntilNanos.merge(range, sentNanos + grant.duration().toNanos(), Math::max);
+      thread.runAfter(
+          ROUND_TRIP,
+          ANSWERED_TIME,
+          () -> {
+            boolean isLate = isOlderThan(sentNanos, RESPONSE_TIMEOUT);
+            GrantResult result =
+                isLate
+                    ? new GrantResult.Unanswered("timeout")
+                    : new GrantResult.Done(Optional.empty());
+            callback.accept(new SimulatedCallLanes.CallEnd(result, !isLate));
+          });
+    }
+
+    private boolean isOlderThan(long sinceNanos, Duration age) {
+      return timers.nowNanos() - sinceNanos > age.toNanos();
+    }
+
+    private static void notSent(Consumer<SimulatedCallLanes.CallEnd> callback) {
+      var result = new GrantResult.NotSent("connection not established in time");
+      callback.accept(new SimulatedCallLanes.CallEnd(result, false));
+    }
+  }
+
+  void run(Duration duration) {
+    timers.advance(duration);
+  }
+
+  /** Returns the share of keys whose upstream holds them, among the upstreams that answer. */
+  double heldShare() {
+    long held = 0;
+    long all = 0;
+    for (RangeAssignment assignment : storedMap.assignments()) {
+      if (silent.contains(assignment.holder().upstream())) {
+        continue;
+      }
+      all += assignment.range().size();
+      if (heldUntilNanos.getOrDefault(assignment.range(), 0L) >= timers.nowNanos()) {
+        held += assignment.range().size();
+      }
+    }
+    return (double) held / all;
+  }
+
+  int rolesTaken() {
+    return rolesTaken;
+  }
+
+  int callsStarted() {
+    return callsStarted;
+  }
+
+  int mapsWritten() {
+    return mapsWritten;
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedCallLanes.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedCallLanes.java
@@ -14,15 +14,15 @@
  * gateway does. The calls in excess wait, also while the daemon is without the role. A call without
  * an answer ends those that wait behind it as not sent.
  */
-final class SimulatedCallLanes {
+final class SimulatedCallLanes<C> {
   private static final int MAX_CONCURRENT_GRANTS = 2;
   private static final int MAX_CONCURRENT_RELEASES = 4;
 
-  private final Map<Target, Lane> lanes = new HashMap<>();
+  private final Map<Target, Lane<C>> lanes = new HashMap<>();
 
   /** Sends a call whose turn has come. */
-  interface Sender {
-    void send(SimulatedNetwork.Call call, Consumer<CallEnd> callback);
+  interface Sender<C> {
+    void send(C call, Consumer<CallEnd> callback);
   }
 
   /**
@@ -33,34 +33,30 @@
    */
   record CallEnd(GrantResult result, boolean isAnswered) {}
 
-  private record Target(NetworkAddress address, boolean isGrant) {
-    static Target of(SimulatedNetwork.Call call) {
-      return new Target(call.to().address(), call.sent().call() instanceof RangeAction.Grant);
-    }
-
-    int maxConcurrent() {
+  /** The calls of one kind to one upstream. */
+  record Target(NetworkAddress address, boolean isGrant) {
+    private int maxConcurrent() {
       return isGrant ? MAX_CONCURRENT_GRANTS : MAX_CONCURRENT_RELEASES;
     }
   }
 
-  private record WaitingCall(SimulatedNetwork.Call call, Consumer<GrantResult> callback) {}
+  private record WaitingCall<C>(C call, Consumer<GrantResult> callback) {}
 
-  private static final class Lane {
-    private final Deque<WaitingCall> waiting = new ArrayDeque<>();
+  private static final class Lane<C> {
+    private final Deque<WaitingCall<C>> waiting = new ArrayDeque<>();
     private int running;
   }
 
-  private final Sender sender;
+  private final Sender<C> sender;
 
-  SimulatedCallLanes(Sender sender) {
+  SimulatedCallLanes(Sender<C> sender) {
     this.sender = sender;
   }
 
   /** Sends a call, or queues it while too many run at its upstream. */
-  void call(SimulatedNetwork.Call call, Consumer<GrantResult> callback) {
-    Target target = Target.of(call);
-    Lane lane = lanes.computeIfAbsent(target, t -> new Lane());
-    var waiting = new WaitingCall(call, callback);
+  void call(Target target, C call, Consumer<GrantResult> callback) {
+    Lane<C> lane = lanes.computeIfAbsent(target, t -> new Lane<>());
+    var waiting = new WaitingCall<>(call, callback);
     if (lane.running < target.maxConcurrent()) {
       start(lane, waiting);
     } else {
@@ -68,20 +64,20 @@
     }
   }
 
-  private void start(Lane lane, WaitingCall next) {
+  private void start(Lane<C> lane, WaitingCall<C> next) {
     lane.running++;
     sender.send(next.call(), end -> ended(lane, next, end));
   }
 
-  private void ended(Lane lane, WaitingCall call, CallEnd end) {
+  private void ended(Lane<C> lane, WaitingCall<C> call, CallEnd end) {
     call.callback().accept(end.result());
     lane.running--;
     if (!end.isAnswered()) {
-      List<WaitingCall> abandoned = new ArrayList<>(lane.waiting);
+      List<WaitingCall<C>> abandoned = new ArrayList<>(lane.waiting);
       lane.waiting.clear();
       abandoned.forEach(w -> w.callback().accept(new GrantResult.NotSent("not connected")));
     }
-    WaitingCall next = lane.waiting.poll();
+    WaitingCall<C> next = lane.waiting.poll();
     if (next != null) {
       start(lane, next);
     }
--- /dev/null
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedControlThread.java
@@ -0,0 +1,28 @@
+package org.catkinlift.ranges;
+
+import java.time.Duration;
+import org.catkinlift.timer.VirtualTimerService;
+
+/**
+ * A control thread on virtual time that runs one task after the other, each of which takes
+ * processor time. A task that is due while another one runs is late.
+ */
+final class SimulatedControlThread {
+  private final VirtualTimerService timers;
+  private long busyUntilNanos;
+
+  SimulatedControlThread(VirtualTimerService timers) {
+    this.timers = timers;
+  }
+
+  /** Runs a task after those that are due already; it takes effect when its time is spent. */
+  void run(Duration processorTime, Runnable task) {
+    busyUntilNanos = Math.max(busyUntilNanos, timers.nowNanos()) + processorTime.toNanos();
+    var unused = timers.after(Duration.ofNanos(busyUntilNanos - timers.nowNanos()), task);
+  }
+
+  /** Makes a task due after a delay. */
+  void runAfter(Duration delay, Duration processorTime, Runnable task) {
+    var unused = timers.after(delay, () -> run(processorTime, task));
+  }
+}
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -28,7 +28,7 @@
   private ImmutableList<UpstreamRecord> knownUpstreams = ImmutableList.of();
   private UnreachableUpstreams unreachable;
   private CoordinatorLease lease;
-  private SimulatedCallLanes callLanes;
+  private SimulatedCallLanes<SimulatedNetwork.Call> callLanes;
   private KeyLoad load;
   private Optional<RangeCoordinator> coordinator = Optional.empty();
   private boolean disconnectedFromStore;
@@ -51,7 +51,8 @@
     coordinator = Optional.empty();
     unreachable = new UnreachableUpstreams();
     callLanes =
-        new SimulatedCallLanes((call, callback) -> simulation.network().send(this, call, callback));
+        new SimulatedCallLanes<>(
+            (call, callback) -> simulation.network().send(this, call, callback));
     lease =
         new CoordinatorLease(
             HostId.of("host-" + index),
@@ -230,6 +231,8 @@
   private void send(RangeCoordinator requester, long callId, SimulatedNetwork.Call call) {
     environment.record(call.sent());
     callLanes.call(
+        new SimulatedCallLanes.Target(
+            call.to().address(), call.sent().call() instanceof RangeAction.Grant),
         call,
         result -> {
           environment.record(new SimulationEvent.CallEnded(call.sent(), result));
