Find assignments by key and by upstream while planning

What callers saw: keys without a grant for seconds, and requests sent to upstreams that no longer hold their key, on a deployment of 195 upstreams. Cause: each move counted the ranges of every upstream by a pass over all ranges, and each look-up of a range was a pass over all states, so a round of planning grew with the third power of the size. Change: PlanDraft keeps the planned assignments by key and by upstream; AssignmentStates finds a state by binary search. RangePlanner is split into the draft, RangeBalancer and RangeJoiner.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -40,7 +40,7 @@
   private final FormerHolders formerHolders = new FormerHolders();
   private final Map<Long, Call> calls = new HashMap<>();
 
-  private List<AssignmentState> assignmentStates = new ArrayList<>();
+  private AssignmentStates assignmentStates = AssignmentStates.none();
   private Optional<RangeMap> map = Optional.empty();
   private Optional<RangeMap> mapBeingWritten = Optional.empty();
   private long mapVersion;
@@ -86,7 +86,7 @@
     active = false;
     map = Optional.empty();
     mapBeingWritten = Optional.empty();
-    assignmentStates = new ArrayList<>();
+    assignmentStates = AssignmentStates.none();
     holds.clear();
     formerHolders.clear();
     calls.clear();
@@ -114,7 +114,7 @@
    */
   public void setStoreFailing(boolean failing, long nowNanos) {
     if (failing && !storeFailing) {
-      assignmentStates.forEach(s -> s.renewNow(nowNanos));
+      assignmentStates.stream().forEach(s -> s.renewNow(nowNanos));
     }
     storeFailing = failing;
   }
@@ -167,15 +167,16 @@
   }
 
   private void applyMap(RangeMap next, long nowNanos) {
-    List<AssignmentState> previousStates = assignmentStates;
+    AssignmentStates previousStates = assignmentStates;
     boolean firstMap = map.isEmpty();
-    assignmentStates = new ArrayList<>();
+    List<AssignmentState> states = new ArrayList<>();
     for (RangeAssignment assignment : next.assignments()) {
-      assignmentStates.add(
+      states.add(
           firstMap
               ? stateAfterTakeover(assignment, nowNanos)
               : stateAfterChange(assignment, previousStates, nowNanos));
     }
+    assignmentStates = AssignmentStates.of(states);
     map = Optional.of(next);
   }
 
@@ -192,16 +193,13 @@
   }
 
   private AssignmentState stateAfterChange(
-      RangeAssignment assignment, List<AssignmentState> previousStates, long nowNanos) {
-    for (AssignmentState state : previousStates) {
-      if (state.assignment().equals(assignment)) {
-        return state;
-      }
+      RangeAssignment assignment, AssignmentStates previousStates, long nowNanos) {
+    Optional<AssignmentState> previous = previousStates.covering(assignment);
+    if (previous.filter(p -> p.assignment().equals(assignment)).isPresent()) {
+      return previous.get();
     }
     var state = new AssignmentState(assignment, nowNanos);
-    previousStates.stream()
-        .filter(previous -> previous.covers(assignment))
-        .forEach(state::inheritGrant);
+    previous.ifPresent(state::inheritGrant);
     return state;
   }
 
@@ -223,9 +221,7 @@
     }
     ImmutableList.Builder<RangeAction> actions = ImmutableList.builder();
     nextStoreAction(candidates, nowNanos).ifPresent(actions::add);
-    for (AssignmentState state : assignmentStates) {
-      addDueCalls(state, nowNanos, actions);
-    }
+    assignmentStates.stream().forEach(s -> addDueCalls(s, nowNanos, actions));
     return actions.build();
   }
 
@@ -268,21 +264,27 @@
   /** Only keys with a granted holder may move, so that no key takes part in two moves at a time. */
   private boolean isMovable(RangeAssignment assignment) {
     return !assignment.isMoving()
-        && assignmentStates.stream().anyMatch(s -> s.isGranted() && s.covers(assignment));
+        && assignmentStates.covering(assignment).filter(AssignmentState::isGranted).isPresent();
   }
 
   /** Removes previous holders from assignments whose new holder has its grant. */
   private RangeMap dropReleasedHolders(RangeMap present, long nowNanos) {
     ImmutableList.Builder<RangeAssignment> next = ImmutableList.builder();
-    for (AssignmentState state : assignmentStates) {
-      RangeAssignment assignment = state.assignment();
-      boolean released =
-          assignment.isMoving() && state.isGranted() && !isHeldByOthers(assignment, nowNanos);
-      next.add(released ? assignment.withoutPreviousHolders() : assignment);
-    }
+    assignmentStates.stream()
+        .map(
+            s ->
+                isHandedOver(s, nowNanos)
+                    ? s.assignment().withoutPreviousHolders()
+                    : s.assignment())
+        .forEach(next::add);
     return new RangeMap(present.nextFence(), next.build());
   }
 
+  private boolean isHandedOver(AssignmentState state, long nowNanos) {
+    RangeAssignment assignment = state.assignment();
+    return assignment.isMoving() && state.isGranted() && !isHeldByOthers(assignment, nowNanos);
+  }
+
   /** The list of previous holders is complete, since the planner drops none of them. */
   private boolean isHeldByOthers(RangeAssignment assignment, long nowNanos) {
     return assignment.previousHolders().stream()
