Pace the renewals of grants, and bound the number of ranges

Change: from 520 ranges on the interval grows, so that a coordinator sends 400 renewals a second (RenewalPolicy), and a grant lasts long enough for a renewal without an answer and another one; below 920 ranges that is 5 s as before. Above 1,600 ranges, or four for each upstream, none is divided for balance any more, and idle ones are joined also in rounds with other moves. The price: with 1,170 ranges the keys of a lost upstream wait 5.6 s in place of 5 s, with 1,600 6.7 s.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PlanDraft.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PlanDraft.java
@@ -21,6 +21,15 @@
  * of planning looks at each upstream many times.
  */
 final class PlanDraft {
+  /**
+   * The number of ranges above which none is divided for balance. The number of renewals a second,
+   * and the size of the map that each host reads, grow with it.
+   */
+  private static final int MAX_RANGES = 1_600;
+
+  /** Ranges of each upstream that are always allowed, so that load can be balanced. */
+  private static final int MIN_RANGES_PER_UPSTREAM = 4;
+
   private final KeyLoad load;
   private final Predicate<RangeAssignment> movable;
   private final BiPredicate<KeyRange, Holder> mayReceive;
@@ -97,6 +106,11 @@
     return byFirstKey.size();
   }
 
+  /** Returns whether a range may be divided for balance. */
+  boolean mayDivide() {
+    return rangeCount() < Math.max(MAX_RANGES, MIN_RANGES_PER_UPSTREAM * candidates.size());
+  }
+
   /** Returns all assignments in key order. */
   ImmutableList<RangeAssignment> assignments() {
     return ImmutableList.copyOf(byFirstKey.values());
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeBalancer.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeBalancer.java
@@ -156,13 +156,17 @@
             || (fromStart > 0
                 && load.of(range.firstKeys(fromStart)) >= load.of(range.lastKeys(fromEnd)));
     KeyRange edge = atStart ? range.firstKeys(fromStart) : range.lastKeys(fromEnd);
-    if (load.of(edge) < loadToMove * MIN_MOVED_SHARE) {
+    if (load.of(edge) < loadToMove * MIN_MOVED_SHARE || !mayMove(edge, assignment)) {
       return false;
     }
     draft.move(assignment, edge, receiver, ReassignmentReason.BALANCE);
     return true;
   }
 
+  private boolean mayMove(KeyRange part, RangeAssignment assignment) {
+    return draft.mayDivide() || part.equals(assignment.range());
+  }
+
   /**
    * Moves the busiest single key of an overloaded upstream to one with more capacity for it. The
    * load of such a key cannot be divided, so the capacity of its holder decides how many of its
@@ -182,6 +186,9 @@
     }
     int key = load.busiestKey(busiest.get().range());
     var range = new KeyRange(key, key);
+    if (!mayMove(range, busiest.get())) {
+      return false;
+    }
     Optional<Candidate> receiver = receiverOfKey(range, donor);
     receiver.ifPresent(r -> draft.move(busiest.get(), range, r, ReassignmentReason.BUSY_KEY));
     return receiver.isPresent();
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -21,10 +21,6 @@
  * ended, or can no longer hold the keys by its own clock. Confined to the control thread.
  */
 public final class RangeCoordinator {
-  /** How long a grant lasts while the store is available. */
-  private static final Duration GRANT_DURATION = Duration.ofSeconds(5);
-
-  private static final Duration RENEW_INTERVAL = Duration.ofMillis(1_300);
   private static final Duration PLAN_INTERVAL = Duration.ofMillis(500);
   private static final Duration REPLAN_DELAY = Duration.ofMillis(50);
   private static final Duration READ_RETRY_DELAY = Duration.ofMillis(200);
@@ -36,6 +32,7 @@
   private static final int UNREACHABLE_FAILURES = 4;
 
   private final Duration maxGrantDuration;
+  private final RenewalPolicy renewals;
   private final KeyLoad load;
   private final PossibleHolds holds = new PossibleHolds();
   private final FormerHolders formerHolders = new FormerHolders();
@@ -69,6 +66,7 @@
    */
   public RangeCoordinator(Duration maxGrantDuration, KeyLoad load) {
     this.maxGrantDuration = maxGrantDuration;
+    this.renewals = new RenewalPolicy(maxGrantDuration);
     this.load = load;
   }
 
@@ -360,7 +358,8 @@
 
   private RangeAction startGrant(AssignmentState state, long nowNanos) {
     RangeAssignment assignment = state.assignment();
-    Duration duration = storeFailing ? maxGrantDuration : GRANT_DURATION;
+    Duration duration =
+        storeFailing ? maxGrantDuration : renewals.duration(assignmentStates.size());
     if (!state.isGranted()) {
       // A first grant is sent only when no previous holder can hold the keys any more.
       assignment
@@ -423,8 +422,9 @@
         if (state.assignment().isMoving() && !state.isGranted()) {
           nextPlanNanos = Math.min(nextPlanNanos, nowNanos + REPLAN_DELAY.toNanos());
         }
+        Duration renewAfter = renewals.interval(assignmentStates.size());
         state.grantDone(
-            call.startNanos() + call.duration().toNanos(), nowNanos + RENEW_INTERVAL.toNanos());
+            call.startNanos() + call.duration().toNanos(), nowNanos + renewAfter.toNanos());
       }
       case GrantResult.HolderEnded ended -> state.grantFailed(nowNanos);
       case GrantResult.NotSent notSent -> state.grantFailed(nowNanos);
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeJoiner.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeJoiner.java
@@ -20,16 +20,24 @@
 
   private static final int MAX_JOINS_PER_ROUND = 4;
 
+  /** The limit when no range may be divided any more, so that fragments make room for busy keys. */
+  private static final int MAX_JOINS_PER_ROUND_IF_FULL = 20;
+
   private final PlanDraft draft;
 
   RangeJoiner(PlanDraft draft) {
     this.draft = draft;
   }
 
-  /** Joins idle ranges, in rounds without other changes, and merges what is adjacent. */
+  /**
+   * Joins idle ranges, in rounds without other changes or if there are too many ranges, and merges
+   * what is adjacent.
+   */
   void join() {
-    if (!draft.isChanged()) {
-      joinIdleRanges();
+    if (!draft.mayDivide()) {
+      joinIdleRanges(MAX_JOINS_PER_ROUND_IF_FULL);
+    } else if (!draft.isChanged()) {
+      joinIdleRanges(MAX_JOINS_PER_ROUND);
     }
     mergeAdjacentRanges();
   }
@@ -38,10 +46,10 @@
    * Moves small idle ranges of upstreams with many ranges to the holder of an adjacent range, with
    * which they are merged later. Busy keys leave such fragments behind once they are idle again.
    */
-  private void joinIdleRanges() {
+  private void joinIdleRanges(int maxJoins) {
     int joins = 0;
     for (RangeAssignment idle : idleRanges()) {
-      if (joins == MAX_JOINS_PER_ROUND) {
+      if (joins == maxJoins) {
         return;
       }
       joins += joinToNeighbor(idle) ? 1 : 0;
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCountTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCountTest.java
@@ -11,12 +11,10 @@
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
 import org.catkinlift.upstreams.UpstreamRecord;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against so many ranges that no host can renew their grants before they expire. */
-@Tag("known-red")
 final class RangeCountTest {
   private static final int ROUNDS = 60;
   private static final int SLOTS = 4;
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartOfAllHostsTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartOfAllHostsTest.java
@@ -20,7 +20,7 @@
   private static final int RANGES_EACH = 6;
 
   @ParameterizedTest
-  @CsvSource({"31, 0", "98, 0", "195, 0", "195, 39"})
+  @CsvSource({"31, 0", "98, 0", "195, 0", "195, 39", "390, 0"})
   void allKeysAreGrantedWithinRecoveryAndStayGranted(int upstreams, int silentUpstreams) {
     var fleet = new RestartedFleet(upstreams, RANGES_EACH, silentUpstreams);
     fleet.run(RECOVERY);
