Count open releases apart from grants, and plan large maps less often

Releases answer when the work on their keys ends; each took one of 32 places for 150 ms, and they are older than first grants. Change: grants and releases have limits of their own, a call counts for 50 ms, and an upstream that does not answer gets one call at a time. Change: at least 0.25 ms for each range lie between two plans, so 250 ms with 1,000 ranges, which is how often hosts ask. RestartOfAllHostsTest: 32 writes a second before with 195 and 390 upstreams that restart one after the other, at most 4 now. A round reads the holds of a release only when it is due.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CallLanes.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CallLanes.java
@@ -6,8 +6,12 @@
 import java.util.stream.Stream;
 
 /**
- * The calls of one kind to each destination: bounds how many are open at a time, and waits after a
- * call without an answer. Confined to the control thread.
+ * The calls of one kind, in a lane for each destination: bounds how many are open at a time, and
+ * waits after a call without an answer. Confined to the control thread.
+ *
+ * <p>Over all destinations, only calls that were started a short time ago count: one that is open
+ * for longer costs no processor time, and unreachable destinations must not keep others from their
+ * calls.
  */
 final class CallLanes {
   private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(150);
@@ -19,8 +23,16 @@
    */
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
 
-  private final int maxOpen;
+  /** Longer than a destination usually takes to answer. */
+  private static final Duration RECENT = Duration.ofMillis(50);
+
+  private final int maxOpenEach;
+  private final int maxRecent;
   private final Map<GrantDestination, Lane> lanes = new HashMap<>();
+  private final Map<Long, OpenCall> openCalls = new HashMap<>();
+  private int recentCalls;
+
+  private record OpenCall(GrantDestination to, long startNanos) {}
 
   private static final class Lane {
     private int open;
@@ -51,19 +63,39 @@
     }
   }
 
-  /** Creates lanes without calls; {@code maxOpen} is the limit of open calls to a destination. */
-  CallLanes(int maxOpen) {
-    this.maxOpen = maxOpen;
+  /**
+   * Creates lanes without calls.
+   *
+   * @param maxOpenEach the limit of open calls to one destination
+   * @param maxRecent the limit of open calls that were started a short time ago
+   */
+  CallLanes(int maxOpenEach, int maxRecent) {
+    this.maxOpenEach = maxOpenEach;
+    this.maxRecent = maxRecent;
   }
 
   void clear() {
     lanes.clear();
+    openCalls.clear();
+    recentCalls = 0;
   }
 
-  /** Returns whether a destination has as many open calls as it may have. */
-  boolean isFull(GrantDestination to) {
+  void roundStarted(long nowNanos) {
+    long recentSinceNanos = nowNanos - RECENT.toNanos();
+    recentCalls =
+        (int) openCalls.values().stream().filter(c -> c.startNanos() > recentSinceNanos).count();
+    long idleSinceNanos = nowNanos - MAX_IDLE_TIME.toNanos();
+    lanes.values().removeIf(l -> l.open == 0 && l.lastEndNanos < idleSinceNanos);
+  }
+
+  /**
+   * Returns whether one more call to a destination may be open. One that did not answer the last
+   * call gets a single call at a time.
+   */
+  boolean hasRoom(GrantDestination to) {
     Lane lane = lanes.get(to);
-    return lane != null && lane.open >= maxOpen;
+    boolean isFull = lane != null && lane.open >= (lane.failures == 0 ? maxOpenEach : 1);
+    return !isFull && recentCalls < maxRecent;
   }
 
   /** Returns whether a destination is left alone for a while, because a call had no answer. */
@@ -72,24 +104,22 @@
     return lane != null && nowNanos < lane.nextCallNanos;
   }
 
-  void started(GrantDestination to, long nowNanos) {
+  void started(long callId, GrantDestination to, long nowNanos) {
+    openCalls.put(callId, new OpenCall(to, nowNanos));
     lanes.computeIfAbsent(to, t -> new Lane(nowNanos)).open++;
+    recentCalls++;
   }
 
-  /**
-   * Records the end of a call. Calls that were open at the same time count as one failure.
-   *
-   * @param isAnswered whether the destination answered
-   * @param startNanos when the call started
-   */
-  void ended(GrantDestination to, boolean isAnswered, long startNanos, long nowNanos) {
-    Lane lane = lanes.get(to);
+  /** Records the end of a call. Calls that were open at the same time count as one failure. */
+  void ended(long callId, boolean isAnswered, long nowNanos) {
+    OpenCall call = openCalls.remove(callId);
+    Lane lane = lanes.get(call.to());
     lane.open--;
     lane.lastEndNanos = nowNanos;
     if (isAnswered) {
       lane.answered();
     } else {
-      lane.failed(startNanos, nowNanos);
+      lane.failed(call.startNanos(), nowNanos);
     }
   }
 
@@ -99,9 +129,4 @@
         .filter(e -> e.getValue().failures >= count)
         .map(Map.Entry::getKey);
   }
-
-  void removeIdle(long nowNanos) {
-    long idleSinceNanos = nowNanos - MAX_IDLE_TIME.toNanos();
-    lanes.values().removeIf(l -> l.open == 0 && l.lastEndNanos < idleSinceNanos);
-  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -23,6 +23,13 @@
 public final class RangeCoordinator {
   private static final Duration PLAN_INTERVAL = Duration.ofMillis(500);
   private static final Duration REPLAN_DELAY = Duration.ofMillis(50);
+
+  /**
+   * The least time between two plans, for each range of the map. Each version of the map is sent to
+   * every host.
+   */
+  private static final Duration MIN_PLAN_INTERVAL_PER_RANGE = Duration.ofNanos(250_000);
+
   private static final Duration READ_RETRY_DELAY = Duration.ofMillis(200);
 
   /** An upstream's clock may run 2 % slow; the rest covers the rate of the local clock. */
@@ -48,6 +55,7 @@
   private boolean mustRead;
   private boolean storeFailing;
   private long nextPlanNanos;
+  private long earliestPlanNanos;
   private long nextReadNanos;
   private long lastCallId;
 
@@ -104,6 +112,7 @@
     active = true;
     mustRead = true;
     nextReadNanos = nowNanos;
+    earliestPlanNanos = nowNanos;
   }
 
   /**
@@ -248,9 +257,11 @@
       storeCallInFlight = true;
       return Optional.of(new RangeAction.ReadMap());
     }
-    if (nowNanos < nextPlanNanos || map.isEmpty() || storeFailing) {
+    if (!isPlanDue(nowNanos) || map.isEmpty() || storeFailing) {
       return Optional.empty();
     }
+    Duration minInterval = MIN_PLAN_INTERVAL_PER_RANGE.multipliedBy(assignmentStates.size());
+    earliestPlanNanos = nowNanos + minInterval.toNanos();
     nextPlanNanos = nowNanos + PLAN_INTERVAL.toNanos();
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
@@ -272,6 +283,10 @@
     return Optional.of(new RangeAction.WriteMap(next.map(), mapVersion, next.reasons()));
   }
 
+  private boolean isPlanDue(long nowNanos) {
+    return nowNanos >= nextPlanNanos && nowNanos >= earliestPlanNanos;
+  }
+
   /** Only keys with a granted holder may move, so that no key takes part in two moves at a time. */
   private boolean isMovable(RangeAssignment assignment) {
     return !assignment.isMoving()
@@ -316,8 +331,11 @@
         .pendingReleases()
         .forEach(
             (holder, release) -> {
+              if (!release.isCallDue(nowNanos)) {
+                return;
+              }
               holds.expiryNanos(holder.destination(), range).ifPresent(release::holdKnown);
-              if (release.isCallDue(nowNanos) && mustRelease(holder, range, nowNanos)) {
+              if (mustRelease(holder, range, nowNanos)) {
                 due.add(new DueCall.DueRelease(state, holder));
               }
             });
@@ -392,7 +410,7 @@
     if (call == null) {
       return;
     }
-    admission.ended(callId, isAnswered(result), nowNanos);
+    admission.ended(callId, call instanceof Call.GrantCall, isAnswered(result), nowNanos);
     switch (call) {
       case Call.GrantCall grant -> grantEnded(callId, grant, result, nowNanos);
       case Call.ReleaseCall release -> releaseEnded(callId, release, result, nowNanos);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -43,7 +43,7 @@
   private static final Duration COORDINATOR_TICK_INTERVAL = Duration.ofMillis(50);
 
   /** While grants or releases wait for the end of others. */
-  private static final Duration BACKLOGGED_TICK_INTERVAL = Duration.ofMillis(10);
+  private static final Duration BACKLOGGED_TICK_INTERVAL = Duration.ofMillis(20);
 
   private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
