--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantResult.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/GrantResult.java
@@ -32,4 +32,15 @@
    * @param reason the reason, for logs
    */
   record Unanswered(String reason) implements GrantResult {}
+
+  /** Returns whether the upstream is known to have taken the call, whatever it answered. */
+  default boolean isAnswered() {
+    return switch (this) {
+      case Done done -> true;
+      case HolderEnded ended -> true;
+      case Outdated outdated -> true;
+      case NotSent notSent -> false;
+      case Unanswered unanswered -> false;
+    };
+  }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -21,15 +21,6 @@
  * ended, or can no longer hold the keys by its own clock. Confined to the control thread.
  */
 public final class RangeCoordinator {
-  private static final Duration PLAN_INTERVAL = Duration.ofMillis(500);
-  private static final Duration REPLAN_DELAY = Duration.ofMillis(50);
-
-  /**
-   * The least time between two plans, for each range of the map. Each version of the map is sent to
-   * every host.
-   */
-  private static final Duration MIN_PLAN_INTERVAL_PER_RANGE = Duration.ofNanos(250_000);
-
   private static final Duration READ_RETRY_DELAY = Duration.ofMillis(200);
 
   /** An upstream's clock may run 2 % slow; the rest covers the rate of the local clock. */
@@ -45,6 +36,7 @@
   private final FormerHolders formerHolders = new FormerHolders();
   private final Map<Long, Call> calls = new HashMap<>();
   private final CallAdmission admission = new CallAdmission();
+  private final PlanSchedule schedule = new PlanSchedule();
 
   private AssignmentStates assignmentStates = AssignmentStates.none();
   private Optional<RangeMap> map = Optional.empty();
@@ -54,8 +46,6 @@
   private boolean storeCallInFlight;
   private boolean mustRead;
   private boolean storeFailing;
-  private long nextPlanNanos;
-  private long earliestPlanNanos;
   private long nextReadNanos;
   private long lastCallId;
 
@@ -112,7 +102,6 @@
     active = true;
     mustRead = true;
     nextReadNanos = nowNanos;
-    earliestPlanNanos = nowNanos;
   }
 
   /**
@@ -145,7 +134,7 @@
     mapBeingWritten = Optional.empty();
     mapVersion = version;
     applyMap(read, nowNanos);
-    nextPlanNanos = nowNanos;
+    schedule.mapRead(nowNanos);
   }
 
   /**
@@ -257,12 +246,10 @@
       storeCallInFlight = true;
       return Optional.of(new RangeAction.ReadMap());
     }
-    if (!isPlanDue(nowNanos) || map.isEmpty() || storeFailing) {
+    if (!schedule.isDue(nowNanos) || map.isEmpty() || storeFailing) {
       return Optional.empty();
     }
-    Duration minInterval = MIN_PLAN_INTERVAL_PER_RANGE.multipliedBy(assignmentStates.size());
-    earliestPlanNanos = nowNanos + minInterval.toNanos();
-    nextPlanNanos = nowNanos + PLAN_INTERVAL.toNanos();
+    schedule.planned(assignmentStates.size(), nowNanos);
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
     formerHolders.removeExpired(nowNanos);
@@ -283,10 +270,6 @@
     return Optional.of(new RangeAction.WriteMap(next.map(), mapVersion, next.reasons()));
   }
 
-  private boolean isPlanDue(long nowNanos) {
-    return nowNanos >= nextPlanNanos && nowNanos >= earliestPlanNanos;
-  }
-
   /** Only keys with a granted holder may move, so that no key takes part in two moves at a time. */
   private boolean isMovable(RangeAssignment assignment) {
     return !assignment.isMoving()
@@ -410,23 +393,13 @@
     if (call == null) {
       return;
     }
-    admission.ended(callId, call instanceof Call.GrantCall, isAnswered(result), nowNanos);
+    admission.ended(callId, call instanceof Call.GrantCall, result.isAnswered(), nowNanos);
     switch (call) {
       case Call.GrantCall grant -> grantEnded(callId, grant, result, nowNanos);
       case Call.ReleaseCall release -> releaseEnded(callId, release, result, nowNanos);
     }
   }
 
-  private static boolean isAnswered(GrantResult result) {
-    return switch (result) {
-      case GrantResult.Done done -> true;
-      case GrantResult.HolderEnded ended -> true;
-      case GrantResult.Outdated outdated -> true;
-      case GrantResult.NotSent notSent -> false;
-      case GrantResult.Unanswered unanswered -> false;
-    };
-  }
-
   private void grantEnded(long callId, Call.GrantCall call, GrantResult result, long nowNanos) {
     AssignmentState state = call.state();
     GrantDestination destination = state.assignment().holder().destination();
@@ -438,7 +411,7 @@
     switch (result) {
       case GrantResult.Done done -> {
         if (state.assignment().isMoving() && !state.isGranted()) {
-          nextPlanNanos = Math.min(nextPlanNanos, nowNanos + REPLAN_DELAY.toNanos());
+          schedule.moveEnded(nowNanos);
         }
         Duration renewAfter = renewals.interval(assignmentStates.size());
         state.grantDone(
@@ -476,7 +449,7 @@
 
   /** Plans again as soon as possible, because upstreams joined, left or changed. */
   public void replanNow() {
-    nextPlanNanos = Long.MIN_VALUE;
+    schedule.upstreamsChanged();
   }
 
   /** Returns the upstreams that answer no grants although their records are current. */
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCountTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RangeCountTest.java
@@ -6,18 +6,12 @@
 import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
-import org.catkinlift.model.NetworkAddress;
-import org.catkinlift.model.ServiceName;
-import org.catkinlift.model.UpstreamId;
-import org.catkinlift.model.ZoneName;
-import org.catkinlift.upstreams.UpstreamRecord;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against so many ranges that no host can renew their grants before they expire. */
 final class RangeCountTest {
   private static final int ROUNDS = 60;
-  private static final int SLOTS = 4;
   private static final double OVERLOAD = 1.5;
 
   /** What a host of 0.3 cores renews in the longest grant, less a call that fails and its retry. */
@@ -26,25 +20,12 @@
   private final KeyLoad load = new KeyLoad(Duration.ofSeconds(2), 0);
   private long nowNanos;
 
-  private static Candidate candidate(int number) {
-    var upstream =
-        UpstreamRecord.builder()
-            .id(UpstreamId.of("u-" + number))
-            .startedMillis(1)
-            .service(ServiceName.of("desk"))
-            .address(NetworkAddress.of("10.0." + number / 250 + "." + (number % 250 + 1), 80))
-            .zone(ZoneName.of("z"))
-            .concurrencyLimit(SLOTS)
-            .build();
-    return new Candidate(upstream, SLOTS, true);
-  }
-
   @ParameterizedTest
   @ValueSource(ints = {98, 195, 390})
   void overloadMakesNoMoreRangesThanCanBeRenewed(int upstreams) {
     ImmutableList<Candidate> candidates =
         IntStream.range(0, upstreams)
-            .mapToObj(RangeCountTest::candidate)
+            .mapToObj(i -> TestCandidates.candidate(i, 1))
             .collect(ImmutableList.toImmutableList());
     var random = new SplittableRandom(upstreams);
     RangeMap map = RangeMap.EMPTY;
@@ -65,7 +46,7 @@
     nowNanos += Duration.ofMillis(500).toNanos();
     load.decay(nowNanos);
     int busyKeys = 2 * upstreams;
-    double each = OVERLOAD * upstreams * SLOTS / busyKeys;
+    double each = OVERLOAD * upstreams * TestCandidates.SLOTS / busyKeys;
     random.ints(busyKeys, 0, KeyRange.KEY_COUNT).forEach(key -> load.add(key, each / 2));
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartedFleet.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartedFleet.java
@@ -8,12 +8,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
-import org.catkinlift.model.NetworkAddress;
-import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
-import org.catkinlift.model.ZoneName;
 import org.catkinlift.timer.VirtualTimerService;
-import org.catkinlift.upstreams.UpstreamRecord;
 
 /**
  * A deployment after a restart of all its hosts, on virtual time: the store has a map, no upstream
@@ -68,7 +64,7 @@
   RestartedFleet(int upstreams, int rangesEach, int silentUpstreams) {
     candidates =
         IntStream.range(0, upstreams)
-            .mapToObj(i -> candidate(i, 1))
+            .mapToObj(i -> TestCandidates.candidate(i, 1))
             .collect(ImmutableList.toImmutableList());
     silent =
         candidates.stream()
@@ -80,19 +76,6 @@
     scheduleRound(TICK_INTERVAL);
   }
 
-  private static Candidate candidate(int number, long startedMillis) {
-    var upstream =
-        UpstreamRecord.builder()
-            .id(UpstreamId.of("u-" + number))
-            .startedMillis(startedMillis)
-            .service(ServiceName.of("desk"))
-            .address(NetworkAddress.of("10.0." + number / 250 + "." + (number % 250 + 1), 80))
-            .zone(ZoneName.of("z"))
-            .concurrencyLimit(4)
-            .build();
-    return new Candidate(upstream, upstream.concurrencyLimit(), true);
-  }
-
   private static RangeMap mapOf(ImmutableList<Candidate> candidates, int ranges) {
     ImmutableList.Builder<RangeAssignment> assignments = ImmutableList.builder();
     for (int i = 0; i < ranges; i++) {
@@ -139,7 +122,8 @@
     int restarted = restarts % candidates.size();
     candidates =
         IntStream.range(0, candidates.size())
-            .mapToObj(i -> i == restarted ? candidate(i, 1 + restarts) : candidates.get(i))
+            .mapToObj(
+                i -> i == restarted ? TestCandidates.candidate(i, 1 + restarts) : candidates.get(i))
             .collect(ImmutableList.toImmutableList());
     coordinator.replanNow();
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorLoadLog.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorLoadLog.java
@@ -23,6 +23,7 @@
   private long maxGapNanos;
   private long decisionNanos;
   private int confirmed;
+  private int rejected;
   private int notSent;
   private int unanswered;
   private int writes;
@@ -59,8 +60,8 @@
   void callEnded(GrantResult result) {
     switch (result) {
       case GrantResult.Done done -> confirmed++;
-      case GrantResult.HolderEnded ended -> confirmed++;
-      case GrantResult.Outdated outdated -> confirmed++;
+      case GrantResult.HolderEnded ended -> rejected++;
+      case GrantResult.Outdated outdated -> rejected++;
       case GrantResult.NotSent failed -> notSent++;
       case GrantResult.Unanswered failed -> unanswered++;
     }
@@ -75,6 +76,7 @@
             .put("granted", progress.granted())
             .put("open", progress.openCalls())
             .put("confirmed", confirmed)
+            .put("rejected", rejected)
             .put("not_sent", notSent)
             .put("unanswered", unanswered)
             .put("writes", writes)
@@ -88,6 +90,7 @@
     maxGapNanos = 0;
     decisionNanos = 0;
     confirmed = 0;
+    rejected = 0;
     notSent = 0;
     unanswered = 0;
     writes = 0;
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/CoordinatorLoadLogTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/CoordinatorLoadLogTest.java
@@ -30,6 +30,7 @@
   @Test
   void oneLineSumsUpTheRoundsAndCallsOfASecond() throws Exception {
     loadLog.callEnded(new GrantResult.Done(Optional.empty()));
+    loadLog.callEnded(new GrantResult.Outdated());
     loadLog.callEnded(new GrantResult.NotSent("connection timed out"));
     loadLog.callEnded(new GrantResult.Unanswered("no response"));
     loadLog.mapWriteStarted();
@@ -41,7 +42,7 @@
     assertThat(lines.lines().count()).isEqualTo(1);
     assertThat(lines)
         .contains(
-            "service=desk ranges=12 granted=10 open=3 confirmed=1 not_sent=1 unanswered=1 writes=1"
+            "service=desk ranges=12 granted=10 open=3 confirmed=1 rejected=1 not_sent=1 unanswered=1 writes=1"
                 + " decision_ms=50 max_gap_ms=940");
   }
 }
