Space the plans by the bytes that all hosts get, not by the ranges alone

Change: 2.6 us for each range and host, which is the same as before with 95 hosts and nothing with 11.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/PlanSchedule.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/PlanSchedule.java
@@ -8,10 +8,10 @@
   private static final Duration DELAY_AFTER_MOVE = Duration.ofMillis(50);
 
   /**
-   * The least time between two plans, for each range of the map. Each version of the map is sent to
-   * every host.
+   * The least time between two plans, for each range of the map and each host, since every version
+   * of the map is sent to every host. A range takes 16 bytes, so this is 49 Mbit/s.
    */
-  private static final Duration MIN_INTERVAL_PER_RANGE = Duration.ofNanos(250_000);
+  private static final Duration MIN_INTERVAL_PER_RANGE_AND_HOST = Duration.ofNanos(2_600);
 
   private long nextPlanNanos;
   private long earliestPlanNanos;
@@ -26,10 +26,16 @@
     return nowNanos >= nextPlanNanos && nowNanos >= earliestPlanNanos;
   }
 
-  /** Records that a map with some number of ranges was planned. */
-  void planned(int ranges, long nowNanos) {
+  /**
+   * Records that a map was planned.
+   *
+   * @param ranges the number of its ranges
+   * @param hosts the number of hosts that it is sent to
+   */
+  void planned(int ranges, int hosts, long nowNanos) {
+    Duration minInterval = MIN_INTERVAL_PER_RANGE_AND_HOST.multipliedBy(ranges).multipliedBy(hosts);
     nextPlanNanos = nowNanos + INTERVAL.toNanos();
-    earliestPlanNanos = nowNanos + MIN_INTERVAL_PER_RANGE.multipliedBy(ranges).toNanos();
+    earliestPlanNanos = nowNanos + minInterval.toNanos();
   }
 
   /** Records that keys have their new holder; a plan follows soon, so that others may move. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -48,6 +48,7 @@
   private boolean storeFailing;
   private long nextReadNanos;
   private long lastCallId;
+  private int hosts = 1;
 
   /** A grant or release that was sent and has no result yet. */
   private sealed interface Call {
@@ -104,6 +105,11 @@
     nextReadNanos = nowNanos;
   }
 
+  /** Sets the number of hosts that each version of the map is sent to. */
+  public void setHosts(int count) {
+    hosts = count;
+  }
+
   /**
    * Sets whether the store is failing. While it is, grants are renewed for the longest duration, so
    * that they outlast an outage.
@@ -249,7 +255,7 @@
     if (!schedule.isDue(nowNanos) || map.isEmpty() || storeFailing) {
       return Optional.empty();
     }
-    schedule.planned(assignmentStates.size(), nowNanos);
+    schedule.planned(assignmentStates.size(), hosts, nowNanos);
     load.decay(nowNanos);
     holds.removeExpired(nowNanos);
     formerHolders.removeExpired(nowNanos);
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartedFleet.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RestartedFleet.java
@@ -29,6 +29,7 @@
   /** The role lasts 1.8 s and is renewed every 0.6 s. */
   private static final Duration MAX_ROUND_DELAY = Duration.ofMillis(1_200);
 
+  private static final int HOSTS = 95;
   private static final Duration TIME_WITHOUT_ROLE = Duration.ofSeconds(2);
 
   /** Processor time on a host of 0.3 cores. */
@@ -92,6 +93,7 @@
   private void takeRole() {
     rolesTaken++;
     coordinator = new RangeCoordinator(MAX_GRANT_DURATION, load);
+    coordinator.setHosts(HOSTS);
     coordinator.start(timers.nowNanos());
     lastRoundNanos = timers.nowNanos();
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -274,7 +274,12 @@
     }
     if (role.isHeld()) {
       keyedServices.setStoreFailing(lease.isStoreFailing(), now.nanos());
-      keyedServices.tick(configuration, directory.entries(), lease.claimVersion(), now.nanos());
+      keyedServices.tick(
+          configuration,
+          directory.entries(),
+          reporters.daemonCount(now.nanos()),
+          lease.claimVersion(),
+          now.nanos());
       if (loadReporter.isStronger(reporters.maxCpuCapacity())) {
         role.yieldToStronger(now.nanos());
       }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -144,6 +144,7 @@
   void tick(
       RouteConfiguration configuration,
       ImmutableList<UpstreamDirectory.Entry> upstreams,
+      int hosts,
       long claimVersion,
       long nowNanos) {
     for (ServiceProfile service : configuration.services().values()) {
@@ -169,6 +170,7 @@
         (service, coordinator) -> {
           ImmutableList<Candidate> candidates =
               candidates(service, coordinator, upstreams, nowNanos);
+          coordinator.setHosts(hosts);
           for (RangeAction action : coordinator.tick(candidates, nowNanos)) {
             execute(service, coordinator, action, claimVersion);
           }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
@@ -40,6 +40,7 @@
 final class KeyedServicesTest {
   private static final ServiceName SERVICE = ServiceName.of("desk");
   private static final long CLAIM_VERSION = 1;
+  private static final int HOSTS = 1;
   private static final Duration TICK_INTERVAL = Duration.ofMillis(600);
   private static final int TICKS_TO_FIRST_GRANT = 4;
 
@@ -135,7 +136,7 @@
 
   private void tick() {
     nowNanos += TICK_INTERVAL.toNanos();
-    services.tick(CONFIGURATION, UPSTREAMS, CLAIM_VERSION, nowNanos);
+    services.tick(CONFIGURATION, UPSTREAMS, HOSTS, CLAIM_VERSION, nowNanos);
   }
 
   private BooleanSupplier conditionOfFirstGrant() {
