Split request acceptance, upstream routing and events from the reverse proxy

ReverseProxy and ProxyExchange held the acceptance of a request, the choice of its upstream and the event log together, so that tenants, quotas and bodies would all change the same two files. Each now has a class of its own. Adds the types that these parts share: TenantName, Tenant, Quota and the decision of QuotaLimiter, which grants every request so far.

--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/package-info.java
@@ -0,0 +1,2 @@
+/** Request quotas of tenants, kept over all daemons together. */
+package org.catkinlift.quotas;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -219,7 +219,7 @@
    * request cannot be determined.
    */
   private void reject(HttpResponseStatus status, String reason) {
-    proxy.malformedRequest(status.code(), reason);
+    proxy.events().malformedRequest(status.code(), reason);
     if (body != null) {
       body.release();
       body = null;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -16,7 +16,6 @@
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
-import org.catkinlift.ranges.KeyRange;
 import org.catkinlift.retries.AttemptHistory;
 import org.catkinlift.routes.RequestKind;
 import org.catkinlift.routes.Route;
@@ -32,9 +31,6 @@
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int BAD_GATEWAY = 502;
-  static final int NO_KEY = -1;
-
-  private static final int NOT_FOUND = 404;
   private static final int BAD_REQUEST = 400;
   private static final int MISDIRECTED = 421;
   private static final int SERVER_ERROR_CLASS = 5;
@@ -51,7 +47,6 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(25);
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(400);
   private static final Duration RETRY_AFTER_STOPPING = Duration.ofMillis(20);
-  private static final Duration RETRY_AFTER_NO_CONFIGURATION = Duration.ofMillis(300);
 
   /** The maximum time that a request waits while its key is handed over to another upstream. */
   private static final Duration MAX_HANDOVER_WAIT = Duration.ofMillis(700);
@@ -74,7 +69,7 @@
   private AttemptHistory attempts = AttemptHistory.NONE;
   private Route route;
   private ServiceName service;
-  private int key = NO_KEY;
+  private int key = RequestAcceptance.NO_KEY;
   private Urgency urgency;
   private State state = State.SELECTING_UPSTREAM;
   private UpstreamPool pool;
@@ -129,22 +124,17 @@
 
   /** Finds the route and selects the first upstream. */
   void start() {
-    TrafficSnapshot snapshot = proxy.snapshot();
-    if (!snapshot.configuration().isKnown()) {
-      refuse("no configuration", RETRY_AFTER_NO_CONFIGURATION);
-      return;
-    }
-    Optional<Route> found = snapshot.routes().find(request.host(), request.path());
-    if (found.isEmpty()) {
-      respond(NOT_FOUND, "no route", Optional.empty());
-      return;
-    }
-    route = found.get();
-    service = proxy.selectService(route);
-    if (!readKey(snapshot)) {
-      respond(BAD_REQUEST, "no key", Optional.empty());
-      return;
+    switch (proxy.accept(request)) {
+      case RequestAcceptance.Refused refused ->
+          respond(refused.status(), refused.reason(), refused.retryAfter());
+      case RequestAcceptance.Accepted accepted -> accepted(accepted);
     }
+  }
+
+  private void accepted(RequestAcceptance.Accepted accepted) {
+    route = accepted.route();
+    service = accepted.service();
+    key = accepted.key();
     long timeout = route.timeout().toNanos();
     long callerDeadline =
         request.deadlineMillis().isPresent()
@@ -161,20 +151,6 @@
     selectUpstream();
   }
 
-  private boolean readKey(TrafficSnapshot snapshot) {
-    if (!proxy.isKeyed(snapshot, service)) {
-      return true;
-    }
-    String text = request.headers().get(proxy.settings().headers().key());
-    try {
-      key = text == null ? NO_KEY : Integer.parseInt(text.trim());
-    } catch (NumberFormatException e) {
-      // Rejected with status 400, like a missing key.
-      key = NO_KEY;
-    }
-    return key >= 0 && key < KeyRange.KEY_COUNT;
-  }
-
   private void selectUpstream() {
     if (state == State.ENDED) {
       return;
@@ -306,7 +282,7 @@
     lastFailure = reason;
     attempts = attempts.outcomeUnknown();
     pool.requestFailed();
-    proxy.upstreamFailed(pool.upstream(), "answer", reason);
+    proxy.events().upstreamFailed(pool.upstream(), "answer", reason);
     relay.detach();
     if (relay.isStreaming() && !slot.discardUnsent()) {
       breakOff("broken off", BAD_GATEWAY);
@@ -329,7 +305,7 @@
       return;
     }
     if (reachedUpstream) {
-      proxy.requestRetried(this, pool.upstream(), lastFailure);
+      proxy.events().requestRetried(this, pool.upstream(), lastFailure);
     }
     state = State.SELECTING_UPSTREAM;
     if (delay.isZero()) {
@@ -435,7 +411,7 @@
       pool.upstreamFull();
       pool.requestFailed();
     }
-    proxy.upstreamRefused(this, pool.upstream(), status);
+    proxy.events().upstreamRefused(this, pool.upstream(), status);
     if (status == BAD_REQUEST) {
       respond(BAD_REQUEST, lastFailure, Optional.empty());
       return;
@@ -445,7 +421,7 @@
       return;
     }
     // Another upstream of a shared service may have room at once; a key has one holder only.
-    retry(key == NO_KEY ? Duration.ZERO : RETRY_DELAY, true);
+    retry(key == RequestAcceptance.NO_KEY ? Duration.ZERO : RETRY_DELAY, true);
   }
 
   /** Refuses a request whose key has moved to a holder that only other daemons know so far. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -18,8 +18,6 @@
 import org.catkinlift.admission.ServiceRetryBudget;
 import org.catkinlift.admission.ShutdownWindow;
 import org.catkinlift.admission.UpstreamSelector;
-import org.catkinlift.admission.ZonePreference;
-import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.metrics.GatewayMetrics;
 import org.catkinlift.gateway.peer.LoadReport;
@@ -27,11 +25,8 @@
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
-import org.catkinlift.ranges.RangeAssignment;
-import org.catkinlift.ranges.RangeMap;
-import org.catkinlift.routes.Route;
+import org.catkinlift.quotas.QuotaLimiter;
 import org.catkinlift.routes.ServiceProfile;
-import org.catkinlift.routes.WeightedTargetSelector;
 import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
 
@@ -54,12 +49,12 @@
   private final EventLoop loop;
   private final TimerService timers;
   private final GatewaySettings settings;
-  private final EventLog log;
   private final GatewayMetrics metrics;
+  private final TrafficEvents events;
   private final SplittableRandom random;
-  private final UpstreamSelector upstreamSelector;
+  private final UpstreamRouting routing;
+  private final RequestAcceptor acceptor;
   private final ImmutableSet<String> overwrittenHeaders;
-  private final WeightedTargetSelector targetSelector = new WeightedTargetSelector();
   private final Map<UpstreamId, UpstreamPool> pools = new HashMap<>();
   private final Map<ServiceName, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final TrafficMeasurements measurements = new TrafficMeasurements();
@@ -91,10 +86,13 @@
     this.loop = loop;
     this.timers = timers;
     this.settings = settings;
-    this.log = log;
     this.metrics = metrics;
+    this.events = new TrafficEvents(log, metrics);
     this.random = random;
-    this.upstreamSelector = new UpstreamSelector(random.split());
+    this.routing =
+        new UpstreamRouting(
+            settings.zone(), pools, measurements, new UpstreamSelector(random.split()));
+    this.acceptor = new RequestAcceptor(settings.headers(), new QuotaLimiter());
     HeaderNames names = settings.headers();
     this.overwrittenHeaders = ImmutableSet.of(names.deadlineMillis(), names.expectedUpstream());
     timers.every(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
@@ -192,82 +190,7 @@
 
   /** Selects the upstream for a request. */
   UpstreamChoice selectUpstream(ProxyExchange exchange) {
-    return isKeyed(snapshot, exchange.service())
-        ? selectOwner(exchange)
-        : selectLeastLoaded(exchange);
-  }
-
-  boolean isKeyed(TrafficSnapshot current, ServiceName service) {
-    ServiceProfile profile = current.configuration().services().get(service);
-    return profile != null && profile.keyed();
-  }
-
-  private UpstreamChoice selectOwner(ProxyExchange exchange) {
-    RangeMap map = snapshot.rangeMaps().get(exchange.service());
-    Optional<RangeAssignment> assignment =
-        map == null ? Optional.empty() : map.find(exchange.key());
-    if (assignment.isEmpty()) {
-      return new UpstreamChoice.Unavailable("keys were never assigned");
-    }
-    if (assignment.get().isMoving()) {
-      return isHandoverImminent(assignment.get())
-          ? new UpstreamChoice.HandoverPending()
-          : new UpstreamChoice.Unavailable("keys are still held elsewhere");
-    }
-    UpstreamView view = snapshot.upstreams().get(assignment.get().holder().upstream());
-    UpstreamPool pool = pools.get(assignment.get().holder().upstream());
-    if (view == null || pool == null) {
-      return new UpstreamChoice.Unavailable("owner has left");
-    }
-    boolean sameIncarnation =
-        view.upstream().startedMillis() == assignment.get().holder().startedMillis();
-    if (!sameIncarnation || !view.mayServeHeldKeys(System.nanoTime())) {
-      return new UpstreamChoice.HandoverPending();
-    }
-    return new UpstreamChoice.Selected(pool);
-  }
-
-  /**
-   * Returns whether all previous holders are listed and responsive, so that they can be expected to
-   * answer the release of their keys soon.
-   */
-  private boolean isHandoverImminent(RangeAssignment assignment) {
-    return assignment.previousHolders().stream()
-        .allMatch(
-            holder -> {
-              UpstreamView view = snapshot.upstreams().get(holder.upstream());
-              return view != null
-                  && view.upstream().startedMillis() == holder.startedMillis()
-                  && !pools.get(holder.upstream()).isSuspect(System.nanoTime());
-            });
-  }
-
-  private UpstreamChoice selectLeastLoaded(ProxyExchange exchange) {
-    long now = System.nanoTime();
-    long zoneMarginNanos =
-        ZonePreference.marginNanos(
-            exchange.route().targetLatency(), measurements.typicalResponseBytes(exchange.route()));
-    ImmutableSet<UpstreamId> possibleExecutors = exchange.possibleExecutors();
-    List<UpstreamSelector.Candidate<UpstreamPool>> preferred = new ArrayList<>();
-    List<UpstreamSelector.Candidate<UpstreamPool>> fallback = new ArrayList<>();
-    for (UpstreamView view : snapshot.upstreams().values()) {
-      UpstreamRecord upstream = view.upstream();
-      if (!upstream.service().equals(exchange.service()) || !view.acceptsNewWork()) {
-        continue;
-      }
-      UpstreamPool pool = pools.get(upstream.id());
-      boolean sameZone = upstream.zone().equals(settings.zone());
-      var candidate =
-          new UpstreamSelector.Candidate<>(
-              pool, pool.expectedNanos(now), sameZone, pool.hasIdleConnection(now));
-      boolean avoid =
-          pool.isSuspect(now) || pool.isCold(now) || possibleExecutors.contains(upstream.id());
-      (avoid ? fallback : preferred).add(candidate);
-    }
-    return upstreamSelector
-        .choose(preferred.isEmpty() ? fallback : preferred, zoneMarginNanos)
-        .<UpstreamChoice>map(UpstreamChoice.Selected::new)
-        .orElseGet(() -> new UpstreamChoice.Unavailable("no upstream"));
+    return routing.select(snapshot, exchange);
   }
 
   void awaitHandover(ProxyExchange exchange, long maxWaitNanos) {
@@ -281,8 +204,9 @@
         });
   }
 
-  ServiceName selectService(Route route) {
-    return targetSelector.next(route);
+  /** Decides whether a request is accepted, and by which route and service. */
+  RequestAcceptance accept(CallerRequest request) {
+    return acceptor.accept(snapshot, request, System.nanoTime());
   }
 
   /** Records a new request and its expected work. */
@@ -308,76 +232,13 @@
     return retryBudget(service).tryAcquire(retriesPerWindow, System.nanoTime());
   }
 
-  /** Records the end of a request in metrics and the event log. */
+  /** Records the end of a request. */
   void requestEnded(
       ProxyExchange exchange, UpstreamPool pool, int status, String reason, int tries) {
-    long durationNanos = System.nanoTime() - exchange.request().receivedNanos();
-    String route = exchange.route() == null ? "none" : exchange.route().name();
     if (exchange.urgency() != null) {
       requestsInProgress--;
     }
-    metrics.requestEnded(route, status, durationNanos);
-    EventCode code =
-        switch (status / 100) {
-          case 2 -> EventCode.REQUEST_ANSWERED;
-          case 0 -> EventCode.REQUEST_CANCELLED;
-          case 5 -> status == 503 ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_UNKNOWN;
-          default -> EventCode.REQUEST_REFUSED;
-        };
-    ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
-    fields.put("request", exchange.request().id()).put("route", route).put("status", status);
-    fields.put("took_ms", durationNanos / 1_000_000).put("tries", tries).put("reason", reason);
-    if (exchange.key() != ProxyExchange.NO_KEY) {
-      fields.put("key", exchange.key());
-    }
-    if (pool != null) {
-      fields.put("upstream", pool.upstream().id()).put("queue", pool.queued());
-    }
-    fields.put("configuration", snapshot.configuration().version());
-    log.log(code, fields.buildOrThrow());
-  }
-
-  /** Records that another attempt follows one that reached an upstream in vain. */
-  void requestRetried(ProxyExchange exchange, UpstreamRecord upstream, String reason) {
-    ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
-    fields.put("request", exchange.request().id()).put("upstream", upstream.id());
-    if (exchange.key() != ProxyExchange.NO_KEY) {
-      fields.put("key", exchange.key());
-    }
-    log.log(EventCode.REQUEST_RETRIED, fields.put("reason", reason).buildOrThrow());
-  }
-
-  void malformedRequest(int status, String reason) {
-    metrics.requestEnded("malformed", status, 0);
-    log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("status", status, "reason", reason));
-  }
-
-  void upstreamFailed(UpstreamRecord upstream, String phase, String reason) {
-    metrics.upstreamFailed(upstream.service(), phase);
-    log.log(
-        EventCode.UPSTREAM_FAILED,
-        ImmutableMap.of("upstream", upstream.id(), "during", phase, "reason", reason));
-  }
-
-  void unexpectedBytes(UpstreamRecord upstream, String reason, String requestId) {
-    metrics.upstreamFailed(upstream.service(), "bytes");
-    log.log(
-        EventCode.UNEXPECTED_BYTES,
-        ImmutableMap.of("upstream", upstream.id(), "reason", reason, "request", requestId));
-  }
-
-  void upstreamRefused(ProxyExchange exchange, UpstreamRecord upstream, int status) {
-    metrics.upstreamFailed(upstream.service(), "refused-" + status);
-    log.log(
-        EventCode.UPSTREAM_REFUSED,
-        ImmutableMap.of(
-            "request", exchange.request().id(), "upstream", upstream.id(), "status", status));
-  }
-
-  void responseMismatched(UpstreamRecord upstream, String receivedId, String expectedId) {
-    log.log(
-        EventCode.ANSWER_DROPPED,
-        ImmutableMap.of("upstream", upstream.id(), "answer_to", receivedId, "request", expectedId));
+    events.requestEnded(exchange, pool, status, reason, tries, snapshot.configuration().version());
   }
 
   private void closeExpiredConnections() {
@@ -403,6 +264,10 @@
     return requestsInProgress;
   }
 
+  TrafficEvents events() {
+    return events;
+  }
+
   TrafficMeasurements measurements() {
     return measurements;
   }
--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
@@ -0,0 +1,95 @@
+package org.catkinlift.gateway.traffic;
+
+import com.google.common.collect.ImmutableMap;
+import org.catkinlift.events.EventCode;
+import org.catkinlift.gateway.logging.EventLog;
+import org.catkinlift.gateway.metrics.GatewayMetrics;
+import org.catkinlift.upstreams.UpstreamRecord;
+
+/**
+ * Records what happens to requests and connections in the event log and the metrics. Confined to
+ * the traffic thread.
+ */
+final class TrafficEvents {
+  private final EventLog log;
+  private final GatewayMetrics metrics;
+
+  TrafficEvents(EventLog log, GatewayMetrics metrics) {
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Records the end of a request in metrics and the event log. */
+  void requestEnded(
+      ProxyExchange exchange,
+      UpstreamPool pool,
+      int status,
+      String reason,
+      int tries,
+      long configurationVersion) {
+    long durationNanos = System.nanoTime() - exchange.request().receivedNanos();
+    String route = exchange.route() == null ? "none" : exchange.route().name();
+    metrics.requestEnded(route, status, durationNanos);
+    EventCode code =
+        switch (status / 100) {
+          case 2 -> EventCode.REQUEST_ANSWERED;
+          case 0 -> EventCode.REQUEST_CANCELLED;
+          case 5 -> status == 503 ? EventCode.REQUEST_REFUSED : EventCode.REQUEST_UNKNOWN;
+          default -> EventCode.REQUEST_REFUSED;
+        };
+    ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
+    fields.put("request", exchange.request().id()).put("route", route).put("status", status);
+    fields.put("took_ms", durationNanos / 1_000_000).put("tries", tries).put("reason", reason);
+    if (exchange.key() != RequestAcceptance.NO_KEY) {
+      fields.put("key", exchange.key());
+    }
+    if (pool != null) {
+      fields.put("upstream", pool.upstream().id()).put("queue", pool.queued());
+    }
+    fields.put("configuration", configurationVersion);
+    log.log(code, fields.buildOrThrow());
+  }
+
+  /** Records that another attempt follows one that reached an upstream in vain. */
+  void requestRetried(ProxyExchange exchange, UpstreamRecord upstream, String reason) {
+    ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
+    fields.put("request", exchange.request().id()).put("upstream", upstream.id());
+    if (exchange.key() != RequestAcceptance.NO_KEY) {
+      fields.put("key", exchange.key());
+    }
+    log.log(EventCode.REQUEST_RETRIED, fields.put("reason", reason).buildOrThrow());
+  }
+
+  void malformedRequest(int status, String reason) {
+    metrics.requestEnded("malformed", status, 0);
+    log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("status", status, "reason", reason));
+  }
+
+  void upstreamFailed(UpstreamRecord upstream, String phase, String reason) {
+    metrics.upstreamFailed(upstream.service(), phase);
+    log.log(
+        EventCode.UPSTREAM_FAILED,
+        ImmutableMap.of("upstream", upstream.id(), "during", phase, "reason", reason));
+  }
+
+  void unexpectedBytes(UpstreamRecord upstream, String reason, String requestId) {
+    metrics.upstreamFailed(upstream.service(), "bytes");
+    log.log(
+        EventCode.UNEXPECTED_BYTES,
+        ImmutableMap.of("upstream", upstream.id(), "reason", reason, "request", requestId));
+  }
+
+  void upstreamRefused(ProxyExchange exchange, UpstreamRecord upstream, int status) {
+    metrics.upstreamFailed(upstream.service(), "refused-" + status);
+    log.log(
+        EventCode.UPSTREAM_REFUSED,
+        ImmutableMap.of(
+            "request", exchange.request().id(), "upstream", upstream.id(), "status", status));
+  }
+
+  void responseMismatched(UpstreamRecord upstream, String receivedId, String expectedId) {
+    log.log(
+        EventCode.ANSWER_DROPPED,
+        ImmutableMap.of("upstream", upstream.id(), "answer_to", receivedId, "request", expectedId));
+  }
+}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
@@ -29,7 +29,7 @@
 
   /** Records the expected work of a keyed request. */
   void recordRequest(ProxyExchange exchange) {
-    if (exchange.key() != ProxyExchange.NO_KEY) {
+    if (exchange.key() != RequestAcceptance.NO_KEY) {
       double expectedSeconds = routeTime(exchange.route()).expectedNanos() / NANOS_PER_SECOND;
       keyWork.add(
           new LoadReport.KeyWork(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficSnapshot.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficSnapshot.java
@@ -7,6 +7,7 @@
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
 import org.catkinlift.routes.RouteTable;
+import org.catkinlift.routes.ServiceProfile;
 
 /**
  * The routing state that the control thread publishes to the traffic thread.
@@ -31,4 +32,14 @@
           ImmutableMap.of(),
           ImmutableMap.of(),
           1);
+
+  /**
+   * Returns whether the upstreams of a service own ranges of keys.
+   *
+   * @param service the service
+   */
+  public boolean isKeyed(ServiceName service) {
+    ServiceProfile profile = configuration.services().get(service);
+    return profile != null && profile.keyed();
+  }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -305,7 +305,7 @@
     long backoffNanos = MIN_CONNECT_BACKOFF.toNanos() << Math.min(connectFailures - 1, 3);
     connectBackoffUntilNanos =
         System.nanoTime() + Math.min(backoffNanos, MAX_CONNECT_BACKOFF.toNanos());
-    proxy.upstreamFailed(upstream, "connect", String.valueOf(cause.getMessage()));
+    proxy.events().upstreamFailed(upstream, "connect", String.valueOf(cause.getMessage()));
     if (exchange.isConnecting(this)) {
       exchange.notSent("connect failed");
     }
@@ -354,7 +354,7 @@
   }
 
   void responseMismatched(String receivedId, ProxyExchange exchange) {
-    proxy.responseMismatched(upstream, receivedId, exchange.request().id());
+    proxy.events().responseMismatched(upstream, receivedId, exchange.request().id());
   }
 
   /**
@@ -363,7 +363,9 @@
    * @param exchange the request in flight, or null
    */
   void unexpectedBytes(String reason, ProxyExchange exchange) {
-    proxy.unexpectedBytes(upstream, reason, exchange == null ? "none" : exchange.request().id());
+    proxy
+        .events()
+        .unexpectedBytes(upstream, reason, exchange == null ? "none" : exchange.request().id());
   }
 
   /** Records that the request on a connection has ended. */
