Treat a response with an impossible status as malformed

An upstream in trouble answered with status 000, and the caller got it as the answer. With the not-executed marker such a response counted as a refusal, so that a non-idempotent request was sent again; a call to the store or a grant counted as refused although it may have been carried out. Both daemons now take a status outside 100 to 599 for bytes that are no response.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ShortExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ShortExchange.java
@@ -13,6 +13,9 @@
  * bound, the request is reset, which closes its connection.
  */
 public final class ShortExchange {
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_STATUS = 599;
+
   private ShortExchange() {}
 
   /**
@@ -45,8 +48,8 @@
   }
 
   private static Future<Response> read(HttpClientResponse response, int maxBodyBytes) {
-    if (isInformational(response)) {
-      return Future.failedFuture("informational response");
+    if (!isFinal(response)) {
+      return Future.failedFuture("no final response: status " + response.statusCode());
     }
     Promise<Response> result = Promise.promise();
     Buffer body = Buffer.buffer();
@@ -65,13 +68,14 @@
   }
 
   /**
-   * Returns whether a response is informational. The client takes some of these for the response.
+   * Returns whether a response has the status of a final response. The client takes some
+   * informational responses for the final one, and any three digits for a status.
    *
    * @param response the response
-   * @return whether its status is 1xx
+   * @return whether its status is from 200 to 599
    */
-  public static boolean isInformational(HttpClientResponse response) {
-    return response.statusCode() / 100 == 1;
+  public static boolean isFinal(HttpClientResponse response) {
+    return response.statusCode() >= MIN_FINAL_STATUS && response.statusCode() <= MAX_STATUS;
   }
 
   /**
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamExchange.java
@@ -124,7 +124,7 @@
       return;
     }
     response = received;
-    if (ShortExchange.isInformational(received) || !worker.acceptsResponse(this, received)) {
+    if (!ShortExchange.isFinal(received) || !worker.acceptsResponse(this, received)) {
       fail(RefusalCode.CONNECTION_LOST);
       return;
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/ResponseDecoder.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/ResponseDecoder.java
@@ -1,10 +1,17 @@
 package org.catkinlift.gateway.http;
 
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** Decodes responses; a response to HEAD has no body regardless of its content length. */
+/**
+ * Decodes responses; a response to HEAD has no body regardless of its content length. Bytes that
+ * begin like a response but have a status code outside 100 to 599 are malformed.
+ */
 public final class ResponseDecoder extends HttpResponseDecoder {
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
+
   private boolean headOnly;
 
   /**
@@ -26,6 +33,16 @@
     return actualReadableBytes() > 0;
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    HttpMessage message = super.createMessage(initialLine);
+    int status = ((HttpResponse) message).status().code();
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      throw new IllegalArgumentException("status code out of range: " + status);
+    }
+    return message;
+  }
+
   @Override
   public boolean isContentAlwaysEmpty(HttpMessage message) {
     return headOnly || super.isContentAlwaysEmpty(message);
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
@@ -140,6 +140,17 @@
     }
   }
 
+  /** A call that may have been carried out would count as refused. */
+  @Test
+  void responseWithInvalidStatusIsNoAnswer() throws Exception {
+    try (var server =
+        new EndlessUpstream(
+            target -> Reply.complete("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"))) {
+      assertThat(call(server, "/a", MAX_WAIT)).isInstanceOf(CallResult.Unanswered.class);
+      awaitLogged("event=2007");
+    }
+  }
+
   /** A grant would be sent after the end of the role under which it was decided. */
   @Test
   void callIsNotSentWhenItsConditionEndsWhileConnecting() throws Exception {
