Read JSON without an ObjectMapper

Creating an ObjectMapper initializes date formats, locales and serializers that the daemon does not use: about 80 of 600 ms between the start of a process and its first answer, in the class loading log of one start. Trees are now built from the library's streaming parser.

--- /dev/null
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of JSON texts. */
+package org.catkinlift.gateway.json;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -2,13 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.Function;
+import org.catkinlift.gateway.json.JsonTrees;
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
@@ -20,8 +20,6 @@
 
 /** Reads the settings of a daemon from a JSON file. Unknown fields are ignored. */
 public final class GatewaySettingsReader {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
   private GatewaySettingsReader() {}
 
   /**
@@ -49,7 +47,7 @@
   public static GatewaySettings parse(String json) {
     JsonNode root;
     try {
-      root = MAPPER.readTree(json);
+      root = JsonTrees.parse(json);
     } catch (JsonProcessingException e) {
       throw new GatewaySettingsException(
           "settings are not valid JSON: " + e.getOriginalMessage(), e);
