Skip empty samples of traffic

The traffic thread woke the control thread every 200 ms with its measurements, also without any traffic. The versions that a report states are now read when it is sent, so that they do not depend on samples.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -166,7 +166,9 @@
 
   private void reportTraffic() {
     ReverseProxy.LoadSample sample = proxy.takeLoadSample();
-    controlLoop.execute(() -> control.trafficMeasured(sample.keyWork(), sample.workTimes()));
+    if (!sample.isEmpty()) {
+      controlLoop.execute(() -> control.trafficMeasured(sample.keyWork(), sample.workTimes()));
+    }
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
@@ -86,7 +86,8 @@
 
   /** Returns the pending report and starts a new one. */
   LoadReport takeReport() {
-    LoadReport report = pendingReport;
+    LoadReport report =
+        pendingReport.withTraffic(store.observedVersions(), ImmutableList.of(), ImmutableMap.of());
     pendingReport = emptyReport();
     return report;
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -106,7 +106,17 @@
    */
   public record LoadSample(
       ImmutableList<LoadReport.KeyWork> keyWork,
-      ImmutableMap<UpstreamId, LoadReport.WorkTimes> workTimes) {}
+      ImmutableMap<UpstreamId, LoadReport.WorkTimes> workTimes) {
+
+    /**
+     * Returns whether nothing was measured.
+     *
+     * @return true if there is neither work nor a service time
+     */
+    public boolean isEmpty() {
+      return keyWork.isEmpty() && workTimes.isEmpty();
+    }
+  }
 
   /**
    * Applies a snapshot.
