Build the list of candidates only when a plan is due

The coordinator built the list of upstreams that may get keys in each round of decisions, 20 to 50 times a second, though a plan needs it a few times a second. KeyedServices.tick had 97 of 194 samples of the control thread with 1,600 ranges, of which RangeCoordinator.tick and calls to upstreams had 79. The capacities for admission shares are now computed when these are.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.catkinlift.model.UpstreamId;
 
@@ -228,6 +229,18 @@
    * @return the actions, in the order of execution
    */
   public ImmutableList<RangeAction> tick(ImmutableList<Candidate> candidates, long nowNanos) {
+    return tick(() -> candidates, nowNanos);
+  }
+
+  /**
+   * Returns the actions that are due.
+   *
+   * @param candidates returns the upstreams that may hold keys; called only if a plan is due
+   * @param nowNanos the current time
+   * @return the actions, in the order of execution
+   */
+  public ImmutableList<RangeAction> tick(
+      Supplier<ImmutableList<Candidate>> candidates, long nowNanos) {
     if (!active) {
       return ImmutableList.of();
     }
@@ -250,7 +263,7 @@
   }
 
   private Optional<RangeAction> nextStoreAction(
-      ImmutableList<Candidate> candidates, long nowNanos) {
+      Supplier<ImmutableList<Candidate>> candidates, long nowNanos) {
     if (storeCallInFlight) {
       return Optional.empty();
     }
@@ -272,7 +285,7 @@
     Optional<RangePlan> planned =
         RangePlanner.plan(
             current,
-            candidates,
+            candidates.get(),
             load,
             this::isMovable,
             (keys, holder) -> !formerHolders.includes(holder, keys));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -157,50 +157,52 @@
         coordinator.start(nowNanos);
       }
     }
-    ImmutableList<UpstreamRecord> knownUpstreams =
-        upstreams.stream()
-            .map(UpstreamDirectory.Entry::upstream)
-            .collect(ImmutableList.toImmutableList());
     if (nowNanos - sharesUpdatedAtNanos > SHARES_INTERVAL.toNanos()) {
       sharesUpdatedAtNanos = nowNanos;
-      removeUnknownUpstreams(knownUpstreams);
+      removeUnknownUpstreams(upstreams);
+      updateCapacities(upstreams);
       shareController.update(capacities, nowNanos);
     }
     coordinators.forEach(
         (service, coordinator) -> {
-          ImmutableList<Candidate> candidates =
-              candidates(service, coordinator, upstreams, nowNanos);
+          updateUnreachable(coordinator.unreachable(), nowNanos);
           coordinator.setHostCount(hostCount);
-          for (RangeAction action : coordinator.tick(candidates, nowNanos)) {
+          for (RangeAction action :
+              coordinator.tick(() -> candidates(service, upstreams), nowNanos)) {
             execute(service, coordinator, action, claimVersion);
           }
           loadLogs.get(service).roundEnded(coordinator.progress(), nowNanos, System.nanoTime());
         });
   }
 
-  private void removeUnknownUpstreams(ImmutableList<UpstreamRecord> knownUpstreams) {
+  private void removeUnknownUpstreams(ImmutableList<UpstreamDirectory.Entry> upstreams) {
     ImmutableSet<UpstreamId> ids =
-        knownUpstreams.stream().map(UpstreamRecord::id).collect(ImmutableSet.toImmutableSet());
+        upstreams.stream().map(e -> e.upstream().id()).collect(ImmutableSet.toImmutableSet());
     upstreamSpeeds.retain(ids);
     capacities.keySet().retainAll(ids);
   }
 
+  private void updateCapacities(ImmutableList<UpstreamDirectory.Entry> upstreams) {
+    for (ServiceName service : coordinators.keySet()) {
+      inService(service, upstreams).forEach(u -> capacities.put(u.id(), capacity(u)));
+    }
+  }
+
+  private static ImmutableList<UpstreamRecord> inService(
+      ServiceName service, ImmutableList<UpstreamDirectory.Entry> upstreams) {
+    return upstreams.stream()
+        .filter(e -> e.upstream().service().equals(service) && isInService(e.status()))
+        .map(UpstreamDirectory.Entry::upstream)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the upstreams that may get keys. */
   private ImmutableList<Candidate> candidates(
-      ServiceName service,
-      RangeCoordinator coordinator,
-      ImmutableList<UpstreamDirectory.Entry> upstreams,
-      long nowNanos) {
-    ImmutableList<UpstreamRecord> inService =
-        upstreams.stream()
-            .filter(e -> e.upstream().service().equals(service))
-            .filter(e -> isInService(e.status()))
-            .map(UpstreamDirectory.Entry::upstream)
-            .collect(ImmutableList.toImmutableList());
-    updateUnreachable(coordinator.unreachable(), nowNanos);
+      ServiceName service, ImmutableList<UpstreamDirectory.Entry> upstreams) {
+    ImmutableList<UpstreamRecord> inService = inService(service, upstreams);
     long unreachableCount =
         inService.stream().filter(u -> unreachableUntilNanos.containsKey(u.id())).count();
     boolean isLocalFault = unreachableCount > inService.size() * MAX_UNREACHABLE_SHARE;
-    inService.forEach(u -> capacities.put(u.id(), capacity(u)));
     return inService.stream()
         .filter(u -> isLocalFault || !unreachableUntilNanos.containsKey(u.id()))
         .map(u -> new Candidate(u, capacity(u), u.remainingColdTime().isZero()))
