Restore the store from older copies in the ownership simulation

The simulated store keeps its earlier states and can return to one of them, with versions that are issued again and a higher era.

--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/OwnershipRandomFaultTest.java
@@ -75,6 +75,47 @@
     }
   }
 
+  /**
+   * Guards against two holders, and fencing tokens that go back, after the store has lost writes.
+   */
+  @Test
+  void noKeyHasTwoHoldersAfterRestoresOfTheStore() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY);
+      new RandomFaults(simulation).runWithRestores(RUN);
+      assertNoViolation(seed, simulation);
+    }
+  }
+
+  /** As above, with late calls and restarts of all hosts among the other faults. */
+  @Test
+  void noKeyHasTwoHoldersAfterRestoresOfTheStoreOnSlowLinks() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      var simulation = new OwnershipSimulation(seed, FAULT_PROBABILITY);
+      RandomFaults.withSlowLinks(simulation).runWithRestores(RUN);
+      assertNoViolation(seed, simulation);
+    }
+  }
+
+  /** Guards against a grant of a key on which its last holder is still at work. */
+  @Test
+  void noKeyIsGrantedDuringWorkAfterRestoresOfTheStore() {
+    assertNoGrantDuringWork(UpstreamBehavior.STRICT, s -> new RandomFaults(s).runWithRestores(RUN));
+  }
+
+  /** Guards against keys that nobody serves any more. */
+  @Test
+  void allKeysAreHeldAgainAfterRestoresOfTheStore() {
+    for (long seed = 1; seed <= 30; seed++) {
+      var simulation = new OwnershipSimulation(seed, 0);
+      new RandomFaults(simulation).runWithRestores(Duration.ofSeconds(20));
+      simulation.load().stopChanging();
+      simulation.run(Duration.ofSeconds(40));
+
+      assertWithMessage("seed %s", seed).that(simulation.heldShare()).isEqualTo(1.0);
+    }
+  }
+
   /**
    * Guards against a release that counts as confirmed, or a grant that counts as not sent, because
    * of a late copy of the answer to an earlier call on the same connection.
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/RandomFaults.java
@@ -18,6 +18,9 @@
   /** Longer than a new coordinator waits for the holds of an earlier one. */
   private static final Duration RESTART_INTERVAL = Duration.ofSeconds(15);
 
+  /** Shorter than the wait of a coordinator that takes the role after a restore. */
+  private static final Duration RESTORE_INTERVAL = Duration.ofSeconds(10);
+
   private static final int UNLISTED_AT_ONCE = 6;
   private static final Duration OUTAGE_SLOWNESS = Duration.ofSeconds(4);
   private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
@@ -65,6 +68,36 @@
     }
   }
 
+  /** Runs the simulation with restores of the store among the other faults. */
+  void runWithRestores(Duration length) {
+    for (long i = 0; i < length.dividedBy(RESTORE_INTERVAL); i++) {
+      restoreStore();
+      run(RESTORE_INTERVAL);
+    }
+  }
+
+  /** Makes the store unavailable, most often for a short time, and restores it then. */
+  private void restoreStore() {
+    Duration outage = Duration.ofMillis(random.nextInt(random.nextInt(4) == 0 ? 8_000 : 1_500));
+    simulation.store().setDown(true);
+    simulation.environment().after(outage, this::restoreNow);
+    switch (random.nextInt(5)) {
+      case 0 -> pick(simulation.hosts()).setDisconnectedFromStore(true);
+      case 1 -> simulation.hosts().forEach(h -> h.crash(REBOOT_TIME));
+      case 2 ->
+          simulation
+              .environment()
+              .after(outage.plusMillis(random.nextInt(3_000)), this::restoreNow);
+      case 3 -> unlistSeveral();
+      default -> {}
+    }
+  }
+
+  private void restoreNow() {
+    simulation.store().restore(Duration.ofMillis(random.nextInt(6_000)));
+    simulation.store().setDown(false);
+  }
+
   private void inject() {
     SimulatedHost host = pick(simulation.hosts());
     SimulatedUpstream upstream = pick(simulation.upstreams());
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -65,6 +65,20 @@
     return lease;
   }
 
+  /** Returns the highest era of the store that the daemon has seen. */
+  long era() {
+    return 0;
+  }
+
+  /** Handles the reply to a call of the store, or its absence. */
+  void storeReplied(long calledIn, long repliedIn, Runnable answer) {
+    answer.run();
+  }
+
+  void mapRead(RangeCoordinator requester, RangeMap read, long version) {
+    requester.mapRead(read, version, nanos());
+  }
+
   long nanos() {
     return environment.nowNanos() - suspendedNanos;
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedStore.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedStore.java
@@ -1,9 +1,16 @@
 package org.catkinlift.ranges;
 
+import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 
-/** A linearizable store whose replies may be lost and whose operations may be applied late. */
+/**
+ * A linearizable store whose replies may be lost, whose operations may be applied late, and which
+ * may be restored from an older copy.
+ */
 final class SimulatedStore {
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_500);
   private static final Duration MAX_LATE_OPERATION_DELAY = Duration.ofSeconds(6);
@@ -12,17 +19,41 @@
   private static final int CALLS_PER_UNANSWERED_OPERATION = 4;
 
   private final SimulationEnvironment environment;
+
+  /** The states after each write, the newest one first. */
+  private final Deque<State> states = new ArrayDeque<>();
+
   private boolean down;
-  private long version;
-  private Optional<LeaseRow> lease = Optional.empty();
-  private long leaseVersion;
-  private long claimVersion;
-  private RangeMap map = RangeMap.EMPTY;
-  private long mapVersion;
+  private long era;
   private boolean repliesDropped;
 
+  /** The daemons' rows of one era. */
+  private record Rows(
+      Optional<LeaseRow> lease,
+      long leaseVersion,
+      long claimVersion,
+      RangeMap map,
+      long mapVersion) {
+    static final Rows NONE = new Rows(Optional.empty(), 0, 0, RangeMap.EMPTY, 0);
+  }
+
+  /** What the store holds after a write. */
+  private record State(long writtenNanos, long version, ImmutableMap<Long, Rows> rowsByEra) {
+
+    Rows rows(long ofEra) {
+      return rowsByEra.getOrDefault(ofEra, Rows.NONE);
+    }
+
+    State with(long ofEra, Rows rows, long nowNanos) {
+      ImmutableMap<Long, Rows> next =
+          ImmutableMap.<Long, Rows>builder().putAll(rowsByEra).put(ofEra, rows).buildKeepingLast();
+      return new State(nowNanos, version + 1, next);
+    }
+  }
+
   SimulatedStore(SimulationEnvironment environment) {
     this.environment = environment;
+    states.push(new State(0, 0, ImmutableMap.of()));
   }
 
   boolean isDown() {
@@ -33,6 +64,39 @@
     down = isDown;
   }
 
+  /** Loses all writes of some time, and issues their versions again. */
+  void restore(Duration age) {
+    era++;
+    long copiedNanos = environment.nowNanos() - age.toNanos();
+    while (states.size() > 1 && states.peek().writtenNanos() > copiedNanos) {
+      states.pop();
+    }
+    environment.record(new SimulationEvent.StoreRestored(era, age));
+  }
+
+  /** Returns the newest map of any era. */
+  RangeMap newestMap() {
+    ImmutableMap<Long, Rows> rowsByEra = states.element().rowsByEra();
+    return rowsByEra.entrySet().stream()
+        .filter(e -> e.getValue().mapVersion() > 0)
+        .max(ImmutableMap.Entry.comparingByKey())
+        .map(e -> e.getValue().map())
+        .orElse(RangeMap.EMPTY);
+  }
+
+  private Rows rows(long ofEra) {
+    return states.element().rows(ofEra);
+  }
+
+  private long write(long ofEra, Rows rows) {
+    states.push(states.element().with(ofEra, rows, environment.nowNanos()));
+    return states.element().version();
+  }
+
+  private long nextVersion() {
+    return states.element().version() + 1;
+  }
+
   private void call(SimulatedHost from, Runnable operation, Runnable onTimeout) {
     boolean unavailable = down || from.isDisconnectedFromStore();
     if (unavailable || environment.nextIsFaulty()) {
@@ -61,42 +125,64 @@
     repliesDropped = false;
   }
 
-  private void reply(SimulatedHost to, Runnable answer) {
+  /** Passes on a result, unless another era began between the call and its reply. */
+  private void reply(SimulatedHost to, long calledIn, Runnable answer) {
     if (!repliesDropped) {
-      environment.after(environment.usualDelay(), () -> to.runIfUp(answer));
+      long repliedIn = era;
+      environment.after(
+          environment.usualDelay(),
+          () -> to.runIfUp(() -> to.storeReplied(calledIn, repliedIn, answer)));
     }
   }
 
+  private static Runnable onTimeout(SimulatedHost from, long calledIn, Runnable answer) {
+    return () -> from.runIfUp(() -> from.storeReplied(calledIn, calledIn, answer));
+  }
+
   void writeLease(SimulatedHost from, CoordinatorLease.Step.Write write) {
     CoordinatorLease requester = from.lease();
+    long in = from.era();
     call(
         from,
         () -> {
-          if (leaseVersion != write.expectedVersion()) {
-            reply(from, requester::writeConflicted);
+          Rows present = rows(in);
+          if (present.leaseVersion() != write.expectedVersion()) {
+            reply(from, in, requester::writeConflicted);
             return;
           }
-          version++;
-          leaseVersion = version;
-          lease = Optional.of(write.row());
-          if (write.isClaim()) {
-            claimVersion = version;
-          }
-          long written = version;
-          reply(from, () -> requester.rowWritten(written, from.now()));
+          long version = nextVersion();
+          long claim = write.isClaim() ? version : present.claimVersion();
+          long written =
+              write(
+                  in,
+                  new Rows(
+                      Optional.of(write.row()),
+                      version,
+                      claim,
+                      present.map(),
+                      present.mapVersion()));
+          reply(from, in, () -> requester.rowWritten(written, from.now()));
         },
-        () -> from.runIfUp(requester::callFailed));
+        onTimeout(from, in, requester::callFailed));
   }
 
   /** Empties the row of the role on condition of its version. */
   void clearLease(SimulatedHost from, long expectedVersion) {
+    long in = from.era();
     call(
         from,
         () -> {
-          if (leaseVersion == expectedVersion) {
-            version++;
-            leaseVersion = version;
-            lease = Optional.empty();
+          Rows present = rows(in);
+          if (present.leaseVersion() == expectedVersion) {
+            var unused =
+                write(
+                    in,
+                    new Rows(
+                        Optional.empty(),
+                        nextVersion(),
+                        present.claimVersion(),
+                        present.map(),
+                        present.mapVersion()));
           }
         },
         () -> {});
@@ -104,25 +190,25 @@
 
   void readLease(SimulatedHost from) {
     CoordinatorLease requester = from.lease();
+    long in = from.era();
     call(
         from,
         () -> {
-          Optional<LeaseRow> row = lease;
-          long read = leaseVersion;
-          reply(from, () -> requester.rowRead(row, read, from.now()));
+          Rows read = rows(in);
+          reply(from, in, () -> requester.rowRead(read.lease(), read.leaseVersion(), from.now()));
         },
-        () -> from.runIfUp(requester::callFailed));
+        onTimeout(from, in, requester::callFailed));
   }
 
   void readMap(SimulatedHost from, RangeCoordinator requester) {
+    long in = from.era();
     call(
         from,
         () -> {
-          RangeMap read = map;
-          long readVersion = mapVersion;
-          reply(from, () -> requester.mapRead(read, readVersion, from.nanos()));
+          Rows read = rows(in);
+          reply(from, in, () -> from.mapRead(requester, read.map(), read.mapVersion()));
         },
-        () -> from.runIfUp(() -> requester.storeCallFailed(from.nanos())));
+        onTimeout(from, in, () -> requester.storeCallFailed(from.nanos())));
   }
 
   void writeMap(
@@ -130,20 +216,29 @@
       RangeCoordinator requester,
       RangeAction.WriteMap write,
       long expectedClaim) {
+    long in = from.era();
+    LongConsumer onWritten = version -> requester.mapWritten(version, from.nanos());
     call(
         from,
         () -> {
-          if (mapVersion != write.expectedVersion() || claimVersion != expectedClaim) {
-            reply(from, () -> requester.storeCallFailed(from.nanos()));
+          Rows present = rows(in);
+          if (present.mapVersion() != write.expectedVersion()
+              || present.claimVersion() != expectedClaim) {
+            reply(from, in, () -> requester.storeCallFailed(from.nanos()));
             return;
           }
-          version++;
-          mapVersion = version;
-          map = write.map();
-          environment.record(new SimulationEvent.MapWritten(from.index(), map));
-          long written = version;
-          reply(from, () -> requester.mapWritten(written, from.nanos()));
+          long written =
+              write(
+                  in,
+                  new Rows(
+                      present.lease(),
+                      present.leaseVersion(),
+                      present.claimVersion(),
+                      write.map(),
+                      nextVersion()));
+          environment.record(new SimulationEvent.MapWritten(from.index(), write.map()));
+          reply(from, in, () -> onWritten.accept(written));
         },
-        () -> from.runIfUp(() -> requester.storeCallFailed(from.nanos())));
+        onTimeout(from, in, () -> requester.storeCallFailed(from.nanos())));
   }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEvent.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulationEvent.java
@@ -20,6 +20,19 @@
     }
   }
 
+  /**
+   * The store was restored from an older copy.
+   *
+   * @param era the era that has begun
+   * @param age the age of the copy
+   */
+  record StoreRestored(long era, Duration age) implements SimulationEvent {
+    @Override
+    public boolean concerns(int key) {
+      return true;
+    }
+  }
+
   /**
    * A process of an upstream has started.
    *
