Keep key ownership in a store that is restored from an older copy

Cause: a restored store issues versions and fencing tokens again, and its map may lack moves, so that two upstreams could get the same keys.

A coordinator that saw the new era within its term keeps its map, claims the role on a missing row and writes the map again; any other waits until all grants of earlier eras have expired. A missing lease row of a later era counts as a term.

--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/CoordinatorLease.java
@@ -56,6 +56,10 @@
   private boolean readRequested;
   private boolean resigned;
   private boolean strongerHostKnown;
+  private boolean earlierTermPossible;
+
+  /** The confirmation of a term in an earlier era of the store that this daemon may continue. */
+  private Optional<ClockReading> termToContinue = Optional.empty();
 
   private record PendingWrite(LeaseRow row, ClockReading sentAt, boolean isClaim) {}
 
@@ -157,6 +161,11 @@
       Duration interval = storeFailing ? RETRY_INTERVAL : RENEW_INTERVAL;
       return sinceCall.compareTo(interval) >= 0 ? write(now) : new Step.Idle();
     }
+    if (termToContinue.isPresent()) {
+      return sinceCall.compareTo(RETRY_INTERVAL) >= 0 || !storeFailing
+          ? write(now)
+          : new Step.Idle();
+    }
     if (isOwnRow() || isOwnPreviousIncarnation() || isClaimable(now)) {
       return write(now);
     }
@@ -171,7 +180,8 @@
    * role.
    */
   private boolean isClaimable(ClockReading now) {
-    Duration term = row.isEmpty() ? Duration.ZERO : TERM;
+    boolean termPossible = row.isPresent() || (rowVersion == 0 && earlierTermPossible);
+    Duration term = termPossible ? TERM : Duration.ZERO;
     Duration claimDelay = strongerHostKnown ? WEAK_HOST_CLAIM_DELAY : Duration.ZERO;
     return now.since(rowChangeSeenAt).compareTo(term.plus(claimDelay)) >= 0;
   }
@@ -198,6 +208,7 @@
     long version = rowVersion;
     rowKnown = false;
     confirmedAt = Optional.empty();
+    termToContinue = Optional.empty();
     pendingWrite = Optional.empty();
     return OptionalLong.of(version);
   }
@@ -248,6 +259,7 @@
     pendingWrite = Optional.empty();
     if (!isOwnRow()) {
       confirmedAt = Optional.empty();
+      termToContinue = termToContinue.filter(t -> version == 0);
     }
   }
 
@@ -256,6 +268,47 @@
       claimVersion = rowVersion;
     }
     confirmedAt = Optional.of(write.sentAt());
+    termToContinue = Optional.empty();
+  }
+
+  /**
+   * Records that the store was restored from an older copy, which ends the role at once. If the
+   * term lasted until now, this daemon claims the role of the new era without delay: no other
+   * daemon can have held the role if the row of the new era does not exist yet.
+   *
+   * @param now the current reading of the clocks
+   */
+  public void storeRestored(ClockReading now) {
+    termToContinue =
+        confirmedAt
+            .or(() -> termToContinue)
+            .filter(c -> !resigned && now.isWithin(c, TERM.minus(EXPIRY_MARGIN)));
+    confirmedAt = Optional.empty();
+    pendingWrite = Optional.empty();
+    row = Optional.empty();
+    rowVersion = 0;
+    claimVersion = 0;
+    rowKnown = termToContinue.isPresent();
+    rowChangeSeenAt = now;
+    callInFlight = false;
+    storeFailing = false;
+    earlierTermPossible = true;
+  }
+
+  /**
+   * Records that a daemon may hold the role of an earlier era of the store, so that a missing row
+   * does not mean that nobody holds it.
+   */
+  public void earlierEraFound() {
+    earlierTermPossible = true;
+  }
+
+  /**
+   * Returns whether this daemon held the role until it saw the present era of the store, and may
+   * hold it again with nobody in between.
+   */
+  public boolean mayContinueTerm() {
+    return termToContinue.isPresent();
   }
 
   /**
@@ -316,5 +369,6 @@
   public void resign() {
     resigned = true;
     confirmedAt = Optional.empty();
+    termToContinue = Optional.empty();
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeCoordinator.java
@@ -41,6 +41,8 @@
   private AssignmentStates assignmentStates = AssignmentStates.none();
   private Optional<RangeMap> map = Optional.empty();
   private Optional<RangeMap> mapBeingWritten = Optional.empty();
+  private Optional<RangeMap> firstMapOfEra = Optional.empty();
+  private long firstMapNanos;
   private long mapVersion;
   private boolean active;
   private boolean storeCallInFlight;
@@ -92,6 +94,7 @@
     active = false;
     map = Optional.empty();
     mapBeingWritten = Optional.empty();
+    firstMapOfEra = Optional.empty();
     assignmentStates = AssignmentStates.none();
     holds.clear();
     formerHolders.clear();
@@ -145,11 +148,60 @@
     }
     mustRead = false;
     mapBeingWritten = Optional.empty();
+    firstMapOfEra = Optional.empty();
     mapVersion = version;
     applyMap(read, nowNanos);
     schedule.mapRead(nowNanos);
   }
 
+  /**
+   * Continues in a later era of the store, which has lost writes, because no other daemon can have
+   * held the role in between. The map in force, the possible holds and the calls in progress are
+   * complete: nothing took effect unwritten, and no call was based on a write without a result.
+   * Results of store calls of the earlier era must not be reported any more.
+   *
+   * @param era the later era
+   * @param nowNanos the current time
+   */
+  public void continueIn(long era, long nowNanos) {
+    storeCallInFlight = false;
+    mapBeingWritten = Optional.empty();
+    mapVersion = 0;
+    firstMapOfEra = map.map(m -> m.continuedIn(era));
+    firstMapNanos = nowNanos;
+    mustRead = firstMapOfEra.isEmpty();
+    nextReadNanos = nowNanos;
+  }
+
+  /**
+   * Records that the store has no map of its present era. Unless this coordinator knows the map in
+   * force, keys may have moved after any map that is known, so nothing is granted and no map is
+   * written until all grants of earlier eras have expired.
+   *
+   * @param newestKnown the newest known map of an earlier era
+   * @param era the present era
+   * @param eraSeenNanos when this daemon first saw the present era
+   * @param nowNanos the current time
+   */
+  public void mapMissing(RangeMap newestKnown, long era, long eraSeenNanos, long nowNanos) {
+    storeCallInFlight = false;
+    if (!active) {
+      return;
+    }
+    mustRead = false;
+    mapBeingWritten = Optional.empty();
+    mapVersion = 0;
+    firstMapOfEra = Optional.of(map.orElse(newestKnown.reassignedIn(era)).continuedIn(era));
+    firstMapNanos = map.isPresent() ? nowNanos : earlierGrantsEndNanos(eraSeenNanos);
+  }
+
+  /** A coordinator that has not seen a new era sends its last call at the end of its term. */
+  private long earlierGrantsEndNanos(long eraSeenNanos) {
+    long lastArrivalNanos =
+        eraSeenNanos + CoordinatorLease.TERM.toNanos() + RangeAction.MAX_DELIVERY_DELAY.toNanos();
+    return latestExpiryNanos(maxGrantDuration, lastArrivalNanos);
+  }
+
   /**
    * Records a successful write of the map.
    *
@@ -164,6 +216,7 @@
     mapVersion = version;
     RangeMap written = mapBeingWritten.get();
     mapBeingWritten = Optional.empty();
+    firstMapOfEra = Optional.empty();
     applyMap(written, nowNanos);
   }
 
@@ -261,6 +314,11 @@
       storeCallInFlight = true;
       return Optional.of(new RangeAction.ReadMap());
     }
+    if (firstMapOfEra.isPresent()) {
+      return nowNanos < firstMapNanos || storeFailing
+          ? Optional.empty()
+          : Optional.of(startWrite(RangePlan.withoutReassignments(firstMapOfEra.get())));
+    }
     if (!schedule.isDue(nowNanos) || map.isEmpty() || storeFailing) {
       return Optional.empty();
     }
@@ -279,10 +337,13 @@
     if (planned.isEmpty() && current.equals(map.get())) {
       return Optional.empty();
     }
-    RangePlan next = planned.orElse(RangePlan.withoutReassignments(current));
+    return Optional.of(startWrite(planned.orElse(RangePlan.withoutReassignments(current))));
+  }
+
+  private RangeAction startWrite(RangePlan next) {
     mapBeingWritten = Optional.of(next.map());
     storeCallInFlight = true;
-    return Optional.of(new RangeAction.WriteMap(next.map(), mapVersion, next.reasons()));
+    return new RangeAction.WriteMap(next.map(), mapVersion, next.reasons());
   }
 
   /** Only keys with a granted holder may move, so that no key takes part in two moves at a time. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/ranges/RangeMap.java
@@ -14,6 +14,33 @@
   /** The map before any key is assigned. */
   public static final RangeMap EMPTY = new RangeMap(1, ImmutableList.of());
 
+  /**
+   * Returns the map before any key is assigned in an era of the store.
+   *
+   * @param era the era
+   */
+  public static RangeMap emptyOf(long era) {
+    return new RangeMap(FencingTokens.firstOf(era), ImmutableList.of());
+  }
+
+  /** Returns this map with the next fencing token in a later era. */
+  RangeMap continuedIn(long era) {
+    return new RangeMap(Math.max(nextFence, FencingTokens.firstOf(era)), assignments);
+  }
+
+  /**
+   * Returns this map with a new fencing token of a later era for each assignment, and without
+   * previous holders, whose grants must have expired.
+   */
+  RangeMap reassignedIn(long era) {
+    long fence = FencingTokens.firstOf(era);
+    ImmutableList.Builder<RangeAssignment> next = ImmutableList.builder();
+    for (RangeAssignment a : assignments) {
+      next.add(new RangeAssignment(a.range(), a.holder(), fence++, ImmutableList.of()));
+    }
+    return new RangeMap(fence, next.build());
+  }
+
   /** Returns the assignment of a key, or empty if the key is not assigned. */
   public Optional<RangeAssignment> find(int key) {
     int low = 0;
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/SimulatedHost.java
@@ -36,6 +36,8 @@
   private long suspendedNanos;
   private long resumedAtNanos = -RESUME_GRACE.toNanos();
   private long incarnation;
+  private long era;
+  private long eraSeenNanos;
 
   SimulatedHost(OwnershipSimulation simulation, int index) {
     this.simulation = simulation;
@@ -47,6 +49,7 @@
 
   private void boot() {
     incarnation++;
+    era = 0;
     coordinator = Optional.empty();
     unreachable = new UnreachableUpstreams();
     lease =
@@ -67,16 +70,36 @@
 
   /** Returns the highest era of the store that the daemon has seen. */
   long era() {
-    return 0;
+    return era;
   }
 
   /** Handles the reply to a call of the store, or its absence. */
   void storeReplied(long calledIn, long repliedIn, Runnable answer) {
-    answer.run();
+    if (repliedIn > era) {
+      eraSeen(repliedIn);
+    }
+    if (calledIn == era) {
+      answer.run();
+    }
+  }
+
+  private void eraSeen(long newEra) {
+    era = newEra;
+    eraSeenNanos = nanos();
+    lease.storeRestored(now());
+    if (lease.mayContinueTerm()) {
+      coordinator.ifPresent(c -> c.continueIn(era, nanos()));
+    } else {
+      stopCoordinator();
+    }
   }
 
   void mapRead(RangeCoordinator requester, RangeMap read, long version) {
-    requester.mapRead(read, version, nanos());
+    if (version == 0 && era > 0) {
+      requester.mapMissing(simulation.store().newestMap(), era, eraSeenNanos, nanos());
+    } else {
+      requester.mapRead(read, version, nanos());
+    }
   }
 
   long nanos() {
@@ -205,8 +228,9 @@
       case CoordinatorLease.Step.Write write -> simulation.store().writeLease(this, write);
     }
     if (!lease.isHeld(now())) {
-      coordinator.ifPresent(RangeCoordinator::stop);
-      coordinator = Optional.empty();
+      if (!lease.mayContinueTerm()) {
+        stopCoordinator();
+      }
       return;
     }
     if (coordinator.isEmpty()) {
@@ -217,6 +241,11 @@
     decide(coordinator.get());
   }
 
+  private void stopCoordinator() {
+    coordinator.ifPresent(RangeCoordinator::stop);
+    coordinator = Optional.empty();
+  }
+
   private void startCoordinator() {
     environment.record(new SimulationEvent.RoleTaken(index));
     load = new KeyLoad(LOAD_TIME_CONSTANT, nanos());
