--- a/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/upstreams/UpstreamDirectory.java
@@ -36,6 +36,10 @@
   private final Map<UpstreamId, Entry> entries = new LinkedHashMap<>();
   private ImmutableMap<UpstreamId, UpstreamRecord> listed = ImmutableMap.of();
   private final Map<ZoneName, Long> zonesOutSinceNanos = new HashMap<>();
+  private ImmutableSet<ZoneName> listedZonesOut = ImmutableSet.of();
+
+  /** Zones that were out of service before a restore of the store; empty after the grace period. */
+  private ImmutableSet<ZoneName> retainedZonesOut = ImmutableSet.of();
 
   /**
    * The incarnations that were listed as draining. Draining is final, but an earlier state of a
@@ -81,11 +85,26 @@
    * @param nowNanos the current time
    */
   public void zonesOutOfService(ImmutableSet<ZoneName> zones, long nowNanos) {
-    zonesOutSinceNanos.keySet().retainAll(zones);
-    zones.forEach(zone -> zonesOutSinceNanos.putIfAbsent(zone, nowNanos));
+    listedZonesOut = zones;
     refresh(nowNanos);
   }
 
+  /**
+   * Records that the store was restored from an older copy, which starts a grace period. In it,
+   * availability zones that were out of service remain so, because the rows that say so may be lost
+   * until operators have written them again.
+   *
+   * @param nowNanos the current time
+   */
+  public void storeRestored(long nowNanos) {
+    retainedZonesOut = ImmutableSet.copyOf(zonesOutSinceNanos.keySet());
+    startGracePeriod(nowNanos);
+  }
+
+  private void startGracePeriod(long nowNanos) {
+    gracePeriodEndNanos = OptionalLong.of(nowNanos + RELISTING_GRACE_PERIOD.toNanos());
+  }
+
   /**
    * Records that the store responded to a call of this daemon.
    *
@@ -114,7 +133,7 @@
   private Duration contactEstablished(Duration age, boolean coordinatorSawOutage, long nowNanos) {
     Duration outage = contact.established(age, coordinatorSawOutage, nowNanos);
     if (!outage.isZero()) {
-      gracePeriodEndNanos = OptionalLong.of(nowNanos + RELISTING_GRACE_PERIOD.toNanos());
+      startGracePeriod(nowNanos);
     }
     return outage;
   }
@@ -148,6 +167,7 @@
    */
   public boolean refresh(long nowNanos) {
     Map<UpstreamId, Entry> before = new LinkedHashMap<>(entries);
+    refreshZones(nowNanos);
     for (UpstreamRecord upstream : listed.values()) {
       entries.put(upstream.id(), new Entry(upstream, statusOf(upstream, nowNanos)));
     }
@@ -157,15 +177,27 @@
     return !entries.equals(before);
   }
 
+  private void refreshZones(long nowNanos) {
+    if (gracePeriod(nowNanos).isZero()) {
+      retainedZonesOut = ImmutableSet.of();
+    }
+    Set<ZoneName> zones = new HashSet<>(listedZonesOut);
+    zones.addAll(retainedZonesOut);
+    zonesOutSinceNanos.keySet().retainAll(zones);
+    zones.forEach(zone -> zonesOutSinceNanos.putIfAbsent(zone, nowNanos));
+  }
+
   /**
    * Recomputes what changes by the passage of time alone: the status and the retention of upstreams
-   * that are no longer listed. Costs nothing while all are listed.
+   * that are no longer listed, and the zones that are retained after a restore of the store. Costs
+   * nothing while all are listed and no zone is retained.
    *
    * @param nowNanos the current time
    * @return true if an entry has changed
    */
   public boolean refreshUnlisted(long nowNanos) {
-    return entries.size() > listed.size() && refresh(nowNanos);
+    boolean mayChange = entries.size() > listed.size() || !retainedZonesOut.isEmpty();
+    return mayChange && refresh(nowNanos);
   }
 
   private UpstreamStatus statusOf(UpstreamRecord upstream, long nowNanos) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/ranges/CoordinatorLeaseTest.java
@@ -171,4 +171,64 @@
     assertThat(lease.isHeld(at(10))).isFalse();
     assertThat(lease.next(at(5_000))).isInstanceOf(CoordinatorLease.Step.Idle.class);
   }
+
+  /** The writes of the earlier era, and whoever made them, may be lost. */
+  @Test
+  void missingRowOfALaterEraIsClaimedAfterATerm() {
+    lease.storeRestored(at(0));
+    assertThat(lease.next(at(0))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    lease.rowRead(Optional.empty(), 0, at(10));
+
+    assertThat(lease.next(at(1_000))).isNotInstanceOf(CoordinatorLease.Step.Write.class);
+    assertThat(lease.next(at(1_900))).isInstanceOf(CoordinatorLease.Step.Read.class);
+    lease.rowRead(Optional.empty(), 0, at(1_900));
+    assertThat(lease.next(at(2_400))).isInstanceOf(CoordinatorLease.Step.Write.class);
+  }
+
+  @Test
+  void holderThatSeesALaterEraInItsTermLosesTheRoleAndClaimsAtOnce() {
+    claimAt(0);
+    lease.storeRestored(at(1_000));
+
+    assertThat(lease.isHeld(at(1_000))).isFalse();
+    assertThat(lease.mayContinueTerm()).isTrue();
+    var write = (CoordinatorLease.Step.Write) lease.next(at(1_000));
+    assertThat(write.expectedVersion()).isEqualTo(0);
+    assertThat(write.isClaim()).isTrue();
+    lease.rowWritten(3, at(1_010));
+    assertThat(lease.isHeld(at(1_010))).isTrue();
+    assertThat(lease.claimVersion()).isEqualTo(3);
+  }
+
+  /** Another daemon may have held the role since the end of the term. */
+  @Test
+  void holderThatSeesALaterEraAfterItsTermDoesNotContinueIt() {
+    claimAt(0);
+    lease.storeRestored(at(1_900));
+
+    assertThat(lease.mayContinueTerm()).isFalse();
+  }
+
+  /** The first of two later eras may have had another holder. */
+  @Test
+  void termIsNotContinuedInASecondEraAfterItsEnd() {
+    claimAt(0);
+    lease.storeRestored(at(1_000));
+    lease.storeRestored(at(1_700));
+    assertThat(lease.mayContinueTerm()).isTrue();
+    lease.storeRestored(at(2_500));
+    assertThat(lease.mayContinueTerm()).isFalse();
+  }
+
+  @Test
+  void termIsNotContinuedAfterAnotherClaimOfTheEra() {
+    claimAt(0);
+    lease.storeRestored(at(1_000));
+    var unused = lease.next(at(1_000));
+    lease.writeConflicted();
+    unused = lease.next(at(1_010));
+    lease.rowRead(otherHolder(1), 7, at(1_020));
+
+    assertThat(lease.mayContinueTerm()).isFalse();
+  }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/upstreams/UpstreamDirectoryTest.java
@@ -249,4 +249,51 @@
     assertThat(directory.refreshUnlisted(seconds(20))).isTrue();
     assertThat(directory.entries()).isEmpty();
   }
+
+  /** The row that takes the zone out of service is lost until operators write it again. */
+  @Test
+  void zoneStaysOutOfServiceInTheGracePeriodAfterARestore() {
+    directory.listed(listed(false), seconds(1));
+    directory.zonesOutOfService(ImmutableSet.of(ZONE), seconds(1));
+    directory.storeRestored(seconds(5));
+    directory.zonesOutOfService(ImmutableSet.of(), seconds(5));
+    directory.listed(listed(false), seconds(7.2));
+    assertThat(status())
+        .isEqualTo(
+            new UpstreamStatus.Leaving(seconds(1), UpstreamStatus.Cause.ZONE_OUT_OF_SERVICE));
+
+    assertThat(directory.refreshUnlisted(seconds(7.4))).isTrue();
+    assertThat(status()).isEqualTo(new UpstreamStatus.InService());
+  }
+
+  @Test
+  void zoneThatIsWrittenAgainInTheGracePeriodStaysOutOfServiceAfterIt() {
+    directory.listed(listed(false), seconds(1));
+    directory.zonesOutOfService(ImmutableSet.of(ZONE), seconds(1));
+    directory.storeRestored(seconds(5));
+    directory.zonesOutOfService(ImmutableSet.of(), seconds(5));
+    directory.storeRestored(seconds(6));
+    directory.zonesOutOfService(ImmutableSet.of(ZONE), seconds(8));
+
+    var unused = directory.refreshUnlisted(seconds(9));
+    assertThat(status())
+        .isEqualTo(
+            new UpstreamStatus.Leaving(seconds(1), UpstreamStatus.Cause.ZONE_OUT_OF_SERVICE));
+  }
+
+  /** The copy may hold the row of an upstream from before it drained, or lack the row. */
+  @Test
+  void drainingUpstreamLeavesAndUnlistedOneStaysAfterARestore() {
+    directory.listed(listed(true), seconds(1));
+    directory.storeRestored(seconds(2));
+    directory.listed(listed(false), seconds(2));
+    assertThat(status())
+        .isEqualTo(new UpstreamStatus.Leaving(seconds(1), UpstreamStatus.Cause.DRAINING));
+
+    var other = new UpstreamDirectory();
+    other.listed(listed(false), seconds(1));
+    other.storeRestored(seconds(2));
+    other.listed(ImmutableMap.of(), seconds(2));
+    assertThat(other.entries().get(0).status()).isEqualTo(new UpstreamStatus.Missing(seconds(2)));
+  }
 }
