Let the store interface and the daemons' messages speak of an era

Rows of the daemons carry the era in their key, results of calls of an earlier era are discarded, and a coordinator that finds no range map of the present era grants nothing until earlier grants have ended. Reports and replies state the era in a line of its own, which earlier builds skip; without an era keys, tokens and messages are as before.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -72,6 +72,8 @@
   KEY_GRANT_OR_RELEASE_CONFIRMED(3016, Severity.DEBUG, "key grant or release confirmed"),
   /** What the coordinator of keyed services did and how busy its control thread was. */
   COORDINATOR_LOAD(3017, Severity.INFO, "coordinator load"),
+  /** The store has no range map of its era, and none that is known need be the last one. */
+  RANGE_MAP_LOST(3018, Severity.WARNING, "key ranges lost in a restore of the store"),
 
   /** A daemon joined the cell. */
   MEMBER_JOINED(4001, Severity.INFO, "member joined"),
@@ -102,6 +104,8 @@
   OUT_OF_SERVICE_ZONES_CHANGED(5009, Severity.INFO, "availability zones out of service"),
   /** An outage of the platform's store ended; missing upstreams are kept for a grace period. */
   STORE_OUTAGE_ENDED(5010, Severity.INFO, "outage of the store ended"),
+  /** The platform's store was restored from an older copy. */
+  STORE_RESTORED(5011, Severity.WARNING, "store restored from an older copy"),
 
   /** The daemon started to serve callers. */
   DAEMON_STARTED(6001, Severity.INFO, "daemon started"),
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/CoordinatorRole.java
@@ -112,8 +112,8 @@
   private void clearRow(long version) {
     store.commit(
         new Transaction(
-            ImmutableMap.of(DaemonRows.LEASE, version),
-            ImmutableMap.of(DaemonRows.LEASE, ""),
+            ImmutableMap.of(DaemonRows.lease(store.era()), version),
+            ImmutableMap.of(DaemonRows.lease(store.era()), ""),
             ImmutableSet.of()),
         result -> log.log(EventCode.COORDINATOR_ROLE_LOST, ImmutableMap.of("cause", "given up")));
   }
@@ -121,23 +121,26 @@
   private void execute(CoordinatorLease.Step step) {
     switch (step) {
       case CoordinatorLease.Step.Idle idle -> {}
-      case CoordinatorLease.Step.Read read -> store.read(DaemonRows.LEASE, this::leaseRead);
+      case CoordinatorLease.Step.Read read ->
+          store.read(
+              DaemonRows.lease(store.era()), CallsOfEra.inPresentEra(store, this::leaseRead));
       case CoordinatorLease.Step.Write write -> writeLease(write);
     }
   }
 
   private void writeLease(CoordinatorLease.Step.Write write) {
+    RowKey leaseKey = DaemonRows.lease(store.era());
     ImmutableMap.Builder<RowKey, String> puts = ImmutableMap.builder();
-    puts.put(DaemonRows.LEASE, LeaseRowCodec.encode(write.row()));
+    puts.put(leaseKey, LeaseRowCodec.encode(write.row()));
     if (write.isClaim()) {
-      puts.put(DaemonRows.CLAIM, self.value());
+      puts.put(DaemonRows.claim(store.era()), self.value());
     }
     store.commit(
         new Transaction(
-            ImmutableMap.of(DaemonRows.LEASE, write.expectedVersion()),
+            ImmutableMap.of(leaseKey, write.expectedVersion()),
             puts.buildOrThrow(),
             ImmutableSet.of()),
-        this::leaseWritten);
+        CallsOfEra.inPresentEra(store, this::leaseWritten));
   }
 
   private void leaseRead(StoreResult<StoredRow> result) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.catkinlift.admission.AdmissionShares;
@@ -62,8 +62,7 @@
   private final Consumer<AdmissionShares> sharesListener;
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private final ReporterList reporters = new ReporterList();
-  private final Map<ServiceName, RangeMap> storedRangeMaps = new HashMap<>();
-  private final Map<ServiceName, Long> rangeMapVersions = new HashMap<>();
+  private final StoredRangeMaps storedRangeMaps;
   private final CoordinatorLease lease;
   private final CoordinatorRole role;
   private final KeyedServices keyedServices;
@@ -104,6 +103,7 @@
     this.log = log;
     this.snapshotListener = snapshotListener;
     this.sharesListener = sharesListener;
+    this.storedRangeMaps = new StoredRangeMaps(log);
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
@@ -115,6 +115,7 @@
             log,
             () -> lease.isHeld(HostClock.now()),
             settings.timeLimits().maxGrantDuration(),
+            storedRangeMaps,
             service -> schedulePublish());
     this.loadReporter =
         new LoadReporter(
@@ -169,6 +170,7 @@
         keyedServices.upstreamsChanged();
       }
       case StoreUpdate.DaemonRowChanged changed -> daemonRowChanged(changed.key(), changed.row());
+      case StoreUpdate.EraChanged changed -> eraChanged(changed, nowNanos);
       case StoreUpdate.InitialReadCompleted completed -> initialReadCompleted = true;
       case StoreUpdate.CallAnswered answered -> {
         contactEstablished(directory.storeAnswered(nowNanos), settings.host());
@@ -182,6 +184,28 @@
     schedulePublish();
   }
 
+  private void eraChanged(StoreUpdate.EraChanged change, long nowNanos) {
+    keyedServices.eraSeen(nowNanos);
+    if (!change.isRestore()) {
+      return;
+    }
+    directory.storeRestored(nowNanos);
+    lease.storeRestored(HostClock.now());
+    keyedServices.earlierEraFound();
+    if (lease.mayContinueTerm()) {
+      keyedServices.continueInPresentEra(nowNanos);
+    }
+    log.log(
+        EventCode.STORE_RESTORED,
+        ImmutableMap.of(
+            "era",
+            change.era(),
+            "held_role",
+            lease.mayContinueTerm(),
+            "grace_ms",
+            directory.gracePeriod(nowNanos).toMillis()));
+  }
+
   private void callFailed(String reason) {
     directory.storeCallFailed();
     if (storeInContact) {
@@ -236,28 +260,15 @@
   }
 
   private void daemonRowChanged(String key, StoredRow row) {
-    if (!key.startsWith(DaemonRows.MAP_PREFIX) || row.version() == 0) {
-      return;
-    }
-    var service = ServiceName.of(key.substring(DaemonRows.MAP_PREFIX.length()));
-    if (row.version() <= rangeMapVersions.getOrDefault(service, 0L)) {
+    Optional<DaemonRows.MapKey> mapKey = DaemonRows.parseMapKey(key);
+    if (mapKey.isEmpty() || row.version() == 0) {
       return;
     }
-    RangeMap map;
-    try {
-      map = RangeMapCodec.decode(row.value());
-    } catch (RuntimeException e) {
-      log.log(
-          EventCode.ROW_SKIPPED,
-          ImmutableMap.of("key", key, "version", row.version(), "reason", e.toString()));
-      return;
+    if (mapKey.get().era() < store.era()) {
+      lease.earlierEraFound();
+      keyedServices.earlierEraFound();
     }
-    rangeMapVersions.put(service, row.version());
-    storedRangeMaps.put(service, map);
-    log.log(
-        EventCode.RANGE_MAP_APPLIED,
-        ImmutableMap.of(
-            "service", service, "version", row.version(), "ranges", map.assignments().size()));
+    storedRangeMaps.apply(mapKey.get(), row, store.era());
   }
 
   private void tick() {
@@ -270,7 +281,10 @@
       return;
     }
     if (role.refresh()) {
-      roleChanged();
+      store.setPollingEnabled(true);
+    }
+    if (keyedServices.isActive() && !role.isHeld() && !lease.mayContinueTerm()) {
+      keyedServices.stop();
     }
     if (role.isHeld()) {
       keyedServices.setStoreFailing(lease.isStoreFailing(), now.nanos());
@@ -286,13 +300,6 @@
     }
   }
 
-  private void roleChanged() {
-    store.setPollingEnabled(true);
-    if (!role.isHeld()) {
-      keyedServices.stop();
-    }
-  }
-
   /**
    * Adds the traffic measured since the last call to the next load report.
    *
@@ -353,12 +360,17 @@
                 Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
                 store.observedVersions(),
                 held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
-                storeConfirmed && !reporters.isPolling(report.host()),
+                storeConfirmed && mayRelyOnRelay(report),
                 storeConfirmed,
                 directory.gracePeriod(nowNanos),
                 held ? store.changesSince(report.observedVersions()) : ImmutableList.of())));
   }
 
+  /** A daemon that has not seen the present era of the store must read the tables itself. */
+  private boolean mayRelyOnRelay(LoadReport report) {
+    return report.observedVersions().era() == store.era() && !reporters.isPolling(report.host());
+  }
+
   private void applyRelayedUpdates(CoordinatorReply reply) {
     if (reply.storeConfirmed()) {
       Duration outage =
@@ -393,7 +405,7 @@
   }
 
   private ImmutableMap<ServiceName, RangeMap> rangeMaps() {
-    Map<ServiceName, RangeMap> rangeMaps = new HashMap<>(storedRangeMaps);
+    Map<ServiceName, RangeMap> rangeMaps = storedRangeMaps.all();
     if (role.isHeld()) {
       rangeMaps.putAll(keyedServices.rangeMaps());
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/KeyedServices.java
@@ -55,6 +55,7 @@
   private final KeyEventLog keyEvents;
   private final BooleanSupplier roleHeld;
   private final Duration maxGrantDuration;
+  private final StoredRangeMaps storedMaps;
   private final Consumer<ServiceName> mapListener;
   private final UpstreamSpeeds upstreamSpeeds = new UpstreamSpeeds();
   private final Map<ServiceName, RangeCoordinator> coordinators = new HashMap<>();
@@ -66,6 +67,8 @@
   private final Map<UpstreamId, Double> capacities = new HashMap<>();
 
   private long sharesUpdatedAtNanos;
+  private long eraSeenNanos;
+  private boolean earlierEraFound;
 
   KeyedServices(
       MetadataStore store,
@@ -73,6 +76,7 @@
       EventLog log,
       BooleanSupplier roleHeld,
       Duration maxGrantDuration,
+      StoredRangeMaps storedMaps,
       Consumer<ServiceName> mapListener) {
     this.store = store;
     this.grants = grants;
@@ -80,11 +84,35 @@
     this.keyEvents = new KeyEventLog(log);
     this.roleHeld = roleHeld;
     this.maxGrantDuration = maxGrantDuration;
+    this.storedMaps = storedMaps;
     this.mapListener = mapListener;
   }
 
-  static RowKey mapRow(ServiceName service) {
-    return new RowKey(DaemonRows.TABLE, DaemonRows.MAP_PREFIX + service);
+  private RowKey mapRow(ServiceName service) {
+    return DaemonRows.map(store.era(), service);
+  }
+
+  /** Records that this daemon saw the present era of the store for the first time. */
+  void eraSeen(long nowNanos) {
+    eraSeenNanos = nowNanos;
+  }
+
+  /** Records that the store had an earlier era, in which keys may have been granted. */
+  void earlierEraFound() {
+    earlierEraFound = true;
+  }
+
+  /**
+   * Records that the store was restored while this daemon held the coordinator role, so that its
+   * maps and grants are complete if it gets the role again.
+   */
+  void continueInPresentEra(long nowNanos) {
+    coordinators.values().forEach(c -> c.continueIn(store.era(), nowNanos));
+  }
+
+  /** Returns whether this daemon coordinates a service, or may go on with it after a restore. */
+  boolean isActive() {
+    return !coordinators.isEmpty();
   }
 
   void reportReceived(LoadReport report) {
@@ -229,7 +257,9 @@
       ServiceName service, RangeCoordinator coordinator, RangeAction action, long claimVersion) {
     switch (action) {
       case RangeAction.ReadMap read ->
-          store.read(mapRow(service), result -> mapRead(service, coordinator, result));
+          store.read(
+              mapRow(service),
+              CallsOfEra.inPresentEra(store, result -> mapRead(service, coordinator, result)));
       case RangeAction.WriteMap write -> {
         loadLogs.get(service).mapWriteStarted();
         keyEvents.mapPlanned(service, coordinator.map().orElse(RangeMap.EMPTY), write);
@@ -266,6 +296,8 @@
       ServiceName service, RangeCoordinator coordinator, StoreResult<StoredRow> result) {
     long nowNanos = System.nanoTime();
     switch (result) {
+      case StoreResult.Done<StoredRow> done when done.value().version() == 0 ->
+          mapMissing(service, coordinator, nowNanos);
       case StoreResult.Done<StoredRow> done -> {
         Optional<RangeMap> map = decodeMap(service, done.value());
         if (map.isEmpty()) {
@@ -282,10 +314,18 @@
     }
   }
 
-  private Optional<RangeMap> decodeMap(ServiceName service, StoredRow row) {
-    if (row.version() == 0) {
-      return Optional.of(RangeMap.EMPTY);
+  /** Without a trace of an earlier era, no key was ever granted. */
+  private void mapMissing(ServiceName service, RangeCoordinator coordinator, long nowNanos) {
+    if (!earlierEraFound) {
+      coordinator.mapRead(RangeMap.emptyOf(store.era()), 0, nowNanos);
+      mapListener.accept(service);
+      return;
     }
+    log.log(EventCode.RANGE_MAP_LOST, ImmutableMap.of("service", service, "era", store.era()));
+    coordinator.mapMissing(storedMaps.newest(service), store.era(), eraSeenNanos, nowNanos);
+  }
+
+  private Optional<RangeMap> decodeMap(ServiceName service, StoredRow row) {
     try {
       return Optional.of(RangeMapCodec.decode(row.value()));
     } catch (RuntimeException e) {
@@ -305,10 +345,15 @@
     var transaction =
         new Transaction(
             ImmutableMap.of(
-                mapRow(service), write.expectedVersion(), DaemonRows.CLAIM, claimVersion),
+                mapRow(service),
+                write.expectedVersion(),
+                DaemonRows.claim(store.era()),
+                claimVersion),
             ImmutableMap.of(mapRow(service), RangeMapCodec.encode(write.map())),
             ImmutableSet.of());
-    store.commit(transaction, result -> mapWritten(service, coordinator, write, result));
+    store.commit(
+        transaction,
+        CallsOfEra.inPresentEra(store, result -> mapWritten(service, coordinator, write, result)));
   }
 
   private void mapWritten(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
@@ -156,8 +156,13 @@
       coordinatorUnavailable();
       return;
     }
-    replyListener.accept(reply);
     store.peerVersionsReceived(reply.observedVersions());
+    if (reply.observedVersions().era() != store.era()) {
+      // The role of an earlier era ended when the store was restored.
+      coordinatorUnavailable();
+      return;
+    }
+    replyListener.accept(reply);
     store.setPollingEnabled(!reply.relaysUpdates());
     lease.holderVersionReceived(reply.host(), reply.leaseVersion(), HostClock.now());
     lease.setStrongerHostKnown(isStronger(reply.maxCpuCapacity()));
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -75,6 +75,7 @@
   public static LoadReport decodeReport(String text) {
     HostId host = null;
     double cpuCapacity = 0;
+    long era = 0;
     var versions = new ObservedVersions(0, 0, 0);
     ImmutableList.Builder<LoadReport.KeyWork> keyWork = ImmutableList.builder();
     ImmutableMap.Builder<UpstreamId, LoadReport.WorkTimes> workTimes = ImmutableMap.builder();
@@ -85,6 +86,7 @@
           host = HostId.of(field(fields, 1));
           cpuCapacity = fromMillionths(field(fields, 2));
         }
+        case "era" -> era = Long.parseLong(field(fields, 1));
         case "news" -> versions = parseVersions(fields);
         case "work" ->
             keyWork.add(
@@ -105,7 +107,7 @@
       throw new IllegalArgumentException("load report has no host line");
     }
     return new LoadReport(
-        host, cpuCapacity, versions, keyWork.build(), workTimes.buildKeepingLast());
+        host, cpuCapacity, versions.inEra(era), keyWork.build(), workTimes.buildKeepingLast());
   }
 
   /**
@@ -150,6 +152,7 @@
    */
   public static CoordinatorReply decodeReply(String text) {
     CoordinatorReply reply = null;
+    long era = 0;
     var versions = new ObservedVersions(0, 0, 0);
     Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares = new HashMap<>();
     ImmutableList.Builder<RowChange> changes = ImmutableList.builder();
@@ -180,6 +183,7 @@
                     false,
                     Duration.ZERO,
                     ImmutableList.of());
+        case "era" -> era = Long.parseLong(field(fields, 1));
         case "news" -> versions = parseVersions(fields);
         case "passes" -> {
           relaysUpdates = Boolean.parseBoolean(field(fields, 1));
@@ -200,7 +204,7 @@
         reply.leaseVersion(),
         reply.daemonCount(),
         reply.maxCpuCapacity(),
-        versions,
+        versions.inEra(era),
         buildShares(shares),
         relaysUpdates,
         storeConfirmed,
@@ -237,6 +241,9 @@
   }
 
   private static void appendVersions(StringBuilder text, ObservedVersions versions) {
+    if (versions.era() > 0) {
+      text.append("era ").append(versions.era()).append('\n');
+    }
     text.append("news ").append(versions.operators()).append(' ').append(versions.upstreams());
     text.append(' ').append(versions.daemons()).append('\n');
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
@@ -35,6 +35,14 @@
    */
   void commit(Transaction transaction, Consumer<StoreResult<Long>> callback);
 
+  /**
+   * Returns the highest era of the store that this daemon has seen, which rises with each restore
+   * of the store from an older copy; 0 if the store states none.
+   *
+   * @return the era
+   */
+  long era();
+
   /**
    * Returns the newest version that this daemon has observed of each source.
    *
@@ -43,7 +51,8 @@
   ObservedVersions observedVersions();
 
   /**
-   * Returns the rows that changed after the versions that another daemon has observed.
+   * Returns the rows that changed after the versions that another daemon has observed; none if
+   * these are of another era.
    *
    * @param observed the versions that the other daemon has observed
    * @return the changes
@@ -51,7 +60,7 @@
   ImmutableList<RowChange> changesSince(ObservedVersions observed);
 
   /**
-   * Applies changes that another daemon has relayed.
+   * Applies changes that another daemon has relayed. Those of another era are ignored.
    *
    * @param changes all rows that changed after the versions that this daemon had reported
    * @param observed the versions that this daemon has observed once the changes are applied
@@ -73,7 +82,7 @@
 
   /**
    * Records the versions that another daemon has observed. If this daemon stays behind, it polls
-   * the store again on a new connection.
+   * the store again on a new connection. A later era counts like one that the store has stated.
    *
    * @param versions the other daemon's versions
    */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/StoreUpdate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/StoreUpdate.java
@@ -40,6 +40,16 @@
    */
   record DaemonRowChanged(String key, StoredRow row) implements StoreUpdate {}
 
+  /**
+   * An era of the store was seen for the first time. If the store was restored, results of calls
+   * that were sent before this update say nothing about the present rows.
+   *
+   * @param era the era
+   * @param isRestore whether the store was restored from an older copy since this daemon's first
+   *     contact with it; false for the era of that contact
+   */
+  record EraChanged(long era, boolean isRestore) implements StoreUpdate {}
+
   /** All sources have been read for the first time. */
   record InitialReadCompleted() implements StoreUpdate {}
 
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
@@ -90,6 +90,11 @@
     }
   }
 
+  @Override
+  public long era() {
+    return 0;
+  }
+
   @Override
   public ObservedVersions observedVersions() {
     return new ObservedVersions(version, version, version);
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
@@ -73,6 +73,7 @@
           EventLog.start("host-1", new ByteArrayOutputStream()),
           () -> true,
           Duration.ofSeconds(10),
+          new StoredRangeMaps(EventLog.start("host-1", new ByteArrayOutputStream())),
           service -> {});
   private long nowNanos = System.nanoTime();
 
@@ -111,6 +112,11 @@
       callback.accept(new StoreResult.Done<>(version));
     }
 
+    @Override
+    public long era() {
+      return 0;
+    }
+
     @Override
     public ObservedVersions observedVersions() {
       return new ObservedVersions(version, version, version);
