--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/control/KeyedServicesTest.java
@@ -26,6 +26,8 @@
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.model.ZoneName;
+import org.catkinlift.ranges.CoordinatorLease;
+import org.catkinlift.ranges.FencingTokens;
 import org.catkinlift.ranges.GrantResult;
 import org.catkinlift.ranges.RangeAction;
 import org.catkinlift.routes.CallerLimits;
@@ -65,10 +67,17 @@
                   .build(),
               new UpstreamStatus.InService()));
 
+  /** The term of a coordinator, the delivery of its last call, and the longest grant. */
+  private static final Duration GRANTS_OF_EARLIER_ERA =
+      CoordinatorLease.TERM
+          .plus(RangeAction.MAX_DELIVERY_DELAY)
+          .plus(Duration.ofSeconds(10).multipliedBy(103).dividedBy(100));
+
   private final WaitingKeyGrants grants = new WaitingKeyGrants();
+  private final SynchronousStore store = new SynchronousStore();
   private final KeyedServices services =
       new KeyedServices(
-          new SynchronousStore(),
+          store,
           grants,
           EventLog.start("host-1", new ByteArrayOutputStream()),
           () -> true,
@@ -80,11 +89,13 @@
   /** Key grants that are not sent yet, because their connections are not established. */
   private static final class WaitingKeyGrants implements KeyGrants {
     private final List<BooleanSupplier> sendConditions = new ArrayList<>();
+    private final List<Long> fences = new ArrayList<>();
 
     @Override
     public void grant(
         RangeAction.Grant grant, BooleanSupplier roleHeld, Consumer<GrantResult> callback) {
       sendConditions.add(roleHeld);
+      fences.add(grant.assignment().fence());
     }
 
     @Override
@@ -96,6 +107,7 @@
   private static final class SynchronousStore implements MetadataStore {
     private final Map<RowKey, StoredRow> rows = new HashMap<>();
     private long version;
+    private long era;
 
     @Override
     public void subscribe(String table, Consumer<StoreUpdate> listener) {}
@@ -114,7 +126,7 @@
 
     @Override
     public long era() {
-      return 0;
+      return era;
     }
 
     @Override
@@ -166,4 +178,53 @@
 
     assertThat(condition.getAsBoolean()).isFalse();
   }
+
+  /** Two upstreams would hold the keys that moved after the last map that is known. */
+  @Test
+  void nothingIsGrantedUntilAllGrantsOfAnEarlierEraHaveEnded() {
+    store.era = 2;
+    services.eraSeen(nowNanos);
+    services.earlierEraFound();
+    long seenNanos = nowNanos;
+    while (grants.fences.isEmpty()) {
+      tick();
+      assertThat(nowNanos - seenNanos).isLessThan(2 * GRANTS_OF_EARLIER_ERA.toNanos());
+    }
+
+    assertThat(nowNanos - seenNanos).isAtLeast(GRANTS_OF_EARLIER_ERA.toNanos());
+    assertThat(grants.fences.getFirst()).isAtLeast(FencingTokens.firstOf(2));
+    assertThat(store.rows.keySet()).containsExactly(DaemonRows.map(2, SERVICE));
+  }
+
+  /** A store whose first era is above 0 has lost nothing. */
+  @Test
+  void keysAreGrantedAtOnceInTheFirstEra() {
+    store.era = 1;
+    services.eraSeen(nowNanos);
+    BooleanSupplier unused = conditionOfFirstGrant();
+
+    assertThat(grants.fences.getFirst()).isAtLeast(FencingTokens.firstOf(1));
+  }
+
+  @Test
+  void keysAndTokensWithoutAnEraAreUnchanged() {
+    BooleanSupplier unused = conditionOfFirstGrant();
+
+    assertThat(grants.fences.getFirst()).isEqualTo(1);
+    assertThat(store.rows.keySet()).containsExactly(new RowKey("catkinlift", "ranges-" + SERVICE));
+  }
+
+  /** The map and the grants of a coordinator whose role lasted until the restore are complete. */
+  @Test
+  void coordinatorThatContinuesWritesItsMapInTheNewEra() {
+    BooleanSupplier waiting = conditionOfFirstGrant();
+    store.era = 1;
+    services.eraSeen(nowNanos);
+    services.earlierEraFound();
+    services.continueInPresentEra(nowNanos);
+    tick();
+
+    assertThat(store.rows.keySet()).contains(DaemonRows.map(1, SERVICE));
+    assertThat(waiting.getAsBoolean()).isTrue();
+  }
 }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -91,6 +91,38 @@
     assertThat(reply.gracePeriod()).isEqualTo(Duration.ofMillis(2_300));
   }
 
+  @Test
+  void eraOfTheStoreRoundTrips() {
+    ObservedVersions versions = VERSIONS.inEra(7);
+    var report =
+        new LoadReport(HostId.of("host-1"), 1.5, versions, ImmutableList.of(), ImmutableMap.of());
+    var reply =
+        new CoordinatorReply(
+            HostId.of("host-2"),
+            true,
+            44,
+            11,
+            1.5,
+            versions,
+            AdmissionShares.ADMIT_ALL,
+            false,
+            true,
+            Duration.ZERO,
+            ImmutableList.of());
+
+    assertThat(PeerCodec.decodeReport(PeerCodec.encode(report))).isEqualTo(report);
+    assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
+  }
+
+  /** Deployments whose store states no era exchange what they exchanged before. */
+  @Test
+  void messagesWithoutAnEraAreUnchanged() {
+    var report =
+        new LoadReport(HostId.of("host-1"), 1.5, VERSIONS, ImmutableList.of(), ImmutableMap.of());
+
+    assertThat(PeerCodec.encode(report)).isEqualTo("host host-1 1500000\nnews 1 2 3\n");
+  }
+
   @Test
   void unknownLinesAreSkipped() {
     LoadReport report = PeerCodec.decodeReport("later things\nhost host-1 600000\n");
