--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -197,13 +197,7 @@
     }
     log.log(
         EventCode.STORE_RESTORED,
-        ImmutableMap.of(
-            "era",
-            change.era(),
-            "held_role",
-            lease.mayContinueTerm(),
-            "grace_ms",
-            directory.gracePeriod(nowNanos).toMillis()));
+        ImmutableMap.of("era", change.era(), "held_role", lease.mayContinueTerm()));
   }
 
   private void callFailed(String reason) {
