Relay no rows to daemons that still read the tables of a new era

Cause: after a restore all daemons report version 0 of each table until they have read it, and the coordinator would answer each report with whole tables. Change: versions are those of no era until all tables of the present era are read.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/store/MetadataStore.java
@@ -44,7 +44,8 @@
   long era();
 
   /**
-   * Returns the newest version that this daemon has observed of each source.
+   * Returns the newest version that this daemon has observed of each source; those of era 0 while
+   * the tables of a later era are being read.
    *
    * @return the versions
    */
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InMemoryStore.java
@@ -26,6 +26,7 @@
   private Consumer<StoreUpdate> listener = update -> {};
   private String subscribedTable = "";
   private long version;
+  private long era;
 
   InMemoryStore(EventLoop loop) {
     this.loop = loop;
@@ -42,6 +43,16 @@
     loop.execute(() -> listener.accept(update));
   }
 
+  /** Begins a later era, whose versions start anew. */
+  void restore() {
+    loop.execute(
+        () -> {
+          era++;
+          version = 0;
+          listener.accept(new StoreUpdate.EraChanged(era, true));
+        });
+  }
+
   /** Writes a row as another daemon. */
   void putRow(RowKey key, String value) {
     loop.execute(() -> put(key, new StoredRow(++version, value)));
@@ -92,12 +103,12 @@
 
   @Override
   public long era() {
-    return 0;
+    return era;
   }
 
   @Override
   public ObservedVersions observedVersions() {
-    return new ObservedVersions(version, version, version);
+    return new ObservedVersions(era, version, version, version);
   }
 
   @Override
