--- a/catkinlift-decision/src/main/java/org/catkinlift/routes/Route.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routes/Route.java
@@ -15,6 +15,7 @@
  * @param timeout the time after which a request expires, unless its own deadline is earlier
  * @param maxAttempts the maximum number of upstreams on which a request may be executed
  * @param priority the rank; 0 is the highest
+ * @param isPublic whether requests need no API key of a tenant
  * @param targets the services with their shares; not empty
  */
 public record Route(
@@ -26,6 +27,7 @@
     Duration timeout,
     int maxAttempts,
     int priority,
+    boolean isPublic,
     ImmutableList<WeightedTarget> targets) {
 
   /**
@@ -47,6 +49,7 @@
     private Duration timeout = Duration.ofSeconds(2);
     private int maxAttempts = 1;
     private int priority;
+    private boolean isPublic;
     private ImmutableList<WeightedTarget> targets = ImmutableList.of();
 
     private Builder() {}
@@ -107,6 +110,13 @@
       return this;
     }
 
+    /** Sets whether requests need no API key of a tenant. */
+    @CanIgnoreReturnValue
+    public Builder isPublic(boolean value) {
+      isPublic = value;
+      return this;
+    }
+
     /** Sets the services with their shares. */
     @CanIgnoreReturnValue
     public Builder targets(ImmutableList<WeightedTarget> value) {
@@ -121,7 +131,16 @@
      */
     public Route build() {
       return new Route(
-          name, host, prefix, kind, targetLatency, timeout, maxAttempts, priority, targets);
+          name,
+          host,
+          prefix,
+          kind,
+          targetLatency,
+          timeout,
+          maxAttempts,
+          priority,
+          isPublic,
+          targets);
     }
   }
 }
