Authenticate requests of tenants and serve surplus requests last

Requests carried no identity, so that a revoked customer could not be refused and one that sent many times its usual load crowded out the others.

The daemon checks the API key after the route is found, and again when a configuration is applied and before a request is sent. It removes the key and all copies of the tenant header, and sets the latter. With a fail-closed bound, requests of tenants are refused while the last confirmed contact with the store is too old; the control thread publishes its time in one volatile field. Requests above the usual rate of their tenant follow others of the same priority and are admitted only if a slot is expected to be free. Error messages of parsers are no longer logged, since they may quote a key.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/AdmissionPolicy.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/AdmissionPolicy.java
@@ -64,6 +64,20 @@
     if (canMeetDeadline && ahead < limit * MAX_LATE_PER_SLOT) {
       return new Decision.Admit();
     }
+    return reject(urgency, waitNanos, nowNanos, jitter);
+  }
+
+  /**
+   * Rejects a request.
+   *
+   * @param urgency the priority, target and deadline of the request
+   * @param waitNanos the wait that the request would have had
+   * @param nowNanos the current time
+   * @param jitter a random number from 0 to 1 that spreads the retries of callers rejected together
+   * @return the decision
+   */
+  static Decision.Reject reject(Urgency urgency, long waitNanos, long nowNanos, double jitter) {
+    long remainingNanos = urgency.deadlineNanos() - nowNanos;
     return new Decision.Reject(retryAfter(waitNanos, remainingNanos, jitter));
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/DeadlineQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/DeadlineQueue.java
@@ -9,7 +9,7 @@
  *
  * <p>Load pattern: sustained demand above capacity. Requests that can still meet their target
  * precede those that are already late; otherwise all would be answered late. Among these, a higher
- * priority goes first, then an earlier target. Confined to one thread.
+ * {@link RequestRank} goes first, then an earlier target. Confined to one thread.
  *
  * @param <T> the type of requests
  */
@@ -98,8 +98,9 @@
     if (inTime != other.isInTime(now, service)) {
       return inTime;
     }
-    if (one.priority() != other.priority()) {
-      return one.priority() < other.priority();
+    int order = one.rank().compareTo(other.rank());
+    if (order != 0) {
+      return order < 0;
     }
     return one.targetNanos() < other.targetNanos();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
@@ -23,6 +23,12 @@
    */
   private static final double FULL_LOAD_SLOWDOWN = 0.3;
 
+  /**
+   * The expected requests per slot up to which the upstream counts as having a free slot. Above 1,
+   * because reports are late and a bound of 1 leaves slots idle during a burst.
+   */
+  private static final double MAX_SURPLUS_OCCUPANCY = 1.1;
+
   private static final double NORMAL_SLOWDOWN = 1;
   private static final double MIN_SLOWDOWN = 0.5;
 
@@ -102,7 +108,9 @@
   }
 
   /**
-   * Decides about a new request, and queues it if it is admitted.
+   * Decides about a new request, and queues it if it is admitted. A request above the usual rate of
+   * its tenant is rejected unless a slot is expected to be free, because the upstream executes
+   * requests in the order of their arrival.
    *
    * @param request the request
    * @param urgency the priority, target and deadline of the request
@@ -115,15 +123,13 @@
       T request, Urgency urgency, long typicalServiceNanos, double jitter, long nowNanos) {
     long serviceNanos = serviceNanos(typicalServiceNanos, nowNanos);
     int ahead = queue.countAhead(urgency, nowNanos, serviceNanos);
+    long waitNanos = waitNanos(ahead, serviceNanos, nowNanos);
+    if (urgency.rank().isAboveUsualRate() && !hasFreeSlot(nowNanos)) {
+      return AdmissionPolicy.reject(urgency, waitNanos, nowNanos, jitter);
+    }
     AdmissionPolicy.Decision decision =
         AdmissionPolicy.decide(
-            urgency,
-            waitNanos(ahead, serviceNanos, nowNanos),
-            ahead,
-            limit.value(),
-            serviceNanos,
-            nowNanos,
-            jitter);
+            urgency, waitNanos, ahead, limit.value(), serviceNanos, nowNanos, jitter);
     if (decision instanceof AdmissionPolicy.Decision.Admit) {
       queue.add(request, urgency);
     }
@@ -195,6 +201,10 @@
     return (long) (latency / (1 - failureRate.value(nowNanos)));
   }
 
+  private boolean hasFreeSlot(long nowNanos) {
+    return expectedBusySlots(nowNanos) + queue.size() + 1 <= slots * MAX_SURPLUS_OCCUPANCY;
+  }
+
   /** Returns the expected number of requests of all daemons at the upstream. */
   private double expectedBusySlots(long nowNanos) {
     int sentSinceReport = inFlight - inFlightAtReport;
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -106,6 +106,12 @@
   STORE_OUTAGE_ENDED(5010, Severity.INFO, "outage of the store ended"),
   /** The platform's store was restored from an older copy. */
   STORE_RESTORED(5011, Severity.WARNING, "store restored from an older copy"),
+  /** An invalid entry of the tenants in a configuration was skipped or clamped. */
+  TENANT_ENTRY_INVALID(5012, Severity.WARNING, "invalid tenant entry"),
+  /** Requests of tenants are refused, because the configuration cannot be confirmed. */
+  CONFIGURATION_UNCONFIRMED(5013, Severity.WARNING, "configuration unconfirmed"),
+  /** Requests of tenants are served again. */
+  CONFIGURATION_CONFIRMED(5014, Severity.INFO, "configuration confirmed"),
 
   /** The daemon started to serve callers. */
   DAEMON_STARTED(6001, Severity.INFO, "daemon started"),
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/DeadlineQueueTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/DeadlineQueueTest.java
@@ -38,6 +38,25 @@
     assertThat(queue.takeNext(0, SERVICE)).hasValue("first");
   }
 
+  /** The queue of one tenant that sends more than usual must not delay the others. */
+  @Test
+  void requestAboveUsualRateFollowsOthersOfItsPriority() {
+    queue.add("surplus", new Urgency(new RequestRank(1, true, 0), 400, 10_000));
+    queue.add("usual", new Urgency(new RequestRank(1, false, 2), 500, 10_000));
+    queue.add("lower", new Urgency(new RequestRank(2, false, 0), 300, 10_000));
+
+    assertThat(queue.takeNext(0, SERVICE)).hasValue("usual");
+    assertThat(queue.takeNext(0, SERVICE)).hasValue("surplus");
+  }
+
+  @Test
+  void routePriorityOrdersRequestsOfEqualTenants() {
+    queue.add("lookup", new Urgency(new RequestRank(1, false, 2), 400, 10_000));
+    queue.add("order", new Urgency(new RequestRank(1, false, 1), 500, 10_000));
+
+    assertThat(queue.takeNext(0, SERVICE)).hasValue("order");
+  }
+
   @Test
   void countsOnlyRequestsAhead() {
     queue.add("order", urgency(1, 500));
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
@@ -25,11 +25,13 @@
 
   private int answeredInTime;
 
+  private record PendingRequest(SimulatedRequest request, Runnable onAnswer) {}
+
   private record Target(
       int index,
       SimulatedUpstream upstream,
       boolean sameZone,
-      UpstreamQueue<SimulatedRequest> queue) {}
+      UpstreamQueue<PendingRequest> queue) {}
 
   SimulatedBalancer(
       VirtualTime time,
@@ -45,7 +47,7 @@
     this.random = random;
     this.selector = new UpstreamSelector(random.split());
     for (int i = 0; i < upstreams.size(); i++) {
-      var queue = new UpstreamQueue<SimulatedRequest>(upstreams.get(i).slots(), 0);
+      var queue = new UpstreamQueue<PendingRequest>(upstreams.get(i).slots(), 0);
       targets.add(new Target(i, upstreams.get(i), zones.get(i) == zone, queue));
     }
   }
@@ -55,6 +57,11 @@
   }
 
   void receive(SimulatedRequest request) {
+    receive(request, () -> {});
+  }
+
+  /** Handles a request; runs a task if it is answered within its target. */
+  void receive(SimulatedRequest request, Runnable onAnswer) {
     List<UpstreamSelector.Candidate<Target>> candidates = new ArrayList<>();
     for (Target target : targets) {
       long expectedNanos = target.queue().expectedNanos(TYPICAL_SERVICE_NANOS, time.now());
@@ -67,7 +74,11 @@
         target
             .queue()
             .offer(
-                request, request.urgency(), TYPICAL_SERVICE_NANOS, random.nextDouble(), time.now());
+                new PendingRequest(request, onAnswer),
+                request.urgency(),
+                TYPICAL_SERVICE_NANOS,
+                random.nextDouble(),
+                time.now());
     switch (decision) {
       case AdmissionPolicy.Decision.Admit admit -> sendQueued(target);
       case AdmissionPolicy.Decision.Reject reject -> {}
@@ -75,21 +86,23 @@
   }
 
   private void sendQueued(Target target) {
-    Optional<SimulatedRequest> next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
+    Optional<PendingRequest> next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
     while (next.isPresent()) {
-      SimulatedRequest request = next.get();
+      PendingRequest pending = next.get();
       long sentNanos = time.now();
       connected.set(target.index());
       target
           .upstream()
-          .send(request, (outcome, load) -> ended(target, request, sentNanos, outcome, load));
+          .send(
+              pending.request(),
+              (outcome, load) -> ended(target, pending, sentNanos, outcome, load));
       next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
     }
   }
 
   private void ended(
       Target target,
-      SimulatedRequest request,
+      PendingRequest pending,
       long sentNanos,
       SimulatedUpstream.Outcome outcome,
       ReportedLoad load) {
@@ -101,9 +114,10 @@
       }
     }
     target.queue().requestEnded();
-    if (time.now() <= request.urgency().targetNanos()
+    if (time.now() <= pending.request().urgency().targetNanos()
         && outcome == SimulatedUpstream.Outcome.ANSWERED) {
       answeredInTime++;
+      pending.onAnswer().run();
     }
     time.at(time.now(), () -> sendQueued(target));
   }
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedDaemon.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedDaemon.java
@@ -58,7 +58,7 @@
 
   void receive(SimulatedRequest request) {
     offeredValue += request.value();
-    if (!shares.admits(id, request.urgency().priority(), random.nextDouble())) {
+    if (!shares.admits(id, request.urgency().rank().priority(), random.nextDouble())) {
       return;
     }
     AdmissionPolicy.Decision decision =
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.catkinlift.gateway.store.KeyGrants;
 import org.catkinlift.gateway.store.MetadataStore;
 import org.catkinlift.gateway.traffic.CallerServer;
+import org.catkinlift.gateway.traffic.ContactTime;
 import org.catkinlift.gateway.traffic.ReverseProxy;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.model.ServiceName;
@@ -68,7 +69,9 @@
     this.trafficLoop = newEventLoop("traffic");
     this.trafficTimers = new EventLoopTimerService(trafficLoop, log);
     var random = new SplittableRandom();
-    this.proxy = new ReverseProxy(trafficLoop, trafficTimers, settings, log, metrics, random);
+    var contactTime = new ContactTime();
+    this.proxy =
+        new ReverseProxy(trafficLoop, trafficTimers, settings, contactTime, log, metrics, random);
     this.callerServer = new CallerServer(trafficLoop, trafficTimers, proxy);
     var peerClient = new TextHttpClient(controlLoop, log);
     this.control =
@@ -81,7 +84,8 @@
             log,
             random.nextLong(Long.MAX_VALUE),
             snapshot -> trafficLoop.execute(() -> applySnapshot(snapshot)),
-            shares -> trafficLoop.execute(() -> proxy.apply(shares)));
+            shares -> trafficLoop.execute(() -> proxy.apply(shares)),
+            contactTime::set);
   }
 
   private static EventLoop newEventLoop(String name) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -2,11 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Iterables;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.http.TextHttpClient;
@@ -30,7 +32,10 @@
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
 import org.catkinlift.routes.RouteTable;
+import org.catkinlift.tenants.TenantProblem;
+import org.catkinlift.tenants.TenantRegistry;
 import org.catkinlift.timer.TimerService;
+import org.catkinlift.upstreams.ConfirmedContact;
 import org.catkinlift.upstreams.UpstreamDirectory;
 import org.catkinlift.upstreams.UpstreamStatus;
 
@@ -54,12 +59,17 @@
    */
   private static final double TIME_LIMIT_SHARE = 0.4;
 
+  /** The maximum number of invalid entries of a configuration that are logged one by one. */
+  private static final int MAX_LOGGED_PROBLEMS = 32;
+
   private final GatewaySettings settings;
   private final TimerService timers;
   private final MetadataStore store;
   private final EventLog log;
   private final Consumer<TrafficSnapshot> snapshotListener;
   private final Consumer<AdmissionShares> sharesListener;
+  private final LongConsumer contactListener;
+  private final ConfirmedContact confirmedContact = new ConfirmedContact();
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private final ReporterList reporters = new ReporterList();
   private final StoredRangeMaps storedRangeMaps;
@@ -86,6 +96,7 @@
    * @param incarnation distinguishes the restarts of this daemon
    * @param snapshotListener receives each new snapshot
    * @param sharesListener receives the shares of requests that overloaded upstreams admit
+   * @param contactListener receives the time of each confirmed contact with the store
    */
   public GatewayControl(
       GatewaySettings settings,
@@ -96,7 +107,8 @@
       EventLog log,
       long incarnation,
       Consumer<TrafficSnapshot> snapshotListener,
-      Consumer<AdmissionShares> sharesListener) {
+      Consumer<AdmissionShares> sharesListener,
+      LongConsumer contactListener) {
     this.settings = settings;
     this.timers = timers;
     this.store = store;
@@ -104,6 +116,7 @@
     this.snapshotListener = snapshotListener;
     this.sharesListener = sharesListener;
     this.storedRangeMaps = new StoredRangeMaps(log);
+    this.contactListener = contactListener;
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
@@ -173,6 +186,7 @@
       case StoreUpdate.EraChanged changed -> eraChanged(changed, nowNanos);
       case StoreUpdate.InitialReadCompleted completed -> initialReadCompleted = true;
       case StoreUpdate.CallAnswered answered -> {
+        confirmedContact.established(Duration.ZERO, nowNanos).ifPresent(contactListener);
         contactEstablished(directory.storeAnswered(nowNanos), settings.host());
         return;
       }
@@ -248,11 +262,26 @@
             configuration.version(),
             "routes",
             newConfiguration.routes().size()));
+    logProblems(newConfiguration.tenants());
     configuration = newConfiguration;
     routes = RouteTable.of(newConfiguration.routes());
     publishNow();
   }
 
+  private void logProblems(TenantRegistry tenants) {
+    for (TenantProblem problem : Iterables.limit(tenants.problems(), MAX_LOGGED_PROBLEMS)) {
+      log.log(
+          EventCode.TENANT_ENTRY_INVALID,
+          ImmutableMap.of("tenant", problem.tenant(), "reason", problem.reason()));
+    }
+    int unlogged = tenants.problems().size() - MAX_LOGGED_PROBLEMS;
+    if (unlogged > 0) {
+      log.log(
+          EventCode.TENANT_ENTRY_INVALID,
+          ImmutableMap.of("tenant", "others", "reason", unlogged + " more invalid entries"));
+    }
+  }
+
   private void daemonRowChanged(String key, StoredRow row) {
     Optional<DaemonRows.MapKey> mapKey = DaemonRows.parseMapKey(key);
     if (mapKey.isEmpty() || row.version() == 0) {
@@ -267,6 +296,7 @@
 
   private void tick() {
     ClockReading now = HostClock.now();
+    confirmedContact.running(now.nanos());
     if (directory.refreshUnlisted(now.nanos())) {
       keyedServices.upstreamsChanged();
       schedulePublish();
@@ -332,7 +362,7 @@
     try {
       report = PeerCodec.decodeReport(body);
     } catch (RuntimeException e) {
-      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.toString()));
+      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.getClass().getName()));
       return new TextResponse(400, "");
     }
     long nowNanos = System.nanoTime();
@@ -367,6 +397,9 @@
 
   private void applyRelayedUpdates(CoordinatorReply reply) {
     if (reply.storeConfirmed()) {
+      confirmedContact
+          .established(CoordinatorRole.MAX_CONFIRMATION_AGE, System.nanoTime())
+          .ifPresent(contactListener);
       Duration outage =
           directory.storeConfirmedByCoordinator(
               CoordinatorRole.MAX_CONFIRMATION_AGE, reply.gracePeriod(), System.nanoTime());
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
@@ -137,7 +137,8 @@
     try {
       reply = PeerCodec.decodeReply(body);
     } catch (RuntimeException e) {
-      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.toString()));
+      // The message may quote a row with API keys, so only the type of the error is logged.
+      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.getClass().getName()));
       coordinatorUnavailable();
       return;
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
@@ -58,6 +58,17 @@
     counter.inc();
   }
 
+  /**
+   * Adds a counter to another one and removes it.
+   *
+   * @param name the name of the counter to remove
+   * @param target the name of the counter that is increased
+   */
+  void moveCount(String name, String target) {
+    registry.counter(target).inc(registry.counter(name).getCount());
+    boolean unused = registry.remove(name);
+  }
+
   private Histogram histogram(String name) {
     return registry.histogram(name, () -> new Histogram(new UniformReservoir(RESERVOIR_SIZE)));
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -53,7 +53,7 @@
    *
    * @param service the service
    * @param key the key
-   * @param priority the priority of the request; 0 is the highest
+   * @param priority the class of the request in {@link AdmissionShares}; 0 is the highest
    * @param expectedSeconds the service time at an upstream of normal speed
    */
   public record KeyWork(ServiceName service, int key, int priority, double expectedSeconds) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -4,6 +4,7 @@
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ZoneName;
+import org.catkinlift.tenants.StalenessBound;
 
 /**
  * The settings of one daemon.
@@ -15,6 +16,7 @@
  * @param timeLimits the time limits that the daemon must keep
  * @param retryBudget the retry budget of all daemons together
  * @param headers the names of the headers that callers and upstreams use
+ * @param tenants the headers about tenants, and the bound on the age of the configuration
  */
 public record GatewaySettings(
     HostId host,
@@ -23,7 +25,8 @@
     Addresses addresses,
     TimeLimits timeLimits,
     RetryBudget retryBudget,
-    HeaderNames headers) {
+    HeaderNames headers,
+    TenantSettings tenants) {
 
   /**
    * The addresses at which the daemon listens, and the store's address.
@@ -85,4 +88,19 @@
       String notExecuted,
       String answeringUpstream,
       String load) {}
+
+  /**
+   * The headers about tenants, and the bound on the age of the configuration. Apply only if the
+   * configuration has tenants.
+   *
+   * @param tenantHeader names the tenant to the upstream, in lower case
+   * @param credentialsHeader the header with the API key of a request, in lower case
+   * @param credentialsScheme the word before the API key in that header
+   * @param stalenessBound what applies while the configuration cannot be confirmed
+   */
+  public record TenantSettings(
+      String tenantHeader,
+      String credentialsHeader,
+      String credentialsScheme,
+      StalenessBound stalenessBound) {}
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -9,19 +9,25 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
+import org.catkinlift.gateway.settings.GatewaySettings.TenantSettings;
 import org.catkinlift.gateway.settings.GatewaySettings.TimeLimits;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ModelException;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ZoneName;
+import org.catkinlift.tenants.StalenessBound;
 
 /** Reads the settings of a daemon from a JSON file. Unknown fields are ignored. */
 public final class GatewaySettingsReader {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** An HTTP token. */
+  private static final Pattern TOKEN = Pattern.compile("[0-9A-Za-z!#$%&'*+.^_`|~-]+");
+
   private GatewaySettingsReader() {}
 
   /**
@@ -61,7 +67,8 @@
         parseAddresses(root.path("addresses")),
         parseTimeLimits(root.path("bounds")),
         parseRetryBudget(root.path("repeats")),
-        parseHeaders(root.path("headers")));
+        parseHeaders(root.path("headers")),
+        parseTenantSettings(root.path("headers"), root.path("bounds")));
   }
 
   private static double parseCpuCapacity(JsonNode node) {
@@ -114,6 +121,50 @@
         parseHeaderName(node, "load"));
   }
 
+  private static TenantSettings parseTenantSettings(JsonNode headers, JsonNode bounds) {
+    return new TenantSettings(
+        parseHeaderName(headers, "tenant"),
+        parseHeaderName(headers, "credentials"),
+        parseField(headers, "credentialsScheme", GatewaySettingsReader::parseToken),
+        parseStalenessBound(bounds));
+  }
+
+  /** Deployments without tenants have neither field. */
+  private static StalenessBound parseStalenessBound(JsonNode node) {
+    if (node.has("revocation")) {
+      // Checked even if the deployment fails open, so that an invalid value is noticed.
+      Duration maxAge = parseField(node, "revocation", GatewaySettingsReader::parseDuration);
+      return isFailClosed(node)
+          ? new StalenessBound.FailClosed(maxAge)
+          : new StalenessBound.FailOpen();
+    }
+    if (isFailClosed(node)) {
+      throw new GatewaySettingsException(
+          "settings field 'failClosed' is true, but 'revocation' is missing", null);
+    }
+    return new StalenessBound.FailOpen();
+  }
+
+  private static boolean isFailClosed(JsonNode node) {
+    return node.has("failClosed")
+        && parseField(node, "failClosed", GatewaySettingsReader::parseBoolean);
+  }
+
+  private static boolean parseBoolean(String text) {
+    return switch (text) {
+      case "true" -> true;
+      case "false" -> false;
+      default -> throw new IllegalArgumentException("expected true or false");
+    };
+  }
+
+  private static String parseToken(String text) {
+    if (!TOKEN.matcher(text).matches()) {
+      throw new IllegalArgumentException("expected a word without spaces");
+    }
+    return text;
+  }
+
   private static String parseHeaderName(JsonNode node, String name) {
     return parseField(node, name, text -> text.toLowerCase(Locale.ROOT));
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -1,5 +1,6 @@
 package org.catkinlift.gateway.traffic;
 
+import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -11,6 +12,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.catkinlift.admission.AdmissionPolicy;
 import org.catkinlift.admission.Urgency;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
@@ -19,6 +21,9 @@
 import org.catkinlift.retries.AttemptHistory;
 import org.catkinlift.routes.RequestKind;
 import org.catkinlift.routes.Route;
+import org.catkinlift.tenants.Authentication;
+import org.catkinlift.tenants.Credentials;
+import org.catkinlift.tenants.Tenant;
 import org.catkinlift.timer.TimerService;
 
 /**
@@ -32,6 +37,7 @@
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int BAD_GATEWAY = 502;
   private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORIZED = 401;
   private static final int MISDIRECTED = 421;
   private static final int SERVER_ERROR_CLASS = 5;
 
@@ -64,12 +70,15 @@
   private final CallerRequest request;
   private final ResponseSlot slot;
   private final ResponseRelay relay;
+  private final Supplier<Credentials> credentials;
   private final Set<UpstreamConnection> refusingConnections = new HashSet<>();
 
   private AttemptHistory attempts = AttemptHistory.NONE;
   private Route route;
   private ServiceName service;
   private int key = RequestAcceptance.NO_KEY;
+  private Optional<Tenant> tenant = Optional.empty();
+  private boolean hidesCredentials;
   private Urgency urgency;
   private State state = State.SELECTING_UPSTREAM;
   private UpstreamPool pool;
@@ -96,6 +105,8 @@
     this.request = request;
     this.slot = slot;
     this.relay = new ResponseRelay(proxy, slot, request.id());
+    this.credentials =
+        Suppliers.memoize(() -> proxy.tenantHeaders().credentials(request.headers()));
   }
 
   CallerRequest request() {
@@ -122,11 +133,17 @@
     return key;
   }
 
+  Optional<Tenant> tenant() {
+    return tenant;
+  }
+
   /** Finds the route and selects the first upstream. */
   void start() {
-    switch (proxy.accept(request)) {
-      case RequestAcceptance.Refused refused ->
-          respond(refused.status(), refused.reason(), refused.retryAfter());
+    switch (proxy.accept(request, credentials)) {
+      case RequestAcceptance.Refused refused -> {
+        tenant = refused.tenant();
+        respond(refused.status(), refused.reason(), refused.retryAfter());
+      }
       case RequestAcceptance.Accepted accepted -> accepted(accepted);
     }
   }
@@ -135,6 +152,8 @@
     route = accepted.route();
     service = accepted.service();
     key = accepted.key();
+    tenant = accepted.tenant();
+    hidesCredentials = proxy.requiresAuthentication();
     long timeout = route.timeout().toNanos();
     long callerDeadline =
         request.deadlineMillis().isPresent()
@@ -143,7 +162,7 @@
     long elapsed = proxy.measurements().elapsedInEarlierAttempts(route, request.deadlineMillis());
     urgency =
         new Urgency(
-            route.priority(),
+            proxy.rank(route, tenant),
             request.receivedNanos() + route.targetLatency().toNanos() - elapsed,
             request.receivedNanos() + Math.min(timeout, callerDeadline));
     deadlineTimer = proxy.after(urgency.deadlineNanos() - System.nanoTime(), this::deadlineExpired);
@@ -151,8 +170,54 @@
     selectUpstream();
   }
 
+  /**
+   * Checks the API key again, because the new configuration may have revoked it while the request
+   * waits. A request that was sent to an upstream is not affected.
+   */
+  void configurationApplied() {
+    if (state != State.ENDED && state != State.SENT) {
+      boolean unused = checkTenant();
+    }
+  }
+
+  /**
+   * Decides again on the tenant, and ends the request if it may not be sent any more.
+   *
+   * @return whether the request may be sent
+   */
+  private boolean checkTenant() {
+    if (!hidesCredentials && !proxy.requiresAuthentication()) {
+      return true;
+    }
+    hidesCredentials = true;
+    switch (proxy.authenticate(request, credentials, route)) {
+      case Authentication.NotRequired notRequired -> tenant = Optional.empty();
+      case Authentication.Authenticated authenticated ->
+          tenant = Optional.of(authenticated.tenant());
+      case Authentication.Rejected rejected -> {
+        endBecauseOf(RequestAcceptor.refusal(rejected));
+        return false;
+      }
+      case Authentication.ConfigurationUnconfirmed unconfirmed -> {
+        endBecauseOf(RequestAcceptor.refusal(unconfirmed));
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Ends a request that is not accepted any more. An earlier attempt may have been executed. */
+  private void endBecauseOf(RequestAcceptance.Refused refused) {
+    cancelAttempt();
+    if (attempts.mayHaveBeenExecuted()) {
+      respond(BAD_GATEWAY, refused.reason(), Optional.empty());
+    } else {
+      respond(refused.status(), refused.reason(), refused.retryAfter());
+    }
+  }
+
   private void selectUpstream() {
-    if (state == State.ENDED) {
+    if (state == State.ENDED || !checkTenant()) {
       return;
     }
     if (!proxy.maySend(this)) {
@@ -233,6 +298,9 @@
       endBecauseStopping();
       return false;
     }
+    if (!checkTenant()) {
+      return false;
+    }
     pool = via;
     connection = opened;
     state = State.SENT;
@@ -250,6 +318,9 @@
     long remainingMillis = Duration.ofNanos(urgency.deadlineNanos() - System.nanoTime()).toMillis();
     headers.set(names.deadlineMillis(), Math.max(1, remainingMillis));
     headers.set(names.expectedUpstream(), pool.upstream().id().value());
+    if (hidesCredentials) {
+      proxy.tenantHeaders().replace(headers, tenant.map(Tenant::name));
+    }
     int length = request.body().readableBytes();
     if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
@@ -520,6 +591,9 @@
     finish(reason, status);
     HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
     headers.set(proxy.settings().headers().requestId(), request.id());
+    if (status == UNAUTHORIZED) {
+      headers.set(HttpHeaderNames.WWW_AUTHENTICATE, proxy.settings().tenants().credentialsScheme());
+    }
     retryAfter.ifPresent(
         after ->
             headers.set(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptance.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptance.java
@@ -28,7 +28,14 @@
    * @param status the status code of the response
    * @param reason the reason, for the event log
    * @param retryAfter the delay after which the caller may send the request again, if that helps
+   * @param tenant the tenant whose API key the request carries, if that is known
    */
-  record Refused(int status, String reason, Optional<Duration> retryAfter)
-      implements RequestAcceptance {}
+  record Refused(int status, String reason, Optional<Duration> retryAfter, Optional<Tenant> tenant)
+      implements RequestAcceptance {
+
+    /** Creates the refusal of a request whose tenant is not known. */
+    Refused(int status, String reason, Optional<Duration> retryAfter) {
+      this(status, reason, retryAfter, Optional.empty());
+    }
+  }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -14,7 +14,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import org.catkinlift.admission.AdmissionShares;
+import org.catkinlift.admission.RequestRank;
 import org.catkinlift.admission.ServiceRetryBudget;
 import org.catkinlift.admission.ShutdownWindow;
 import org.catkinlift.admission.UpstreamSelector;
@@ -26,7 +28,11 @@
 import org.catkinlift.model.ServiceName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.quotas.QuotaLimiter;
+import org.catkinlift.routes.Route;
 import org.catkinlift.routes.ServiceProfile;
+import org.catkinlift.tenants.Authentication;
+import org.catkinlift.tenants.Credentials;
+import org.catkinlift.tenants.Tenant;
 import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
 
@@ -53,17 +59,18 @@
   private final TrafficEvents events;
   private final SplittableRandom random;
   private final UpstreamRouting routing;
+  private final TenantHeaders tenantHeaders;
   private final RequestAcceptor acceptor;
   private final ImmutableSet<String> overwrittenHeaders;
   private final Map<UpstreamId, UpstreamPool> pools = new HashMap<>();
   private final Map<ServiceName, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final TrafficMeasurements measurements = new TrafficMeasurements();
   private final Set<ProxyExchange> awaitingHandover = new LinkedHashSet<>();
+  private final Set<ProxyExchange> inProgress = new LinkedHashSet<>();
 
   private TrafficSnapshot snapshot = TrafficSnapshot.EMPTY;
   private AdmissionShares shares = AdmissionShares.ADMIT_ALL;
   private long sharesReceivedNanos;
-  private int requestsInProgress;
   private Optional<ShutdownWindow> shutdown = Optional.empty();
 
   /**
@@ -72,6 +79,7 @@
    * @param loop the traffic thread
    * @param timers the timers of the traffic thread
    * @param settings the daemon's settings
+   * @param contactTime the time of the last confirmed contact with the store
    * @param log the event log
    * @param metrics the daemon's metrics
    * @param random the source of random numbers for upstream selection, admission and retry delays
@@ -80,6 +88,7 @@
       EventLoop loop,
       TimerService timers,
       GatewaySettings settings,
+      ContactTime contactTime,
       EventLog log,
       GatewayMetrics metrics,
       SplittableRandom random) {
@@ -92,7 +101,8 @@
     this.routing =
         new UpstreamRouting(
             settings.zone(), pools, measurements, new UpstreamSelector(random.split()));
-    this.acceptor = new RequestAcceptor(settings.headers(), new QuotaLimiter());
+    this.tenantHeaders = new TenantHeaders(settings.tenants());
+    this.acceptor = new RequestAcceptor(settings, contactTime, new QuotaLimiter(), events);
     HeaderNames names = settings.headers();
     this.overwrittenHeaders = ImmutableSet.of(names.deadlineMillis(), names.expectedUpstream());
     timers.every(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
@@ -114,6 +124,8 @@
    * @param next the new snapshot
    */
   public void apply(TrafficSnapshot next) {
+    boolean isNewConfiguration =
+        next.configuration().version() > snapshot.configuration().version();
     snapshot = next;
     long now = System.nanoTime();
     for (UpstreamView view : next.upstreams().values()) {
@@ -130,6 +142,9 @@
               }
               return isUnlisted;
             });
+    if (isNewConfiguration) {
+      ImmutableList.copyOf(inProgress).forEach(ProxyExchange::configurationApplied);
+    }
     removed.forEach(UpstreamPool::retire);
     List<ProxyExchange> waiting = new ArrayList<>(awaitingHandover);
     awaitingHandover.clear();
@@ -182,10 +197,10 @@
         || shutdown.get().allows(exchange.urgency(), exchange.kind(), System.nanoTime());
   }
 
-  /** Returns whether the admission shares let a request of the given priority through. */
-  boolean admits(UpstreamRecord upstream, int priority) {
+  /** Returns whether the admission shares let a request of the given rank through. */
+  boolean admits(UpstreamRecord upstream, RequestRank rank) {
     boolean isCurrent = System.nanoTime() - sharesReceivedNanos < MAX_SHARES_AGE.toNanos();
-    return !isCurrent || shares.admits(upstream.id(), priority, random.nextDouble());
+    return !isCurrent || shares.admits(upstream.id(), rank.admissionClass(), random.nextDouble());
   }
 
   /** Selects the upstream for a request. */
@@ -205,13 +220,33 @@
   }
 
   /** Decides whether a request is accepted, and by which route and service. */
-  RequestAcceptance accept(CallerRequest request) {
-    return acceptor.accept(snapshot, request, System.nanoTime());
+  RequestAcceptance accept(CallerRequest request, Supplier<Credentials> credentials) {
+    return acceptor.accept(snapshot, request, credentials, System.nanoTime());
+  }
+
+  /** Decides on the tenant of an accepted request by the configuration in force. */
+  Authentication authenticate(
+      CallerRequest request, Supplier<Credentials> credentials, Route route) {
+    return acceptor.authenticate(snapshot, request, credentials, route, System.nanoTime());
+  }
+
+  /** Returns whether requests need an API key unless their route is public. */
+  boolean requiresAuthentication() {
+    return snapshot.configuration().tenants().requiresAuthentication();
+  }
+
+  /** Returns the rank of an accepted request. */
+  RequestRank rank(Route route, Optional<Tenant> tenant) {
+    return acceptor.rank(route, tenant, System.nanoTime());
+  }
+
+  TenantHeaders tenantHeaders() {
+    return tenantHeaders;
   }
 
   /** Records a new request and its expected work. */
   void requestStarted(ProxyExchange exchange) {
-    requestsInProgress++;
+    inProgress.add(exchange);
     retryBudget(exchange.service()).requestSeen(System.nanoTime());
     measurements.recordRequest(exchange);
   }
@@ -235,9 +270,7 @@
   /** Records the end of a request. */
   void requestEnded(
       ProxyExchange exchange, UpstreamPool pool, int status, String reason, int tries) {
-    if (exchange.urgency() != null) {
-      requestsInProgress--;
-    }
+    inProgress.remove(exchange);
     events.requestEnded(exchange, pool, status, reason, tries, snapshot.configuration().version());
   }
 
@@ -261,7 +294,7 @@
    * @return the number
    */
   public int requestsInProgress() {
-    return requestsInProgress;
+    return inProgress.size();
   }
 
   TrafficEvents events() {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
@@ -1,9 +1,14 @@
 package org.catkinlift.gateway.traffic;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.metrics.GatewayMetrics;
+import org.catkinlift.gateway.metrics.TenantCounters;
+import org.catkinlift.model.TenantName;
+import org.catkinlift.tenants.Authentication;
+import org.catkinlift.tenants.Tenant;
 import org.catkinlift.upstreams.UpstreamRecord;
 
 /**
@@ -13,10 +18,13 @@
 final class TrafficEvents {
   private final EventLog log;
   private final GatewayMetrics metrics;
+  private final TenantCounters tenantCounters;
+  private boolean configurationUnconfirmed;
 
   TrafficEvents(EventLog log, GatewayMetrics metrics) {
     this.log = log;
     this.metrics = metrics;
+    this.tenantCounters = new TenantCounters(metrics);
   }
 
   /** Records the end of a request in metrics and the event log. */
@@ -30,6 +38,8 @@
     long durationNanos = System.nanoTime() - exchange.request().receivedNanos();
     String route = exchange.route() == null ? "none" : exchange.route().name();
     metrics.requestEnded(route, status, durationNanos);
+    Optional<TenantName> tenant = exchange.tenant().map(Tenant::name);
+    tenantCounters.requestEnded(tenant, status);
     EventCode code =
         switch (status / 100) {
           case 2 -> EventCode.REQUEST_ANSWERED;
@@ -40,6 +50,7 @@
     ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
     fields.put("request", exchange.request().id()).put("route", route).put("status", status);
     fields.put("took_ms", durationNanos / 1_000_000).put("tries", tries).put("reason", reason);
+    tenant.ifPresent(name -> fields.put("tenant", name));
     if (exchange.key() != RequestAcceptance.NO_KEY) {
       fields.put("key", exchange.key());
     }
@@ -50,6 +61,28 @@
     log.log(code, fields.buildOrThrow());
   }
 
+  /** Records once that requests of tenants are refused, and that they are served again. */
+  void authenticated(Authentication authentication, long contactAgeNanos) {
+    switch (authentication) {
+      case Authentication.ConfigurationUnconfirmed unconfirmed -> {
+        if (!configurationUnconfirmed) {
+          configurationUnconfirmed = true;
+          log.log(
+              EventCode.CONFIGURATION_UNCONFIRMED,
+              ImmutableMap.of("contact_age_ms", contactAgeNanos / 1_000_000));
+        }
+      }
+      case Authentication.Authenticated authenticated -> {
+        if (configurationUnconfirmed) {
+          configurationUnconfirmed = false;
+          log.log(EventCode.CONFIGURATION_CONFIRMED, ImmutableMap.of());
+        }
+      }
+      case Authentication.NotRequired notRequired -> {}
+      case Authentication.Rejected rejected -> {}
+    }
+  }
+
   /** Records that another attempt follows one that reached an upstream in vain. */
   void requestRetried(ProxyExchange exchange, UpstreamRecord upstream, String reason) {
     ImmutableMap.Builder<String, Object> fields = ImmutableMap.builder();
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficMeasurements.java
@@ -33,7 +33,10 @@
       double expectedSeconds = routeTime(exchange.route()).expectedNanos() / NANOS_PER_SECOND;
       keyWork.add(
           new LoadReport.KeyWork(
-              exchange.service(), exchange.key(), exchange.urgency().priority(), expectedSeconds));
+              exchange.service(),
+              exchange.key(),
+              exchange.urgency().rank().admissionClass(),
+              expectedSeconds));
     }
   }
 
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -153,7 +153,7 @@
     if (isSilent(now)) {
       nextProbeNanos = now + SILENT_PROBE_INTERVAL.toNanos();
     }
-    if (exchange.isFirstTry() && !proxy.admits(upstream, exchange.urgency().priority())) {
+    if (exchange.isFirstTry() && !proxy.admits(upstream, exchange.urgency().rank())) {
       long remainingNanos = exchange.urgency().deadlineNanos() - now;
       exchange.rejected(
           "overloaded upstream",
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
@@ -19,6 +19,7 @@
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
+import org.catkinlift.gateway.settings.GatewaySettings.TenantSettings;
 import org.catkinlift.gateway.settings.GatewaySettings.TimeLimits;
 import org.catkinlift.gateway.store.KeyGrants;
 import org.catkinlift.model.HostId;
@@ -35,6 +36,8 @@
 import org.catkinlift.routes.ServiceProfile;
 import org.catkinlift.routes.WeightedTarget;
 import org.catkinlift.standin.FreePorts;
+import org.catkinlift.tenants.StalenessBound;
+import org.catkinlift.tenants.TenantRegistry;
 import org.catkinlift.upstreams.UpstreamRecord;
 
 /** A running daemon with an in-memory store, for tests of complete requests. */
@@ -47,12 +50,17 @@
   private static final int READ_TIMEOUT_MILLIS = 20_000;
   private static final int READY_ATTEMPTS = 400;
 
-  private final GatewaySettings settings = settings();
+  private final GatewaySettings settings;
   private final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private InMemoryStore store;
   final Gateway gateway;
 
   GatewayFixture() {
+    this(new StalenessBound.FailOpen());
+  }
+
+  GatewayFixture(StalenessBound stalenessBound) {
+    settings = settings(stalenessBound);
     EventLog eventLog = EventLog.start("test", log);
     gateway =
         Gateway.start(
@@ -89,7 +97,7 @@
     return FreePorts.findOne("127.0.0.1");
   }
 
-  private static GatewaySettings settings() {
+  private static GatewaySettings settings(StalenessBound stalenessBound) {
     return new GatewaySettings(
         HostId.of("host-1"),
         ZONE,
@@ -110,7 +118,8 @@
             "x-expect-instance",
             "x-not-executed",
             "x-instance-id",
-            "x-server-load"));
+            "x-server-load"),
+        new TenantSettings("x-tenant", "authorization", "Token", stalenessBound));
   }
 
   static UpstreamRecord upstream(String id, ServiceName service, NetworkAddress address) {
@@ -148,6 +157,10 @@
     throw new AssertionError("not logged: " + text);
   }
 
+  String logged() {
+    return log.toString(StandardCharsets.UTF_8);
+  }
+
   private static Route route(
       String prefix, RequestKind kind, ServiceName service, Duration timeout) {
     return Route.builder()
@@ -162,6 +175,17 @@
         .build();
   }
 
+  private static Route publicRoute() {
+    return Route.builder()
+        .name("r-public")
+        .host("a.example")
+        .prefix("/public/")
+        .kind(RequestKind.IDEMPOTENT)
+        .isPublic(true)
+        .targets(ImmutableList.of(new WeightedTarget(SHARED, 1)))
+        .build();
+  }
+
   private static ServiceProfile profile(ServiceName name) {
     return new ServiceProfile(name, "/health", 100, 10, name.equals(KEYED), Duration.ZERO);
   }
@@ -180,17 +204,24 @@
 
   /** Publishes a configuration and the upstreams. */
   void publish(UpstreamRecord... upstreams) {
+    publishConfiguration(1, TenantRegistry.NONE);
+    store.setUpstreams(upstreams);
+  }
+
+  /** Publishes a version of the configuration that differs from others in its tenants only. */
+  void publishConfiguration(long version, TenantRegistry tenants) {
     store.setConfiguration(
         new RouteConfiguration(
-            1,
+            version,
             CallerLimits.DEFAULT,
             ImmutableList.of(
                 route("/lookup/", RequestKind.IDEMPOTENT, SHARED, TIMEOUT),
                 route("/brief/", RequestKind.IDEMPOTENT, SHARED, SHORT_TIMEOUT),
                 route("/order/", RequestKind.NON_IDEMPOTENT, SHARED, TIMEOUT),
-                route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT)),
-            ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED))));
-    store.setUpstreams(upstreams);
+                route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT),
+                publicRoute()),
+            ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED)),
+            tenants));
   }
 
   int health() throws IOException {
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -17,7 +17,8 @@
        "bounds":{"drain":"2000ms","evacuate":"5s","stopGrace":"6s","longestHold":"10s"},
        "repeats":{"ratio":0.2,"slack":62,"window":"10s"},
        "headers":{"requestId":"X-Request-Id","deadlineMillis":"d","key":"k","signature":"s",
-                  "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l"}}
+                  "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l",
+                  "tenant":"X-Tenant","credentials":"Authorization","credentialsScheme":"Token"}}
       """;
 
   @Test
@@ -45,6 +46,12 @@
       {"\"ratio\":0.2", "\"ratio\":\"much\"", "ratio"},
       {"\"load\":\"l\"", "\"load\":[]", "load"},
       {"\"repeats\"", "\"other\"", "ratio"},
+      {"\"tenant\":\"X-Tenant\",", "", "tenant"},
+      {"\"Token\"", "\"To ken\"", "credentialsScheme"},
+      {"\"10s\"}", "\"10s\",\"revocation\":null}", "revocation"},
+      {"\"10s\"}", "\"10s\",\"revocation\":\"5\",\"failClosed\":false}", "revocation"},
+      {"\"10s\"}", "\"10s\",\"revocation\":\"5s\",\"failClosed\":1}", "failClosed"},
+      {"\"10s\"}", "\"10s\",\"failClosed\":true}", "failClosed"},
     };
     for (String[] change : changes) {
       String json = VALID.replace(change[0], change[1]);
