--- /dev/null
+++ b/catkinlift-bench/src/main/java/org/catkinlift/bench/tenants/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what tenants cost by their number. */
+package org.catkinlift.bench.tenants;
