--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaBucket.java
@@ -0,0 +1,117 @@
+package org.catkinlift.quotas;
+
+import java.time.Duration;
+import org.catkinlift.shares.Share;
+import org.catkinlift.tenants.Quota;
+
+/** The requests of one tenant that a host may still accept. */
+final class QuotaBucket {
+  private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+
+  /** How soon a host without a share gets one: two reports and their answers. */
+  private static final Duration SHARE_DELAY = Duration.ofMillis(500);
+
+  private final double draw;
+  private Quota quota;
+  private int hosts;
+  private Share share = Share.NONE;
+  private boolean hasShare;
+  private double level;
+  private long settledNanos;
+  private long lastDemandNanos;
+  private int demand;
+
+  /**
+   * Creates a bucket without a share.
+   *
+   * @param quota the quota of the tenant
+   * @param hosts the number of hosts
+   * @param draw a number from 0 to 1 that the host has for the tenant
+   * @param idleNanos the time without requests of the tenant before now
+   * @param nowNanos the current time
+   */
+  QuotaBucket(Quota quota, int hosts, double draw, long idleNanos, long nowNanos) {
+    this.quota = quota;
+    this.hosts = hosts;
+    this.draw = draw;
+    this.settledNanos = nowNanos - Math.min(idleNanos, QuotaPolicy.WINDOW.toNanos());
+    this.lastDemandNanos = nowNanos;
+  }
+
+  /** Fills the bucket up to now, and then applies a new quota or number of hosts. */
+  void update(Quota newQuota, int newHosts, long nowNanos) {
+    settle(nowNanos);
+    quota = newQuota;
+    hosts = newHosts;
+    level = Math.min(level, capacity());
+  }
+
+  boolean tryAcquire(long nowNanos) {
+    demand++;
+    lastDemandNanos = nowNanos;
+    if (level < 1) {
+      return false;
+    }
+    level--;
+    return true;
+  }
+
+  /** Returns the time until the bucket has room for a request. */
+  Duration retryAfter() {
+    double rate = rate();
+    if (rate <= 0 || capacity() < 1) {
+      return SHARE_DELAY;
+    }
+    long nanos = (long) Math.ceil((1 - level) / rate * NANOS_PER_SECOND);
+    return Duration.ofNanos(Math.min(nanos, QuotaPolicy.WINDOW.toNanos()));
+  }
+
+  /** Replaces the share; tokens over its capacity are lost. */
+  void setShare(Share newShare, double tokens, long nowNanos) {
+    settle(nowNanos);
+    share = newShare;
+    hasShare = share.rate() > 0 || share.burst() > 0;
+    level = Math.min(level + tokens * QuotaPolicy.capacity(quota), capacity());
+  }
+
+  Share share() {
+    return share;
+  }
+
+  boolean hasShare() {
+    return hasShare;
+  }
+
+  Quota quota() {
+    return quota;
+  }
+
+  long lastDemandNanos() {
+    return lastDemandNanos;
+  }
+
+  /** Returns the number of requests since the last call. */
+  int takeDemand() {
+    int taken = demand;
+    demand = 0;
+    return taken;
+  }
+
+  private void settle(long nowNanos) {
+    long elapsedNanos = Math.max(0, nowNanos - settledNanos);
+    level = Math.min(level + elapsedNanos / NANOS_PER_SECOND * rate(), capacity());
+    settledNanos += elapsedNanos;
+  }
+
+  private double capacity() {
+    return hasShare
+        ? share.burst() * QuotaPolicy.capacity(quota)
+        : QuotaPolicy.reserve(quota, hosts, draw);
+  }
+
+  private double rate() {
+    return hasShare
+        ? share.rate() * quota.requestsPerSecond()
+        : capacity() / QuotaPolicy.WINDOW.toSeconds();
+  }
+}
--- /dev/null
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/package-info.java
@@ -0,0 +1,2 @@
+/** The share-out of bounded amounts over hosts, by demand and under leases. */
+package org.catkinlift.shares;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -92,7 +92,7 @@
     this.routing =
         new UpstreamRouting(
             settings.zone(), pools, measurements, new UpstreamSelector(random.split()));
-    this.acceptor = new RequestAcceptor(settings.headers(), new QuotaLimiter());
+    this.acceptor = new RequestAcceptor(settings.headers(), new QuotaLimiter(settings.host().hashCode()));
     HeaderNames names = settings.headers();
     this.overwrittenHeaders = ImmutableSet.of(names.deadlineMillis(), names.expectedUpstream());
     timers.every(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
