Carry demand and shares of quotas in reports and replies

Cause: the coordinator shares quotas out by the demand of all hosts. Change: reports state demand and held shares, replies state shares; the traffic thread applies them and confirms at once. Event 4005 and counters by tenant.

--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -81,6 +81,8 @@
   MEMBER_LEFT(4003, Severity.INFO, "member left"),
   /** A message from another daemon could not be decoded. */
   PEER_MESSAGE_SKIPPED(4004, Severity.WARNING, "unreadable message skipped"),
+  /** No coordinator renewed this daemon's shares of quotas; only its small reserves are left. */
+  QUOTA_SHARES_EXPIRED(4005, Severity.WARNING, "quota shares expired"),
 
   /** This daemon applied a configuration. */
   CONFIGURATION_APPLIED(5001, Severity.INFO, "configuration applied"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaBucket.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaBucket.java
@@ -1,7 +1,9 @@
 package org.catkinlift.quotas;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.catkinlift.shares.Share;
+import org.catkinlift.shares.ShareDemand;
 import org.catkinlift.tenants.Quota;
 
 /** The requests of one tenant that a host may still accept. */
@@ -19,7 +21,8 @@
   private double level;
   private long settledNanos;
   private long lastDemandNanos;
-  private int demand;
+  private int asked;
+  private int spent;
 
   /**
    * Creates a bucket without a share.
@@ -47,12 +50,13 @@
   }
 
   boolean tryAcquire(long nowNanos) {
-    demand++;
+    asked++;
     lastDemandNanos = nowNanos;
     if (level < 1) {
       return false;
     }
     level--;
+    spent++;
     return true;
   }
 
@@ -71,7 +75,7 @@
     settle(nowNanos);
     share = newShare;
     hasShare = share.rate() > 0 || share.burst() > 0;
-    level = Math.min(level + tokens * QuotaPolicy.capacity(quota), capacity());
+    level = Math.min(level + tokens * QuotaPolicy.allowance(quota), capacity());
   }
 
   Share share() {
@@ -82,19 +86,22 @@
     return hasShare;
   }
 
-  Quota quota() {
-    return quota;
-  }
-
   long lastDemandNanos() {
     return lastDemandNanos;
   }
 
-  /** Returns the number of requests since the last call. */
-  int takeDemand() {
-    int taken = demand;
-    demand = 0;
-    return taken;
+  /** Returns the demand since the last call; empty if there was none. */
+  Optional<ShareDemand> takeDemand() {
+    if (asked == 0) {
+      return Optional.empty();
+    }
+    double shortage = hasShare ? Math.max(0, capacity() - level) : asked;
+    var demand =
+        new ShareDemand(
+            asked, spent, shortage, QuotaPolicy.allowance(quota), quota.requestsPerSecond());
+    asked = 0;
+    spent = 0;
+    return Optional.of(demand);
   }
 
   private void settle(long nowNanos) {
@@ -105,7 +112,7 @@
 
   private double capacity() {
     return hasShare
-        ? share.burst() * QuotaPolicy.capacity(quota)
+        ? share.burst() * QuotaPolicy.allowance(quota)
         : QuotaPolicy.reserve(quota, hosts, draw);
   }
 
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaLimiter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaLimiter.java
@@ -38,6 +38,7 @@
   private ShareState state = ShareState.NONE;
   private long leaseEndNanos;
   private long latestIssuer;
+  private boolean sharesExpired;
   private int hosts = ASSUMED_HOSTS;
   private boolean isStarted;
   private long startNanos;
@@ -158,10 +159,22 @@
 
   private void endExpiredShares(long nowNanos) {
     if (!state.equals(ShareState.NONE) && nowNanos - leaseEndNanos >= 0) {
+      sharesExpired = buckets.values().stream().anyMatch(QuotaBucket::hasShare);
       endShares(leaseEndNanos);
     }
   }
 
+  /**
+   * Returns whether shares have ended since the last call because no coordinator renewed them.
+   *
+   * @return true if this host had shares and lost them
+   */
+  public boolean takeSharesExpired() {
+    boolean taken = sharesExpired;
+    sharesExpired = false;
+    return taken;
+  }
+
   /**
    * Returns the state of the shares and the demand since the last call.
    *
@@ -180,10 +193,7 @@
     }
     buckets.forEach(
         (name, bucket) -> {
-          int requests = bucket.takeDemand();
-          if (requests > 0) {
-            demand.put(name, demand(bucket.quota(), requests));
-          }
+          bucket.takeDemand().ifPresent(taken -> demand.put(name, taken));
           if (bucket.hasShare() && latestIssuer != state.issuer()) {
             held.put(name, bucket.share());
           }
@@ -195,11 +205,6 @@
         holdsNoneOfOthers ? ShareState.NONE : state, demand.buildOrThrow(), heldOfOthers);
   }
 
-  private static ShareDemand demand(Quota quota, int requests) {
-    double capacity = QuotaPolicy.capacity(quota);
-    return new ShareDemand(requests / capacity, quota.requestsPerSecond() / capacity);
-  }
-
   private static boolean isIdle(QuotaBucket bucket, long nowNanos) {
     return !bucket.hasShare() && nowNanos - bucket.lastDemandNanos() > IDLE_TIMEOUT.toNanos();
   }
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaPolicy.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaPolicy.java
@@ -7,10 +7,9 @@
  * Divides what a quota allows in a window between the shares that are leased to hosts and a small
  * reserve of each host for tenants of which it has no share.
  *
- * <p>The bound in any window is (rate × window + burst) × (1 + overshoot) + slack. A token bucket
- * of the rate and the burst keeps to the first factor; what the bound allows beyond it is the
- * tolerance. A quarter of the tolerance is not used: requests that waited for an upstream may run
- * closer together than they were accepted.
+ * <p>The bound in any window is (rate × window + burst) × (1 + overshoot) + slack. What it allows
+ * beyond rate × window + burst is the tolerance. A part of the tolerance is not used: requests that
+ * waited for an upstream may run closer together than they were accepted.
  */
 final class QuotaPolicy {
   /** The window of the bound. */
@@ -19,11 +18,11 @@
   private static final double OVERSHOOT = 0.1;
   private static final double SLACK_REQUESTS = 20;
 
-  /** The part of the tolerance that is added to the burst that is leased. */
-  private static final double LEASED_TOLERANCE = 0.35;
+  /** The part of the tolerance that shares use. */
+  private static final double LEASED_TOLERANCE = 0.7;
 
   /** The part of the tolerance that all reserves may hold, and gain in a window. */
-  private static final double RESERVED_TOLERANCE = 0.2;
+  private static final double RESERVED_TOLERANCE = 0.08;
 
   private static final double WINDOW_SECONDS = WINDOW.toSeconds();
 
@@ -34,9 +33,11 @@
         + SLACK_REQUESTS;
   }
 
-  /** Returns the capacity of the bucket that is shared out over all hosts, in requests. */
-  static double capacity(Quota quota) {
-    return quota.burst() + LEASED_TOLERANCE * tolerance(quota);
+  /** Returns the requests that hosts with shares may accept together in a window. */
+  static double allowance(Quota quota) {
+    return quota.requestsPerSecond() * WINDOW_SECONDS
+        + quota.burst()
+        + LEASED_TOLERANCE * tolerance(quota);
   }
 
   /**
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaShareController.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaShareController.java
@@ -16,6 +16,9 @@
  * it has in force, so a changed limit is binding without a message from the coordinator.
  */
 public final class QuotaShareController {
+  /** Keeps the numbers short in messages; two of a deployment are hardly ever equal. */
+  private static final long MAX_ISSUER = 1L << 40;
+
   private final SplittableRandom issuers;
   private Optional<ShareLedger<TenantName>> ledger = Optional.empty();
 
@@ -34,7 +37,7 @@
    * @param nowNanos the current time
    */
   public void start(long nowNanos) {
-    ledger = Optional.of(new ShareLedger<>(issuers.nextLong(1, Long.MAX_VALUE), nowNanos));
+    ledger = Optional.of(new ShareLedger<>(issuers.nextLong(1, MAX_ISSUER), nowNanos));
   }
 
   /** Stops leasing shares. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareDemand.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareDemand.java
@@ -1,23 +1,33 @@
 package org.catkinlift.shares;
 
 /**
- * What a host was asked for since its last report, granted or not, as a fraction of the capacity of
- * the whole bucket.
+ * What a host was asked for since its last report, and the limits of the bounded amount. All values
+ * are in units of the amount.
  *
- * @param amount the demand; may exceed 1
- * @param refillPerSecond the rate at which the whole bucket is filled
+ * @param asked the units that were asked for, granted or not
+ * @param spent the units that were granted
+ * @param shortage what the host's bucket lacks to be full; what was asked for if it has no share
+ * @param allowance the units that all hosts together may spend in a window
+ * @param unitsPerSecond the rate that all hosts together may keep up
  */
-public record ShareDemand(double amount, double refillPerSecond) {
+public record ShareDemand(
+    double asked, double spent, double shortage, double allowance, double unitsPerSecond) {
   /**
    * Checks the values.
    *
-   * @throws IllegalArgumentException if a value is negative or not finite
+   * @throws IllegalArgumentException if a value is negative or not finite, or nothing is allowed
    */
   public ShareDemand {
-    if (!(amount >= 0 && Double.isFinite(amount))
-        || !(refillPerSecond >= 0 && Double.isFinite(refillPerSecond))) {
-      throw new IllegalArgumentException("invalid demand: " + amount + " " + refillPerSecond);
+    if (!isValid(asked) || !isValid(spent) || !isValid(shortage) || !isValid(unitsPerSecond)) {
+      throw new IllegalArgumentException("invalid demand: " + asked + " " + spent + " " + shortage);
     }
+    if (!(allowance >= 1 && Double.isFinite(allowance))) {
+      throw new IllegalArgumentException("invalid allowance: " + allowance);
+    }
+  }
+
+  private static boolean isValid(double value) {
+    return value >= 0 && Double.isFinite(value);
   }
 
   /**
@@ -27,6 +37,11 @@
    * @return the sum
    */
   public ShareDemand plus(ShareDemand later) {
-    return new ShareDemand(amount + later.amount, later.refillPerSecond);
+    return new ShareDemand(
+        asked + later.asked,
+        spent + later.spent,
+        later.shortage,
+        later.allowance,
+        later.unitsPerSecond);
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.catkinlift.model.HostId;
 
@@ -37,7 +38,10 @@
   private static final Share RESERVED_AFTER_RESTART = new Share(1.0 / 3, 1.0 / 3);
 
   private static final Share ALL = new Share(1, 1);
-  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
+
+  /** A host that has not reported for this time counts with all that it may have spent. */
+  private static final Duration SILENCE = Duration.ofMillis(600);
 
   private final long issuer;
   private final long startNanos;
@@ -53,7 +57,8 @@
     private ShareGrant<K> pending =
         new ShareGrant<>(new ShareState(issuer, 0), LEASE, true, ImmutableMap.of());
     private boolean isConfirmed = true;
-    private long expiryNanos;
+    private long reportedNanos;
+    private boolean isSilent;
   }
 
   /**
@@ -82,14 +87,15 @@
       return ShareGrant.none();
     }
     Lease lease = leases.computeIfAbsent(host, h -> new Lease());
-    lease.expiryNanos = nowNanos + LEASE.plus(EXPIRY_MARGIN).toNanos();
+    lease.reportedNanos = nowNanos;
+    setSilent(host, lease, false);
     takeOver(host, lease, report, nowNanos);
     report
         .demand()
         .forEach(
             (key, demand) -> {
               lease.keys.add(key);
-              pool(key, nowNanos).demanded(host, demand, unknown(key, nowNanos), nowNanos);
+              pool(key, nowNanos).demanded(host, demand, nowNanos);
             });
     if (report.state().equals(lease.pending.state())) {
       confirm(host, lease);
@@ -174,7 +180,7 @@
     for (K key : lease.keys) {
       ShareDemand demand = report.demand().get(key);
       pool(key, nowNanos)
-          .offer(host, demand == null ? 0 : demand.amount(), unknown(key, nowNanos), nowNanos)
+          .offer(host, demand == null ? 0 : demand.shortage(), unknown(key, nowNanos), nowNanos)
           .ifPresent(offer -> offers.put(key, offer));
     }
     return offers.buildOrThrow();
@@ -202,7 +208,7 @@
 
   private SharePool pool(K key, long nowNanos) {
     boolean earlierLeasesEnded = nowNanos - startNanos > LEASE.plus(EXPIRY_MARGIN).toNanos();
-    return pools.computeIfAbsent(key, k -> new SharePool(earlierLeasesEnded ? 1 : 0, nowNanos));
+    return pools.computeIfAbsent(key, k -> new SharePool(!earlierLeasesEnded, nowNanos));
   }
 
   private void sweep(long nowNanos) {
@@ -213,8 +219,11 @@
     List<HostId> expired = new ArrayList<>();
     leases.forEach(
         (host, lease) -> {
-          if (nowNanos - lease.expiryNanos > 0) {
+          long silentNanos = nowNanos - lease.reportedNanos;
+          if (silentNanos > LEASE.plus(EXPIRY_MARGIN).toNanos()) {
             expired.add(host);
+          } else if (silentNanos > SILENCE.toNanos()) {
+            setSilent(host, lease, true);
           }
         });
     for (HostId host : expired) {
@@ -225,6 +234,16 @@
     pools.values().removeIf(pool -> pool.isIdle(nowNanos));
   }
 
+  private void setSilent(HostId host, Lease lease, boolean isSilent) {
+    if (lease.isSilent != isSilent) {
+      lease.isSilent = isSilent;
+      lease.keys.stream()
+          .map(pools::get)
+          .filter(Objects::nonNull)
+          .forEach(pool -> pool.setSilent(host, isSilent));
+    }
+  }
+
   /**
    * Returns the number of hosts that may hold shares.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -7,46 +7,57 @@
 import org.catkinlift.model.HostId;
 
 /**
- * Divides one bounded amount over hosts by their demand. The sum of the fractions that hosts may
- * hold never exceeds 1; a share that is lowered counts until the host has confirmed the change.
+ * Divides one bounded amount over hosts by their demand.
  *
- * <p>A part of the rate is not leased. It fills a common pool of tokens, which hosts with demand
- * get in addition, so that a host without a share does not wait until its own bucket fills.
+ * <p>What was spent in the last window, plus the buckets of all hosts if they were full, plus what
+ * flows into them in the rest of the window, never exceeds the allowance. A bucket, a rate or
+ * tokens are added only while this holds; a share that is lowered counts until the host has
+ * confirmed the change. Hosts that do not report count with all that they may have spent since.
  */
 final class SharePool {
-  /** The part of the rate that is leased; the rest fills the common pool of tokens. */
-  private static final double LEASED_RATE = 0.9;
+  private static final Duration WINDOW = Duration.ofSeconds(5);
+  private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
 
-  /** The part of the rate that is divided by demand; the rest is divided equally. */
-  private static final double RATE_BY_DEMAND = 0.85;
+  /** The rate of a host's bucket as a multiple of its demand, so that noise does not empty it. */
+  private static final double RATE_PER_DEMAND = 1.25;
 
-  /** The part of the burst that is leased; the rest is room for the common tokens. */
-  private static final double LEASED_BURST = 0.85;
+  /** The part of the rate that is leased if the demand exceeds it. */
+  private static final double MAX_LEASED_RATE = 0.9;
 
-  /** The part of the leased burst that is divided by demand; the rest is divided equally. */
-  private static final double BURST_BY_DEMAND = 0.5;
+  /** The part of the free allowance that is leased; the rest is for hosts without a share. */
+  private static final double LEASED_ALLOWANCE = 0.85;
 
-  /** The part of the common tokens that one host gets at most in one grant. */
-  private static final double MAX_TOKENS = 0.5;
+  /**
+   * Demand in the last seconds below which a host has no part of the rate. Its small bucket would
+   * be full most of the time, and the rate would be lost.
+   */
+  private static final double MIN_UNITS_FOR_RATE = 2;
 
   /** Shares that differ less than this part from their target are left as they are. */
-  private static final double TOLERANCE = 0.15;
-
-  private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
+  private static final double TOLERANCE = 0.25;
 
   /** Callers keep to their hosts, so a host keeps a share for a while without requests. */
-  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+  private static final Duration MAX_IDLE = Duration.ofSeconds(30);
+
+  private static final Duration MIN_IDLE = Duration.ofSeconds(1);
 
-  private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
+  /** Changes of the idle time while there is too little for all hosts, and while there is not. */
+  private static final double IDLE_DECREASE = 0.97;
+
+  private static final double IDLE_INCREASE = 1.005;
 
   private final Map<HostId, Holder> holders = new HashMap<>();
+  private final SpentLog spent;
+  private boolean spentIsUnknown;
   private double totalWeight;
   private long weighedNanos;
   private double heldRate;
   private double heldBurst;
+  private double silentRate;
   private Share reportedAtStart = Share.NONE;
-  private double tokens;
-  private double refillPerSecond;
+  private double allowance = 1;
+  private double unitsPerSecond;
+  private long maxIdleNanos = MAX_IDLE.toNanos();
 
   /** A host's share, and what it held before until it has confirmed the share. */
   private static final class Holder {
@@ -55,14 +66,25 @@
     private double weight;
     private long weighedNanos;
     private long lastDemandNanos;
+    private boolean isSilent;
+
+    /** Issued by an earlier coordinator, and kept until it is known what others hold. */
+    private Share takenOver = Share.NONE;
 
     Share mayHold() {
       return confirmed.max(issued);
     }
   }
 
-  SharePool(double tokens, long nowNanos) {
-    this.tokens = tokens;
+  /**
+   * Creates a pool.
+   *
+   * @param spentIsUnknown whether an earlier coordinator may have let hosts spend the allowance
+   * @param nowNanos the current time
+   */
+  SharePool(boolean spentIsUnknown, long nowNanos) {
+    this.spent = new SpentLog(nowNanos);
+    this.spentIsUnknown = spentIsUnknown;
     this.weighedNanos = nowNanos;
   }
 
@@ -70,7 +92,9 @@
   void takeOver(HostId host, Share share, long nowNanos) {
     Holder holder = holder(host, nowNanos);
     if (holder.mayHold().isNone()) {
-      setConfirmed(holder, share);
+      set(holder, share, Share.NONE);
+      holder.takenOver = share;
+      spent.remove(share.burst() * allowance);
       reportedAtStart =
           new Share(
               Math.min(1, reportedAtStart.rate() + share.rate()),
@@ -83,45 +107,51 @@
     return reportedAtStart;
   }
 
-  /**
-   * Records demand.
-   *
-   * @param unknown what hosts that have not reported yet may hold
-   */
-  void demanded(HostId host, ShareDemand demand, Share unknown, long nowNanos) {
-    advance(unknown, nowNanos);
-    refillPerSecond = demand.refillPerSecond();
+  /** Records demand. */
+  void demanded(HostId host, ShareDemand demand, long nowNanos) {
+    decayTotal(nowNanos);
+    allowance = demand.allowance();
+    unitsPerSecond = demand.unitsPerSecond();
+    if (spentIsUnknown) {
+      spentIsUnknown = false;
+      spent.assume(allowance * (1 - reportedAtStart.burst()));
+    }
+    spent.add(demand.spent(), nowNanos);
     Holder holder = holder(host, nowNanos);
-    double weight = demand.amount() / seconds(DEMAND_TIME_CONSTANT.toNanos());
-    holder.weight = decayed(holder.weight, holder.weighedNanos, nowNanos) + weight;
+    holder.weight = decayed(holder.weight, holder.weighedNanos, nowNanos) + demand.asked();
     holder.weighedNanos = nowNanos;
     holder.lastDemandNanos = nowNanos;
-    totalWeight += weight;
+    totalWeight += demand.asked();
   }
 
   /**
    * Returns the change of a host's share, or nothing if it stays.
    *
-   * @param demand the demand in the report that is answered
+   * @param shortage what the host's bucket lacks, in units
    * @param unknown what hosts that have not reported yet may hold
    */
-  Optional<ShareOffer> offer(HostId host, double demand, Share unknown, long nowNanos) {
+  Optional<ShareOffer> offer(HostId host, double shortage, Share unknown, long nowNanos) {
     Holder holder = holders.get(host);
     if (holder == null) {
       return Optional.empty();
     }
-    advance(unknown, nowNanos);
-    Share next = limit(holder, target(holder, nowNanos), unknown);
-    if (isClose(holder.issued, next)) {
-      next = holder.issued;
+    decayTotal(nowNanos);
+    Share before = holder.issued;
+    double free = free(unknown, nowNanos);
+    Share target = target(holder, free, nowNanos);
+    Share next =
+        unknown.isNone()
+            ? limit(holder, target, free, unknown)
+            : holder.takenOver.max(limit(holder, target, free, unknown));
+    if (!isClose(before, next)) {
+      set(holder, holder.confirmed, next);
     }
-    double added = Math.min(Math.min(tokens * MAX_TOKENS, demand), next.burst());
-    if (next.equals(holder.issued) && added == 0) {
-      return Optional.empty();
-    }
-    tokens -= added;
-    setIssued(holder, next);
-    return Optional.of(new ShareOffer(next, added));
+    double raised = Math.max(0, holder.issued.burst() - before.burst());
+    double lacking = Math.min(shortage / allowance + raised, holder.issued.burst());
+    double tokens = lacking > 0 && free(unknown, nowNanos) >= 0 ? lacking : 0;
+    return tokens == 0 && holder.issued.equals(before)
+        ? Optional.empty()
+        : Optional.of(new ShareOffer(holder.issued, tokens));
   }
 
   /** Returns the share that was issued to a host last. */
@@ -140,70 +170,92 @@
     if (holder == null) {
       return false;
     }
-    setConfirmed(holder, holder.issued);
-    boolean isEnded = holder.issued.isNone() && isLeaving(holder, weighedNanos);
-    if (isEnded) {
+    set(holder, holder.issued, holder.issued);
+    if (holder.issued.isNone()) {
       remove(host);
+      return false;
+    }
+    return true;
+  }
+
+  /** Sets whether a host has not reported for a while. */
+  void setSilent(HostId host, boolean isSilent) {
+    Holder holder = holders.get(host);
+    if (holder != null && holder.isSilent != isSilent) {
+      holder.isSilent = isSilent;
+      silentRate += (isSilent ? 1 : -1) * holder.mayHold().rate();
     }
-    return !isEnded;
   }
 
   /** Ends the share of a host, because its lease has expired. */
   void remove(HostId host) {
-    Holder holder = holders.remove(host);
+    Holder holder = holders.get(host);
     if (holder != null) {
-      heldRate -= holder.mayHold().rate();
-      heldBurst -= holder.mayHold().burst();
+      setSilent(host, false);
+      set(holder, Share.NONE, Share.NONE);
       totalWeight -= decayed(holder.weight, holder.weighedNanos, weighedNanos);
+      holders.remove(host);
     }
   }
 
-  /** Returns whether the pool can be discarded, and a new one be created with all tokens. */
+  /** Returns whether the pool says no more than a new one. */
   boolean isIdle(long nowNanos) {
-    advance(Share.NONE, nowNanos);
-    return holders.isEmpty() && tokens >= 1;
+    return holders.isEmpty() && spent.isEmpty(nowNanos);
+  }
+
+  /** Returns the units of the allowance that are neither spent nor held; negative if too many. */
+  private double free(Share unknown, long nowNanos) {
+    double reportingRate = Math.max(0, heldRate - silentRate) * unitsPerSecond;
+    double otherRate = (silentRate + unknown.rate()) * unitsPerSecond;
+    return allowance * (1 - heldBurst - unknown.burst())
+        - otherRate * WINDOW.toSeconds()
+        - spent.mostInWindow(reportingRate, nowNanos);
   }
 
-  private Share target(Holder holder, long nowNanos) {
-    if (isLeaving(holder, nowNanos)) {
+  private Share target(Holder holder, double free, long nowNanos) {
+    if (nowNanos - holder.lastDemandNanos > maxIdleNanos) {
       return Share.NONE;
     }
     double weight = decayed(holder.weight, holder.weighedNanos, nowNanos);
     double byDemand = totalWeight > 0 ? Math.min(1, Math.max(0, weight / totalWeight)) : 0;
-    double equal = 1.0 / holders.size();
+    double leased = Math.max(0, LEASED_ALLOWANCE * (free + heldBurst * allowance));
+    double burst = 1 + Math.max(0, leased - holders.size()) * byDemand;
+    double demandRate = RATE_PER_DEMAND * weight / DEMAND_TIME_CONSTANT.toSeconds();
+    double rate = Math.min(demandRate / unitsPerSecond, MAX_LEASED_RATE * byDemand);
     return new Share(
-        LEASED_RATE * (RATE_BY_DEMAND * byDemand + (1 - RATE_BY_DEMAND) * equal),
-        LEASED_BURST * (BURST_BY_DEMAND * byDemand + (1 - BURST_BY_DEMAND) * equal));
+        weight >= MIN_UNITS_FOR_RATE ? Math.min(1, rate) : 0, Math.min(1, burst / allowance));
   }
 
-  private static boolean isLeaving(Holder holder, long nowNanos) {
-    return nowNanos - holder.lastDemandNanos > IDLE_TIMEOUT.toNanos();
+  /** A bucket that never holds a whole unit would be of no use. */
+  private Share limit(Holder holder, Share target, double free, Share unknown) {
+    Share held = holder.mayHold();
+    double freeBurst = held.burst() + Math.max(0, free) / allowance;
+    double burst = Math.min(target.burst(), freeBurst);
+    boolean isShort = !target.isNone() && burst < 1 / allowance;
+    adaptIdleTime(isShort);
+    if (isShort || target.isNone()) {
+      return Share.NONE;
+    }
+    double freeRate = Math.max(0, 1 - unknown.rate() - heldRate + held.rate());
+    double raised = Math.max(0, burst - held.burst()) * allowance;
+    double affordable =
+        held.rate() + Math.max(0, free - raised) / WINDOW.toSeconds() / Math.max(1, unitsPerSecond);
+    return new Share(Math.min(target.rate(), Math.min(freeRate, affordable)), burst);
   }
 
-  private Share limit(Holder holder, Share target, Share unknown) {
-    double freeRate = 1 - unknown.rate() - heldRate + holder.mayHold().rate();
-    double freeBurst = 1 - unknown.burst() - heldBurst + holder.mayHold().burst();
-    return new Share(
-        Math.max(0, Math.min(target.rate(), freeRate)),
-        Math.max(0, Math.min(target.burst(), freeBurst)));
+  /** Hosts without recent demand give their shares up earlier while others lack them. */
+  private void adaptIdleTime(boolean isShort) {
+    double factor = isShort ? IDLE_DECREASE : IDLE_INCREASE;
+    maxIdleNanos =
+        Math.max(MIN_IDLE.toNanos(), Math.min(MAX_IDLE.toNanos(), (long) (maxIdleNanos * factor)));
   }
 
   private static boolean isClose(Share issued, Share next) {
-    return !next.isNone()
+    return next.isNone() == issued.isNone()
         && Math.abs(issued.rate() - next.rate()) <= TOLERANCE * issued.rate()
         && Math.abs(issued.burst() - next.burst()) <= TOLERANCE * issued.burst();
   }
 
-  /** Decays the weights and fills the common tokens with the rate that nobody holds. */
-  private void advance(Share unknown, long nowNanos) {
-    double freeRate = Math.max(0, 1 - unknown.rate() - heldRate);
-    double freeBurst = Math.max(0, 1 - unknown.burst() - heldBurst);
-    double filled = freeRate * refillPerSecond * seconds(nowNanos - weighedNanos);
-    tokens = Math.min(tokens + filled, freeBurst);
-    totalWeight = decayed(totalWeight, weighedNanos, nowNanos);
-    weighedNanos = nowNanos;
-  }
-
   private Holder holder(HostId host, long nowNanos) {
     return holders.computeIfAbsent(
         host,
@@ -215,28 +267,22 @@
         });
   }
 
-  private void setIssued(Holder holder, Share share) {
+  private void set(Holder holder, Share confirmed, Share issued) {
     Share before = holder.mayHold();
-    holder.issued = share;
-    held(before, holder.mayHold());
-  }
-
-  private void setConfirmed(Holder holder, Share share) {
-    Share before = holder.mayHold();
-    holder.confirmed = share;
-    held(before, holder.mayHold());
-  }
-
-  private void held(Share before, Share after) {
+    holder.confirmed = confirmed;
+    holder.issued = issued;
+    Share after = holder.mayHold();
     heldRate += after.rate() - before.rate();
     heldBurst += after.burst() - before.burst();
+    silentRate += holder.isSilent ? after.rate() - before.rate() : 0;
   }
 
-  private static double decayed(double weight, long sinceNanos, long nowNanos) {
-    return weight * Math.exp((sinceNanos - nowNanos) / (double) DEMAND_TIME_CONSTANT.toNanos());
+  private void decayTotal(long nowNanos) {
+    totalWeight = decayed(totalWeight, weighedNanos, nowNanos);
+    weighedNanos = nowNanos;
   }
 
-  private static double seconds(long nanos) {
-    return nanos / NANOS_PER_SECOND;
+  private static double decayed(double weight, long sinceNanos, long nowNanos) {
+    return weight * Math.exp((sinceNanos - nowNanos) / (double) DEMAND_TIME_CONSTANT.toNanos());
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareReport.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareReport.java
@@ -34,6 +34,15 @@
     return state.equals(ShareState.NONE) && demand.isEmpty();
   }
 
+  /**
+   * Returns a report of the same state without demand.
+   *
+   * @return the report
+   */
+  public ShareReport<K> withoutDemand() {
+    return new ShareReport<>(state, ImmutableMap.of(), held);
+  }
+
   /**
    * Returns a later report with the demand of this one added.
    *
--- a/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
@@ -185,8 +185,8 @@
       return;
     }
     host.limiter.setHosts(hosts.size());
-    ShareReport<TenantName> report = host.pending.followedBy(host.limiter.takeReport(nowNanos));
-    host.pending = ShareReport.empty();
+    host.pending = host.pending.followedBy(host.limiter.takeReport(nowNanos));
+    ShareReport<TenantName> report = host.pending;
     long sentNanos = nowNanos;
     int incarnation = host.incarnation;
     deliver(host.number, coordinator, () -> received(host, incarnation, report, sentNanos));
@@ -201,6 +201,7 @@
         from.number,
         () -> {
           if (from.incarnation == incarnation) {
+            from.pending = ShareReport.empty();
             from.limiter.apply(new QuotaShares(grant, sentNanos), nowNanos);
           }
         });
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -26,7 +26,10 @@
 import org.catkinlift.gateway.traffic.ReverseProxy;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.RangeMap;
+import org.catkinlift.shares.ShareReport;
 import org.catkinlift.timer.TimerService;
 
 /** A daemon: its control thread, its traffic thread and its servers. */
@@ -81,7 +84,8 @@
             log,
             random.nextLong(Long.MAX_VALUE),
             snapshot -> trafficLoop.execute(() -> applySnapshot(snapshot)),
-            shares -> trafficLoop.execute(() -> proxy.apply(shares)));
+            shares -> trafficLoop.execute(() -> proxy.apply(shares)),
+            shares -> trafficLoop.execute(() -> applyQuotaShares(shares)));
   }
 
   private static EventLoop newEventLoop(String name) {
@@ -164,9 +168,25 @@
     return !map.assignments().isEmpty();
   }
 
+  /** Confirms the shares at once, because the coordinator changes them only after that. */
+  private void applyQuotaShares(QuotaShares shares) {
+    proxy.apply(shares);
+    reportQuotas();
+  }
+
+  private void reportQuotas() {
+    ShareReport<TenantName> quotas = proxy.takeQuotaReport();
+    controlLoop.execute(() -> control.quotasMeasured(quotas));
+  }
+
   private void reportTraffic() {
     ReverseProxy.LoadSample sample = proxy.takeLoadSample();
-    controlLoop.execute(() -> control.trafficMeasured(sample.keyWork(), sample.workTimes()));
+    ShareReport<TenantName> quotas = proxy.takeQuotaReport();
+    controlLoop.execute(
+        () -> {
+          control.trafficMeasured(sample.keyWork(), sample.workTimes());
+          control.quotasMeasured(quotas);
+        });
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -24,12 +24,17 @@
 import org.catkinlift.gateway.traffic.UpstreamView;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.quotas.QuotaShareController;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.ClockReading;
 import org.catkinlift.ranges.CoordinatorLease;
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
 import org.catkinlift.routes.RouteTable;
+import org.catkinlift.shares.ShareGrant;
+import org.catkinlift.shares.ShareReport;
 import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamDirectory;
 import org.catkinlift.upstreams.UpstreamStatus;
@@ -68,6 +73,8 @@
   private final CoordinatorRole role;
   private final KeyedServices keyedServices;
   private final LoadReporter loadReporter;
+  private final QuotaShareController quotaShares;
+  private final Consumer<QuotaShares> quotaSharesListener;
 
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
@@ -87,6 +94,7 @@
    * @param incarnation distinguishes the restarts of this daemon
    * @param snapshotListener receives each new snapshot
    * @param sharesListener receives the shares of requests that overloaded upstreams admit
+   * @param quotaSharesListener receives the shares of tenants' quotas of this host
    */
   public GatewayControl(
       GatewaySettings settings,
@@ -97,13 +105,16 @@
       EventLog log,
       long incarnation,
       Consumer<TrafficSnapshot> snapshotListener,
-      Consumer<AdmissionShares> sharesListener) {
+      Consumer<AdmissionShares> sharesListener,
+      Consumer<QuotaShares> quotaSharesListener) {
     this.settings = settings;
     this.timers = timers;
     this.store = store;
     this.log = log;
     this.snapshotListener = snapshotListener;
     this.sharesListener = sharesListener;
+    this.quotaSharesListener = quotaSharesListener;
+    this.quotaShares = new QuotaShareController(incarnation);
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
@@ -126,6 +137,7 @@
             this::schedulePublish,
             this::applyRelayedUpdates,
             sharesListener,
+            quotaSharesListener,
             log);
   }
 
@@ -288,8 +300,11 @@
 
   private void roleChanged() {
     store.setPollingEnabled(true);
-    if (!role.isHeld()) {
+    if (role.isHeld()) {
+      quotaShares.start(System.nanoTime());
+    } else {
       keyedServices.stop();
+      quotaShares.stop();
     }
   }
 
@@ -305,9 +320,19 @@
     loadReporter.trafficMeasured(keyWork, workTimes);
   }
 
+  /**
+   * Adds to the next load report what the traffic thread states about quotas.
+   *
+   * @param quotas the demand since the last call and the shares of this host
+   */
+  public void quotasMeasured(ShareReport<TenantName> quotas) {
+    loadReporter.quotasMeasured(quotas);
+  }
+
   private void reportLoad() {
     LoadReport report = loadReporter.takeReport();
     if (role.isHeld()) {
+      reportOwnQuotas();
       keyedServices.reportReceived(report);
       loadReporter.setDaemonCount(reporters.daemonCount(System.nanoTime()));
       sharesListener.accept(keyedServices.shares());
@@ -316,6 +341,17 @@
     }
   }
 
+  private void reportOwnQuotas() {
+    long nowNanos = System.nanoTime();
+    ShareGrant<TenantName> grant =
+        lease.isHeld(HostClock.now())
+            ? quotaShares.reportReceived(settings.host(), loadReporter.takeQuotas(), nowNanos)
+            : ShareGrant.none();
+    if (!grant.isNone()) {
+      quotaSharesListener.accept(new QuotaShares(grant, nowNanos));
+    }
+  }
+
   /**
    * Handles a message from another daemon.
    *
@@ -346,17 +382,21 @@
         200,
         PeerCodec.encode(
             new CoordinatorReply(
-                settings.host(),
-                held,
-                lease.rowVersion(),
-                reporters.daemonCount(nowNanos),
-                Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
-                store.observedVersions(),
-                held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
-                storeConfirmed && !reporters.isPolling(report.host()),
-                storeConfirmed,
-                directory.gracePeriod(nowNanos),
-                held ? store.changesSince(report.observedVersions()) : ImmutableList.of())));
+                    settings.host(),
+                    held,
+                    lease.rowVersion(),
+                    reporters.daemonCount(nowNanos),
+                    Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
+                    store.observedVersions(),
+                    held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
+                    storeConfirmed && !reporters.isPolling(report.host()),
+                    storeConfirmed,
+                    directory.gracePeriod(nowNanos),
+                    held ? store.changesSince(report.observedVersions()) : ImmutableList.of())
+                .withQuotaShares(
+                    held
+                        ? quotaShares.reportReceived(report.host(), report.quotas(), nowNanos)
+                        : ShareGrant.none())));
   }
 
   private void applyRelayedUpdates(CoordinatorReply reply) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/LoadReporter.java
@@ -16,9 +16,12 @@
 import org.catkinlift.gateway.peer.PeerCodec;
 import org.catkinlift.gateway.store.MetadataStore;
 import org.catkinlift.model.HostId;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.CoordinatorLease;
 import org.catkinlift.ranges.LeaseRow;
+import org.catkinlift.shares.ShareReport;
 
 /**
  * Reports this daemon's traffic to the coordinator and applies its replies, which confirm the role
@@ -41,9 +44,16 @@
   private final Runnable daemonCountListener;
   private final Consumer<CoordinatorReply> replyListener;
   private final Consumer<AdmissionShares> sharesListener;
+  private final Consumer<QuotaShares> quotaSharesListener;
   private final EventLog log;
 
   private LoadReport pendingReport;
+  private ShareReport<TenantName> pendingQuotas = ShareReport.empty();
+
+  /** What the report in flight states about quotas; stated again if it is not answered. */
+  private ShareReport<TenantName> sentQuotas = ShareReport.empty();
+
+  private long sentNanos;
   private int daemonCount = INITIAL_DAEMON_COUNT;
   private boolean callInFlight;
 
@@ -59,6 +69,7 @@
       Runnable daemonCountListener,
       Consumer<CoordinatorReply> replyListener,
       Consumer<AdmissionShares> sharesListener,
+      Consumer<QuotaShares> quotaSharesListener,
       EventLog log) {
     this.self = self;
     this.cpuCapacity = cpuCapacity;
@@ -68,6 +79,7 @@
     this.daemonCountListener = daemonCountListener;
     this.replyListener = replyListener;
     this.sharesListener = sharesListener;
+    this.quotaSharesListener = quotaSharesListener;
     this.log = log;
     this.pendingReport = emptyReport();
   }
@@ -84,6 +96,18 @@
     pendingReport = pendingReport.withTraffic(store.observedVersions(), keyWork, workTimes);
   }
 
+  /** Replaces the state of the shares of quotas and adds demand to the pending report. */
+  void quotasMeasured(ShareReport<TenantName> quotas) {
+    pendingQuotas = pendingQuotas.followedBy(quotas);
+  }
+
+  /** Returns what the pending report states about quotas, and removes the demand from it. */
+  ShareReport<TenantName> takeQuotas() {
+    ShareReport<TenantName> quotas = pendingQuotas;
+    pendingQuotas = quotas.withoutDemand();
+    return quotas;
+  }
+
   /** Returns the pending report and starts a new one. */
   LoadReport takeReport() {
     LoadReport report = pendingReport;
@@ -107,10 +131,12 @@
       return;
     }
     callInFlight = true;
+    sentQuotas = takeQuotas();
+    sentNanos = System.nanoTime();
     peerClient.call(
         HttpCall.to(holder.get().peerAddress())
             .request("POST", PeerCodec.REPORT_PATH)
-            .body(PeerCodec.encode(report))
+            .body(PeerCodec.encode(report.withQuotas(sentQuotas)))
             .timeout(REPORT_TIMEOUT)
             .maxResponseBytes(HttpCall.MAX_RESPONSE_BYTES)
             .build(),
@@ -146,6 +172,8 @@
 
   /** Makes this daemon poll the store itself, because no coordinator relays updates. */
   private void coordinatorUnavailable() {
+    pendingQuotas = sentQuotas.followedBy(pendingQuotas);
+    sentQuotas = ShareReport.empty();
     lease.holderUnconfirmed();
     store.setPollingEnabled(true);
   }
@@ -156,6 +184,10 @@
       coordinatorUnavailable();
       return;
     }
+    sentQuotas = ShareReport.empty();
+    if (!reply.quotaShares().isNone()) {
+      quotaSharesListener.accept(new QuotaShares(reply.quotaShares(), sentNanos));
+    }
     replyListener.accept(reply);
     store.peerVersionsReceived(reply.observedVersions());
     store.setPollingEnabled(!reply.relaysUpdates());
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/metrics/GatewayMetrics.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Map;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 
 /**
  * The counters and latency histograms of the daemon, rendered as one line per value. Thread-safe.
@@ -48,6 +49,18 @@
     increment("upstream_connections." + service);
   }
 
+  /**
+   * Counts requests of a tenant with a quota.
+   *
+   * @param tenant the tenant
+   * @param asked the requests, granted or not
+   * @param granted the requests within the quota
+   */
+  public void quotaUsed(TenantName tenant, double asked, double granted) {
+    registry.counter("quota_granted." + tenant).inc((long) granted);
+    registry.counter("quota_refused." + tenant).inc((long) (asked - granted));
+  }
+
   /**
    * Increments a counter.
    *
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/LoadReport.java
@@ -7,8 +7,10 @@
 import org.catkinlift.gateway.store.ObservedVersions;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.ranges.KeyRange;
+import org.catkinlift.shares.ShareReport;
 
 /**
  * A daemon's report to the coordinator of the traffic since its last report.
@@ -18,13 +20,43 @@
  * @param observedVersions the versions of the store that the daemon has observed
  * @param keyWork the requests for keyed services, one entry for each request
  * @param workTimes the service times of upstreams
+ * @param quotas the demand and the shares of the quotas of tenants
  */
 public record LoadReport(
     HostId host,
     double cpuCapacity,
     ObservedVersions observedVersions,
     ImmutableList<KeyWork> keyWork,
-    ImmutableMap<UpstreamId, WorkTimes> workTimes) {
+    ImmutableMap<UpstreamId, WorkTimes> workTimes,
+    ShareReport<TenantName> quotas) {
+
+  /**
+   * Creates a report of a daemon without shares of quotas.
+   *
+   * @param host the daemon's host
+   * @param cpuCapacity the CPU capacity of the daemon's host, in cores
+   * @param observedVersions the versions of the store that the daemon has observed
+   * @param keyWork the requests for keyed services, one entry for each request
+   * @param workTimes the service times of upstreams
+   */
+  public LoadReport(
+      HostId host,
+      double cpuCapacity,
+      ObservedVersions observedVersions,
+      ImmutableList<KeyWork> keyWork,
+      ImmutableMap<UpstreamId, WorkTimes> workTimes) {
+    this(host, cpuCapacity, observedVersions, keyWork, workTimes, ShareReport.empty());
+  }
+
+  /**
+   * Returns a copy of this report with what it states about quotas.
+   *
+   * @param newQuotas the demand and the shares of quotas
+   * @return the report
+   */
+  public LoadReport withQuotas(ShareReport<TenantName> newQuotas) {
+    return new LoadReport(host, cpuCapacity, observedVersions, keyWork, workTimes, newQuotas);
+  }
 
   /**
    * Returns a copy of this report with more traffic.
@@ -45,7 +77,8 @@
         cpuCapacity,
         newVersions,
         ImmutableList.<KeyWork>builder().addAll(keyWork).addAll(newWork).build(),
-        ImmutableMap.copyOf(mergedTimes));
+        ImmutableMap.copyOf(mergedTimes),
+        quotas);
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -62,6 +62,7 @@
                     .append(' ')
                     .append(inMillionths(times.expectedSeconds()))
                     .append('\n'));
+    ShareLines.append(text, report.quotas());
     return text.toString();
   }
 
@@ -78,6 +79,7 @@
     var versions = new ObservedVersions(0, 0, 0);
     ImmutableList.Builder<LoadReport.KeyWork> keyWork = ImmutableList.builder();
     ImmutableMap.Builder<UpstreamId, LoadReport.WorkTimes> workTimes = ImmutableMap.builder();
+    var quotas = new ShareLines.Decoder();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] fields = lines.next().split(" ", -1);
       switch (fields[0]) {
@@ -98,14 +100,19 @@
                 UpstreamId.of(field(fields, 1)),
                 new LoadReport.WorkTimes(
                     fromMillionths(field(fields, 2)), fromMillionths(field(fields, 3))));
-        default -> {}
+        default -> quotas.line(fields);
       }
     }
     if (host == null) {
       throw new IllegalArgumentException("load report has no host line");
     }
     return new LoadReport(
-        host, cpuCapacity, versions, keyWork.build(), workTimes.buildKeepingLast());
+        host,
+        cpuCapacity,
+        versions,
+        keyWork.build(),
+        workTimes.buildKeepingLast(),
+        quotas.report());
   }
 
   /**
@@ -138,6 +145,7 @@
     text.append(' ').append(reply.gracePeriod().toMillis());
     text.append(' ').append(reply.storeConfirmed()).append('\n');
     reply.changes().forEach(change -> appendChange(text, change));
+    ShareLines.append(text, reply.quotaShares());
     return text.toString();
   }
 
@@ -156,6 +164,7 @@
     boolean relaysUpdates = false;
     boolean storeConfirmed = false;
     var gracePeriod = Duration.ZERO;
+    var quotas = new ShareLines.Decoder();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] fields = lines.next().split(" ", -1);
       switch (fields[0]) {
@@ -188,7 +197,7 @@
           storeConfirmed = fields.length > 3 ? Boolean.parseBoolean(fields[3]) : relaysUpdates;
         }
         case "row" -> changes.add(parseChange(fields));
-        default -> {}
+        default -> quotas.line(fields);
       }
     }
     if (reply == null) {
@@ -205,7 +214,8 @@
         relaysUpdates,
         storeConfirmed,
         gracePeriod,
-        changes.build());
+        changes.build(),
+        quotas.grant());
   }
 
   /**
@@ -248,7 +258,7 @@
         Long.parseLong(field(fields, 3)));
   }
 
-  private static String field(String[] fields, int index) {
+  static String field(String[] fields, int index) {
     if (index >= fields.length) {
       throw new IllegalArgumentException("line has too few fields: " + String.join(" ", fields));
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -24,9 +24,12 @@
 import org.catkinlift.gateway.settings.GatewaySettings;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
 import org.catkinlift.quotas.QuotaLimiter;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.routes.ServiceProfile;
+import org.catkinlift.shares.ShareReport;
 import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
 
@@ -53,6 +56,8 @@
   private final TrafficEvents events;
   private final SplittableRandom random;
   private final UpstreamRouting routing;
+  private final QuotaLimiter quotas;
+  private final SuspensionDetector suspensions = new SuspensionDetector();
   private final RequestAcceptor acceptor;
   private final ImmutableSet<String> overwrittenHeaders;
   private final Map<UpstreamId, UpstreamPool> pools = new HashMap<>();
@@ -92,7 +97,8 @@
     this.routing =
         new UpstreamRouting(
             settings.zone(), pools, measurements, new UpstreamSelector(random.split()));
-    this.acceptor = new RequestAcceptor(settings.headers(), new QuotaLimiter(settings.host().hashCode()));
+    this.quotas = new QuotaLimiter(settings.host().hashCode());
+    this.acceptor = new RequestAcceptor(settings.headers(), quotas);
     HeaderNames names = settings.headers();
     this.overwrittenHeaders = ImmutableSet.of(names.deadlineMillis(), names.expectedUpstream());
     timers.every(IDLE_CHECK_INTERVAL, this::closeExpiredConnections);
@@ -115,6 +121,7 @@
    */
   public void apply(TrafficSnapshot next) {
     snapshot = next;
+    quotas.setHosts(next.daemons());
     long now = System.nanoTime();
     for (UpstreamView view : next.upstreams().values()) {
       updatePool(view, now);
@@ -167,6 +174,35 @@
     sharesReceivedNanos = System.nanoTime();
   }
 
+  /**
+   * Applies shares of tenants' quotas.
+   *
+   * @param next the coordinator's grant to this host
+   */
+  public void apply(QuotaShares next) {
+    quotas.apply(next, System.nanoTime());
+  }
+
+  /**
+   * Returns the state of this host's shares of quotas, and the demand since the last call.
+   *
+   * @return the part of the next load report about quotas
+   */
+  public ShareReport<TenantName> takeQuotaReport() {
+    long now = System.nanoTime();
+    if (suspensions.wasSuspended(now, System.currentTimeMillis())) {
+      quotas.endShares(now);
+    }
+    ShareReport<TenantName> report = quotas.takeReport(now);
+    report
+        .demand()
+        .forEach((tenant, demand) -> metrics.quotaUsed(tenant, demand.asked(), demand.spent()));
+    if (quotas.takeSharesExpired()) {
+      events.quotaSharesExpired();
+    }
+    return report;
+  }
+
   /**
    * Limits what is sent from now on to what can end before the process does.
    *
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
@@ -72,6 +72,10 @@
         ImmutableMap.of("upstream", upstream.id(), "during", phase, "reason", reason));
   }
 
+  void quotaSharesExpired() {
+    log.log(EventCode.QUOTA_SHARES_EXPIRED, ImmutableMap.of());
+  }
+
   void unexpectedBytes(UpstreamRecord upstream, String reason, String requestId) {
     metrics.upstreamFailed(upstream.service(), "bytes");
     log.log(
