Count what was spent in the window when shares are divided

Cause: parts of a token bucket are below one request at most hosts of a small tenant, so most of its requests were refused there. Change: the coordinator logs what hosts spent and leases what the window leaves; the replay has models of the alternatives and scenarios of failures.

--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
@@ -32,7 +32,7 @@
   private static final Duration EXPIRY_MARGIN = LEASE.dividedBy(50);
 
   /** After this time all hosts that run and can be reached have reported to a new coordinator. */
-  private static final Duration FIRST_REPORTS = Duration.ofSeconds(1);
+  private static final Duration FIRST_REPORTS = Duration.ofMillis(600);
 
   /** Reserved while all hosts that report have just started; covers a cut-off availability zone. */
   private static final Share RESERVED_AFTER_RESTART = new Share(1.0 / 3, 1.0 / 3);
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -16,6 +16,10 @@
  */
 final class SharePool {
   private static final Duration WINDOW = Duration.ofSeconds(5);
+
+  /** The part of the window before a restart of all hosts that the last 5 s still hold. */
+  private static final Duration SPENT_BEFORE_RESTART = Duration.ofSeconds(2);
+
   private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
 
   /** The rate of a host's bucket as a multiple of its demand, so that noise does not empty it. */
@@ -27,6 +31,9 @@
   /** The part of the free allowance that is leased; the rest is for hosts without a share. */
   private static final double LEASED_ALLOWANCE = 0.85;
 
+  /** The part of the leased allowance that is divided by demand; the rest is divided equally. */
+  private static final double BURST_BY_DEMAND = 0.5;
+
   /**
    * Demand in the last seconds below which a host has no part of the rate. Its small bucket would
    * be full most of the time, and the rate would be lost.
@@ -114,7 +121,7 @@
     unitsPerSecond = demand.unitsPerSecond();
     if (spentIsUnknown) {
       spentIsUnknown = false;
-      spent.assume(allowance * (1 - reportedAtStart.burst()));
+      spent.assume(spentEarlier());
     }
     spent.add(demand.spent(), nowNanos);
     Holder holder = holder(host, nowNanos);
@@ -124,6 +131,17 @@
     totalWeight += demand.asked();
   }
 
+  /**
+   * Returns what may have been spent in the last window. An earlier coordinator kept the sum of
+   * what was spent and what is held within the allowance. If nobody reports that it holds anything,
+   * all hosts have restarted, and the role has been free for most of a window.
+   */
+  private double spentEarlier() {
+    return reportedAtStart.isNone()
+        ? unitsPerSecond * SPENT_BEFORE_RESTART.toSeconds()
+        : allowance * (1 - reportedAtStart.burst());
+  }
+
   /**
    * Returns the change of a host's share, or nothing if it stays.
    *
@@ -219,7 +237,9 @@
     double weight = decayed(holder.weight, holder.weighedNanos, nowNanos);
     double byDemand = totalWeight > 0 ? Math.min(1, Math.max(0, weight / totalWeight)) : 0;
     double leased = Math.max(0, LEASED_ALLOWANCE * (free + heldBurst * allowance));
-    double burst = 1 + Math.max(0, leased - holders.size()) * byDemand;
+    double equal = 1.0 / holders.size();
+    double burst =
+        Math.max(1, leased * (BURST_BY_DEMAND * byDemand + (1 - BURST_BY_DEMAND) * equal));
     double demandRate = RATE_PER_DEMAND * weight / DEMAND_TIME_CONSTANT.toSeconds();
     double rate = Math.min(demandRate / unitsPerSecond, MAX_LEASED_RATE * byDemand);
     return new Share(
--- a/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -29,11 +30,22 @@
   private final List<TenantLoad> tenants = new ArrayList<>();
   private final PriorityQueue<Task> tasks = new PriorityQueue<>();
   private final Set<Integer> cutOff = new HashSet<>();
+  private final Scheme scheme;
   private final double lossRate;
   private int coordinator;
   private long nowNanos;
   private long tasksAdded;
 
+  /** Who decides about requests; all but the first are alternatives that were weighed. */
+  enum Scheme {
+    /** Shares leased by demand. */
+    LEASED_SHARES,
+    /** Each tenant has a home host, which all hosts ask; they have a fixed reserve without it. */
+    HOME_HOST,
+    /** The coordinator has one bucket for each tenant and refills small local reserves. */
+    ONE_BUCKET
+  }
+
   private record Task(long nanos, long order, Runnable action) implements Comparable<Task> {
     @Override
     public int compareTo(Task other) {
@@ -70,7 +82,8 @@
     }
   }
 
-  QuotaSite(int hostCount, double lossRate, long seed) {
+  QuotaSite(Scheme scheme, int hostCount, double lossRate, long seed) {
+    this.scheme = scheme;
     this.random = new SplittableRandom(seed);
     this.lossRate = lossRate;
     for (int i = 0; i < hostCount; i++) {
@@ -89,7 +102,10 @@
     for (int i = 0; i < entryHosts; i++) {
       weights[random.nextInt(hosts.size())] += 1.0 / (1 + i);
     }
-    tenant.weights = weights;
+    double sum = Arrays.stream(weights).sum();
+    tenant.weights = Arrays.stream(weights).map(w -> w / sum).toArray();
+    tenant.reserves = new double[hosts.size()];
+    tenant.filledNanos = new long[hosts.size() + 1];
     tenants.add(tenant);
     return tenant;
   }
@@ -154,12 +170,46 @@
   }
 
   private void request(TenantLoad tenant, Optional<Host> entry) {
-    if (entry.isEmpty()) {
-      return;
+    if (entry.isPresent()) {
+      tenant.record(isGranted(tenant, entry.get()), nowNanos);
+    }
+  }
+
+  private boolean isGranted(TenantLoad tenant, Host entry) {
+    return switch (scheme) {
+      case LEASED_SHARES ->
+          entry.limiter.acquire(tenant.tenant(), nowNanos) instanceof QuotaDecision.Granted;
+      case HOME_HOST -> isGrantedAtHome(tenant, entry);
+      case ONE_BUCKET -> {
+        boolean isGranted = tenant.reserves[entry.number] >= 1;
+        tenant.reserves[entry.number] -= isGranted ? 1 : 0;
+        yield isGranted;
+      }
+    };
+  }
+
+  private boolean isGrantedAtHome(TenantLoad tenant, Host entry) {
+    Host home = hosts.get(Math.floorMod(tenant.name.hashCode(), hosts.size()));
+    boolean isReached =
+        home.runs() && cutOff.contains(home.number) == cutOff.contains(entry.number);
+    double[] levels = isReached ? tenant.whole : tenant.reserves;
+    int index = isReached ? 0 : entry.number;
+    double part = isReached ? 1 : 0.5 / hosts.size();
+    tenant.fill(levels, index, part, nowNanos);
+    boolean isGranted = levels[index] >= 1;
+    levels[index] -= isGranted ? 1 : 0;
+    return isGranted;
+  }
+
+  /** Refills the reserve of a host from the one bucket of each tenant. */
+  private void refillReserves(Host host) {
+    for (TenantLoad tenant : tenants) {
+      tenant.fill(tenant.whole, 0, 1, nowNanos);
+      double wanted = 1 + tenant.weights[host.number] * tenant.quota.requestsPerSecond() / 2;
+      double added = Math.max(0, Math.min(wanted - tenant.reserves[host.number], tenant.whole[0]));
+      tenant.whole[0] -= added;
+      tenant.reserves[host.number] += added;
     }
-    boolean granted =
-        entry.get().limiter.acquire(tenant.tenant(), nowNanos) instanceof QuotaDecision.Granted;
-    tenant.record(granted, nowNanos);
   }
 
   /** Callers leave hosts that do not run. */
@@ -184,6 +234,10 @@
     if (!host.runs()) {
       return;
     }
+    if (scheme == Scheme.ONE_BUCKET) {
+      deliver(coordinator, host.number, () -> refillReserves(host));
+      return;
+    }
     host.limiter.setHosts(hosts.size());
     host.pending = host.pending.followedBy(host.limiter.takeReport(nowNanos));
     ShareReport<TenantName> report = host.pending;
@@ -227,7 +281,10 @@
     private final TenantName name;
     private final ToDoubleFunction<Double> load;
     private final List<Long> granted = new ArrayList<>();
+    private final double[] whole = new double[1];
     private double[] weights;
+    private double[] reserves;
+    private long[] filledNanos;
     private Quota quota;
     private double idealLevel;
     private long idealNanos;
@@ -263,6 +320,17 @@
       }
     }
 
+    /** Fills a bucket by its part of the quota. */
+    void fill(double[] levels, int index, double part, long nowNanos) {
+      boolean isWhole = part == 1;
+      int clock = isWhole ? filledNanos.length - 1 : index;
+      double seconds = (nowNanos - filledNanos[clock]) / NANOS_PER_SECOND;
+      filledNanos[clock] = nowNanos;
+      double capacity = isWhole ? quota.burst() + 10 : Math.max(1, quota.burst() * part);
+      levels[index] =
+          Math.min(capacity, levels[index] + seconds * part * quota.requestsPerSecond());
+    }
+
     int refusedBelowQuota() {
       return refusedBelowQuota;
     }
