--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -236,31 +236,33 @@
     }
     double weight = decayed(holder.weight, holder.weighedNanos, nowNanos);
     double byDemand = totalWeight > 0 ? Math.min(1, Math.max(0, weight / totalWeight)) : 0;
-    double leased = Math.max(0, LEASED_ALLOWANCE * (free + heldBurst * allowance));
+    double demandRate = RATE_PER_DEMAND * weight / DEMAND_TIME_CONSTANT.toSeconds();
+    double rate =
+        weight >= MIN_UNITS_FOR_RATE
+            ? Math.min(1, Math.min(demandRate / unitsPerSecond, MAX_LEASED_RATE * byDemand))
+            : 0;
+    double raisedRate = Math.max(0, rate - holder.mayHold().rate()) * unitsPerSecond;
+    double leased =
+        Math.max(
+            0, LEASED_ALLOWANCE * (free + heldBurst * allowance - raisedRate * WINDOW.toSeconds()));
     double equal = 1.0 / holders.size();
     double burst =
         Math.max(1, leased * (BURST_BY_DEMAND * byDemand + (1 - BURST_BY_DEMAND) * equal));
-    double demandRate = RATE_PER_DEMAND * weight / DEMAND_TIME_CONSTANT.toSeconds();
-    double rate = Math.min(demandRate / unitsPerSecond, MAX_LEASED_RATE * byDemand);
-    return new Share(
-        weight >= MIN_UNITS_FOR_RATE ? Math.min(1, rate) : 0, Math.min(1, burst / allowance));
+    return new Share(rate, Math.min(1, burst / allowance));
   }
 
   /** A bucket that never holds a whole unit would be of no use. */
   private Share limit(Holder holder, Share target, double free, Share unknown) {
     Share held = holder.mayHold();
-    double freeBurst = held.burst() + Math.max(0, free) / allowance;
-    double burst = Math.min(target.burst(), freeBurst);
+    double perRate = Math.max(1, unitsPerSecond) * WINDOW.toSeconds();
+    double freeRate = Math.max(0, 1 - unknown.rate() - heldRate + held.rate());
+    double affordable = held.rate() + Math.max(0, free) / perRate;
+    double rate = Math.min(target.rate(), Math.min(freeRate, affordable));
+    double left = Math.max(0, free - Math.max(0, rate - held.rate()) * perRate);
+    double burst = Math.min(target.burst(), held.burst() + left / allowance);
     boolean isShort = !target.isNone() && burst < 1 / allowance;
     adaptIdleTime(isShort);
-    if (isShort || target.isNone()) {
-      return Share.NONE;
-    }
-    double freeRate = Math.max(0, 1 - unknown.rate() - heldRate + held.rate());
-    double raised = Math.max(0, burst - held.burst()) * allowance;
-    double affordable =
-        held.rate() + Math.max(0, free - raised) / WINDOW.toSeconds() / Math.max(1, unitsPerSecond);
-    return new Share(Math.min(target.rate(), Math.min(freeRate, affordable)), burst);
+    return isShort || target.isNone() ? Share.NONE : new Share(rate, burst);
   }
 
   /** Hosts without recent demand give their shares up earlier while others lack them. */
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/peer/PeerCodecTest.java
@@ -15,7 +15,14 @@
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ModelException;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.shares.Share;
+import org.catkinlift.shares.ShareDemand;
+import org.catkinlift.shares.ShareGrant;
+import org.catkinlift.shares.ShareOffer;
+import org.catkinlift.shares.ShareReport;
+import org.catkinlift.shares.ShareState;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread messages between daemons, also between daemons of different versions. */
@@ -81,6 +88,55 @@
     assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
   }
 
+  private static final TenantName TENANT = TenantName.of("tenant-1");
+
+  @Test
+  void quotasOfReportRoundTrip() {
+    var quotas =
+        new ShareReport<>(
+            new ShareState(77, 5),
+            ImmutableMap.of(TENANT, new ShareDemand(3, 2, 1.5, 142.25, 20)),
+            ImmutableMap.of(TENANT, new Share(0.25, 0.125)));
+    LoadReport report = PeerCodec.decodeReport("host host-1 600000\n").withQuotas(quotas);
+
+    assertThat(PeerCodec.decodeReport(PeerCodec.encode(report))).isEqualTo(report);
+  }
+
+  @Test
+  void quotaSharesOfReplyRoundTrip() {
+    var shares =
+        new ShareGrant<>(
+            new ShareState(77, 6),
+            Duration.ofSeconds(7),
+            true,
+            ImmutableMap.of(TENANT, new ShareOffer(new Share(0.25, 0.125), 0.0625)));
+    CoordinatorReply reply =
+        PeerCodec.decodeReply("coordinator host-2 true 44 11 1500000\n").withQuotaShares(shares);
+
+    assertThat(PeerCodec.decodeReply(PeerCodec.encode(reply))).isEqualTo(reply);
+  }
+
+  /** Guards against bytes for deployments without tenants. */
+  @Test
+  void messagesWithoutTenantsHaveNoLinesAboutQuotas() {
+    LoadReport report = PeerCodec.decodeReport("host host-1 600000\n");
+    CoordinatorReply reply = PeerCodec.decodeReply("coordinator host-2 true 44 11 1500000\n");
+
+    assertThat(PeerCodec.encode(report)).isEqualTo("host host-1 600000\nnews 0 0 0\n");
+    assertThat(PeerCodec.encode(reply))
+        .isEqualTo("coordinator host-2 true 44 11 1500000\nnews 0 0 0\npasses false 0 false\n");
+  }
+
+  @Test
+  void malformedQuotasAreRejected() {
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> PeerCodec.decodeReport("host host-1 600000\ndemand tenant-1 1 1 1 0 1\n"));
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> PeerCodec.decodeReport("host host-1 600000\nheld tenant-1 2000000 1\n"));
+  }
+
   /** A daemon of an earlier build does not state whether the store responded to it. */
   @Test
   void relayOfEarlierBuildCountsAsContactWithStore() {
