--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -123,7 +123,8 @@
       spentIsUnknown = false;
       spent.assume(spentEarlier());
     }
-    spent.add(demand.spent(), nowNanos);
+    // A host that returns from a partition states all that it spent meanwhile.
+    spent.add(Math.min(demand.spent(), allowance), nowNanos);
     Holder holder = holder(host, nowNanos);
     holder.weight = decayed(holder.weight, holder.weighedNanos, nowNanos) + demand.asked();
     holder.weighedNanos = nowNanos;
