Count what was spent before a change of the coordinator from its start

Cause: reports before the first question made a new coordinator assume that all hosts had restarted, and it gave tokens too early. Change: EarlierShares holds what is unknown; it is evaluated with each decision.

--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
@@ -37,6 +37,9 @@
   /** Reserved while all hosts that report have just started; covers a cut-off availability zone. */
   private static final Share RESERVED_AFTER_RESTART = new Share(1.0 / 3, 1.0 / 3);
 
+  /** The window of the bound, and one report. */
+  private static final Duration WINDOW_AND_REPORT = Duration.ofMillis(5_500);
+
   private static final Share ALL = new Share(1, 1);
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
@@ -89,6 +92,13 @@
     Lease lease = leases.computeIfAbsent(host, h -> new Lease());
     lease.reportedNanos = nowNanos;
     setSilent(host, lease, false);
+    boolean hasSharesOfOthers =
+        report.state().issuer() != issuer && !report.state().equals(ShareState.NONE);
+    earlierSharesSeen |= hasSharesOfOthers;
+    if (hasSharesOfOthers && report.held().isEmpty()) {
+      // The host states what it holds in its next report, because the issuer differs.
+      return new ShareGrant<>(new ShareState(issuer, 0), Duration.ZERO, false, ImmutableMap.of());
+    }
     takeOver(host, lease, report, nowNanos);
     report
         .demand()
@@ -104,14 +114,6 @@
       leases.remove(host);
       return ShareGrant.none();
     }
-    boolean hasSharesOfOthers =
-        report.state().issuer() != issuer
-            && !report.state().equals(ShareState.NONE)
-            && report.held().isEmpty();
-    if (hasSharesOfOthers) {
-      // The host states what it holds in its next report, because the issuer differs.
-      return new ShareGrant<>(new ShareState(issuer, 0), Duration.ZERO, false, ImmutableMap.of());
-    }
     if (report.state().issuer() == issuer) {
       return lease.isConfirmed ? nextGrant(host, lease, report, nowNanos) : lease.pending;
     }
@@ -121,10 +123,9 @@
   }
 
   private void takeOver(HostId host, Lease lease, ShareReport<K> report, long nowNanos) {
-    if (report.state().issuer() == issuer || report.held().isEmpty()) {
+    if (report.state().issuer() == issuer) {
       return;
     }
-    earlierSharesSeen = true;
     report
         .held()
         .forEach(
@@ -180,7 +181,7 @@
     for (K key : lease.keys) {
       ShareDemand demand = report.demand().get(key);
       pool(key, nowNanos)
-          .offer(host, demand == null ? 0 : demand.shortage(), unknown(key, nowNanos), nowNanos)
+          .offer(host, demand == null ? 0 : demand.shortage(), earlier(key, nowNanos), nowNanos)
           .ifPresent(offer -> offers.put(key, offer));
     }
     return offers.buildOrThrow();
@@ -193,22 +194,26 @@
     lease.isConfirmed = false;
   }
 
-  /** Returns what hosts that have not reported to this ledger may hold of an earlier one. */
-  private Share unknown(K key, long nowNanos) {
+  private EarlierShares earlier(K key, long nowNanos) {
     long age = nowNanos - startNanos;
     if (age > LEASE.plus(EXPIRY_MARGIN).toNanos()) {
-      return Share.NONE;
+      return EarlierShares.NONE;
     }
+    double windowPart = Math.max(0, 1 - (double) age / WINDOW_AND_REPORT.toNanos());
+    return new EarlierShares(heldByOthers(key, age, nowNanos), windowPart, earlierSharesSeen);
+  }
+
+  /** Returns what hosts that have not reported to this ledger may hold of an earlier one. */
+  private Share heldByOthers(K key, long ageNanos, long nowNanos) {
     if (!earlierSharesSeen) {
-      return age > FIRST_REPORTS.toNanos() ? RESERVED_AFTER_RESTART : ALL;
+      return ageNanos > FIRST_REPORTS.toNanos() ? RESERVED_AFTER_RESTART : ALL;
     }
     Share reported = pool(key, nowNanos).reportedAtStart();
     return new Share(1 - reported.rate(), 1 - reported.burst());
   }
 
   private SharePool pool(K key, long nowNanos) {
-    boolean earlierLeasesEnded = nowNanos - startNanos > LEASE.plus(EXPIRY_MARGIN).toNanos();
-    return pools.computeIfAbsent(key, k -> new SharePool(!earlierLeasesEnded, nowNanos));
+    return pools.computeIfAbsent(key, k -> new SharePool(nowNanos));
   }
 
   private void sweep(long nowNanos) {
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -16,10 +16,6 @@
  */
 final class SharePool {
   private static final Duration WINDOW = Duration.ofSeconds(5);
-
-  /** The part of the window before a restart of all hosts that the last 5 s still hold. */
-  private static final Duration SPENT_BEFORE_RESTART = Duration.ofSeconds(2);
-
   private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
 
   /** The rate of a host's bucket as a multiple of its demand, so that noise does not empty it. */
@@ -55,7 +51,6 @@
 
   private final Map<HostId, Holder> holders = new HashMap<>();
   private final SpentLog spent;
-  private boolean spentIsUnknown;
   private double totalWeight;
   private long weighedNanos;
   private double heldRate;
@@ -83,15 +78,8 @@
     }
   }
 
-  /**
-   * Creates a pool.
-   *
-   * @param spentIsUnknown whether an earlier coordinator may have let hosts spend the allowance
-   * @param nowNanos the current time
-   */
-  SharePool(boolean spentIsUnknown, long nowNanos) {
+  SharePool(long nowNanos) {
     this.spent = new SpentLog(nowNanos);
-    this.spentIsUnknown = spentIsUnknown;
     this.weighedNanos = nowNanos;
   }
 
@@ -101,7 +89,6 @@
     if (holder.mayHold().isNone()) {
       set(holder, share, Share.NONE);
       holder.takenOver = share;
-      spent.remove(share.burst() * allowance);
       reportedAtStart =
           new Share(
               Math.min(1, reportedAtStart.rate() + share.rate()),
@@ -119,10 +106,6 @@
     decayTotal(nowNanos);
     allowance = demand.allowance();
     unitsPerSecond = demand.unitsPerSecond();
-    if (spentIsUnknown) {
-      spentIsUnknown = false;
-      spent.assume(spentEarlier());
-    }
     // A host that returns from a partition states all that it spent meanwhile.
     spent.add(Math.min(demand.spent(), allowance), nowNanos);
     Holder holder = holder(host, nowNanos);
@@ -132,42 +115,31 @@
     totalWeight += demand.asked();
   }
 
-  /**
-   * Returns what may have been spent in the last window. An earlier coordinator kept the sum of
-   * what was spent and what is held within the allowance. If nobody reports that it holds anything,
-   * all hosts have restarted, and the role has been free for most of a window.
-   */
-  private double spentEarlier() {
-    return reportedAtStart.isNone()
-        ? unitsPerSecond * SPENT_BEFORE_RESTART.toSeconds()
-        : allowance * (1 - reportedAtStart.burst());
-  }
-
   /**
    * Returns the change of a host's share, or nothing if it stays.
    *
    * @param shortage what the host's bucket lacks, in units
-   * @param unknown what hosts that have not reported yet may hold
+   * @param earlier what is not known about the time before
    */
-  Optional<ShareOffer> offer(HostId host, double shortage, Share unknown, long nowNanos) {
+  Optional<ShareOffer> offer(HostId host, double shortage, EarlierShares earlier, long nowNanos) {
     Holder holder = holders.get(host);
     if (holder == null) {
       return Optional.empty();
     }
     decayTotal(nowNanos);
     Share before = holder.issued;
-    double free = free(unknown, nowNanos);
+    double free = free(earlier, nowNanos);
     Share target = target(holder, free, nowNanos);
     Share next =
-        unknown.isNone()
-            ? limit(holder, target, free, unknown)
-            : holder.takenOver.max(limit(holder, target, free, unknown));
+        earlier.held().isNone()
+            ? limit(holder, target, free, earlier)
+            : holder.takenOver.max(limit(holder, target, free, earlier));
     if (!isClose(before, next)) {
       set(holder, holder.confirmed, next);
     }
     double raised = Math.max(0, holder.issued.burst() - before.burst());
     double lacking = Math.min(shortage / allowance + raised, holder.issued.burst());
-    double tokens = lacking > 0 && free(unknown, nowNanos) >= 0 ? lacking : 0;
+    double tokens = lacking > 0 && free(earlier, nowNanos) >= 0 ? lacking : 0;
     return tokens == 0 && holder.issued.equals(before)
         ? Optional.empty()
         : Optional.of(new ShareOffer(holder.issued, tokens));
@@ -223,11 +195,12 @@
   }
 
   /** Returns the units of the allowance that are neither spent nor held; negative if too many. */
-  private double free(Share unknown, long nowNanos) {
+  private double free(EarlierShares earlier, long nowNanos) {
     double reportingRate = Math.max(0, heldRate - silentRate) * unitsPerSecond;
-    double otherRate = (silentRate + unknown.rate()) * unitsPerSecond;
-    return allowance * (1 - heldBurst - unknown.burst())
+    double otherRate = (silentRate + earlier.held().rate()) * unitsPerSecond;
+    return allowance * (1 - heldBurst - earlier.held().burst())
         - otherRate * WINDOW.toSeconds()
+        - earlier.spent(allowance, unitsPerSecond, reportedAtStart)
         - spent.mostInWindow(reportingRate, nowNanos);
   }
 
@@ -253,10 +226,10 @@
   }
 
   /** A bucket that never holds a whole unit would be of no use. */
-  private Share limit(Holder holder, Share target, double free, Share unknown) {
+  private Share limit(Holder holder, Share target, double free, EarlierShares earlier) {
     Share held = holder.mayHold();
     double perRate = Math.max(1, unitsPerSecond) * WINDOW.toSeconds();
-    double freeRate = Math.max(0, 1 - unknown.rate() - heldRate + held.rate());
+    double freeRate = Math.max(0, 1 - earlier.held().rate() - heldRate + held.rate());
     double affordable = held.rate() + Math.max(0, free) / perRate;
     double rate = Math.min(target.rate(), Math.min(freeRate, affordable));
     double left = Math.max(0, free - Math.max(0, rate - held.rate()) * perRate);
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SpentLog.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SpentLog.java
@@ -1,7 +1,6 @@
 package org.catkinlift.shares;
 
 import java.time.Duration;
-import java.util.Arrays;
 
 /** The units that were spent in the last window, in slots of time. */
 final class SpentLog {
@@ -20,18 +19,6 @@
     slotStartNanos = nowNanos;
   }
 
-  /** Assumes that the given units were spent evenly over the window. */
-  void assume(double units) {
-    Arrays.fill(spent, units / SLOTS);
-  }
-
-  /** Takes back a part of what was assumed. */
-  void remove(double units) {
-    for (int i = 0; i < SLOTS; i++) {
-      spent[i] = Math.max(0, spent[i] - units / SLOTS);
-    }
-  }
-
   void add(double units, long nowNanos) {
     advance(nowNanos);
     spent[current] += units;
