Lease the rate of the demand and leave more of the allowance for tokens

Cause: rates above the demand and large buckets left too little for hosts with few requests; one request of a tenant below its quota was refused with few hosts. Change: the rate is that of the demand, and 0.8 of the free allowance is leased. QuotaSharesTest checks the way of shares to the traffic thread and back.

--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -18,14 +18,14 @@
   private static final Duration WINDOW = Duration.ofSeconds(5);
   private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
 
-  /** The rate of a host's bucket as a multiple of its demand, so that noise does not empty it. */
-  private static final double RATE_PER_DEMAND = 1.25;
+  /** The rate of a host's bucket as a multiple of its demand; reports refill what noise takes. */
+  private static final double RATE_PER_DEMAND = 1.0;
 
   /** The part of the rate that is leased if the demand exceeds it. */
   private static final double MAX_LEASED_RATE = 0.9;
 
   /** The part of the free allowance that is leased; the rest is for hosts without a share. */
-  private static final double LEASED_ALLOWANCE = 0.85;
+  private static final double LEASED_ALLOWANCE = 0.8;
 
   /** The part of the leased allowance that is divided by demand; the rest is divided equally. */
   private static final double BURST_BY_DEMAND = 0.5;
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/QuotaSharesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/QuotaSharesTest.java
@@ -1,6 +1,8 @@
 package org.catkinlift.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.catkinlift.gateway.GatewayFixture.SHARED;
+import static org.catkinlift.gateway.GatewayFixture.upstream;
 
 import com.google.common.collect.ImmutableMap;
 import io.netty.channel.EventLoop;
@@ -54,6 +56,7 @@
     TextHttpServer.start(loop, address, (path, body) -> reply(body)).sync();
     String leaseRow = "host-2 7 1 " + address.ip() + " " + address.port();
     fixture.store().putRow(new RowKey("catkinlift-role", "coordinator"), leaseRow);
+    fixture.publish(upstream("u-1", SHARED, FreePorts.findOne("127.0.0.1")));
 
     assertThat(confirmed.await(AWAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
   }
