--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -26,12 +26,17 @@
 import org.catkinlift.gateway.traffic.UpstreamView;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.quotas.QuotaShareController;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.ClockReading;
 import org.catkinlift.ranges.CoordinatorLease;
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
 import org.catkinlift.routes.RouteTable;
+import org.catkinlift.shares.ShareGrant;
+import org.catkinlift.shares.ShareReport;
 import org.catkinlift.tenants.TenantProblem;
 import org.catkinlift.tenants.TenantRegistry;
 import org.catkinlift.timer.TimerService;
@@ -77,6 +82,8 @@
   private final CoordinatorRole role;
   private final KeyedServices keyedServices;
   private final LoadReporter loadReporter;
+  private final QuotaShareController quotaShares;
+  private final Consumer<QuotaShares> quotaSharesListener;
 
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
@@ -97,6 +104,7 @@
    * @param snapshotListener receives each new snapshot
    * @param sharesListener receives the shares of requests that overloaded upstreams admit
    * @param contactListener receives the time of each confirmed contact with the store
+   * @param quotaSharesListener receives the shares of tenants' quotas of this host
    */
   public GatewayControl(
       GatewaySettings settings,
@@ -108,7 +116,8 @@
       long incarnation,
       Consumer<TrafficSnapshot> snapshotListener,
       Consumer<AdmissionShares> sharesListener,
-      LongConsumer contactListener) {
+      LongConsumer contactListener,
+      Consumer<QuotaShares> quotaSharesListener) {
     this.settings = settings;
     this.timers = timers;
     this.store = store;
@@ -117,6 +126,8 @@
     this.sharesListener = sharesListener;
     this.storedRangeMaps = new StoredRangeMaps(log);
     this.contactListener = contactListener;
+    this.quotaSharesListener = quotaSharesListener;
+    this.quotaShares = new QuotaShareController(incarnation);
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
@@ -140,6 +151,7 @@
             this::schedulePublish,
             this::applyRelayedUpdates,
             sharesListener,
+            quotaSharesListener,
             log);
   }
 
@@ -305,7 +317,7 @@
       return;
     }
     if (role.refresh()) {
-      store.setPollingEnabled(true);
+      roleChanged(now.nanos());
     }
     if (keyedServices.isActive() && !role.isHeld() && !lease.mayContinueTerm()) {
       keyedServices.stop();
@@ -324,6 +336,15 @@
     }
   }
 
+  private void roleChanged(long nowNanos) {
+    store.setPollingEnabled(true);
+    if (role.isHeld()) {
+      quotaShares.start(nowNanos);
+    } else {
+      quotaShares.stop();
+    }
+  }
+
   /**
    * Adds the traffic measured since the last call to the next load report.
    *
@@ -336,9 +357,19 @@
     loadReporter.trafficMeasured(keyWork, workTimes);
   }
 
+  /**
+   * Adds to the next load report what the traffic thread states about quotas.
+   *
+   * @param quotas the demand since the last call and the shares of this host
+   */
+  public void quotasMeasured(ShareReport<TenantName> quotas) {
+    loadReporter.quotasMeasured(quotas);
+  }
+
   private void reportLoad() {
     LoadReport report = loadReporter.takeReport();
     if (role.isHeld()) {
+      reportOwnQuotas();
       keyedServices.reportReceived(report);
       loadReporter.setDaemonCount(reporters.daemonCount(System.nanoTime()));
       sharesListener.accept(keyedServices.shares());
@@ -347,6 +378,17 @@
     }
   }
 
+  private void reportOwnQuotas() {
+    long nowNanos = System.nanoTime();
+    ShareGrant<TenantName> grant =
+        lease.isHeld(HostClock.now())
+            ? quotaShares.reportReceived(settings.host(), loadReporter.takeQuotas(), nowNanos)
+            : ShareGrant.none();
+    if (!grant.isNone()) {
+      quotaSharesListener.accept(new QuotaShares(grant, nowNanos));
+    }
+  }
+
   /**
    * Handles a message from another daemon.
    *
@@ -377,17 +419,21 @@
         200,
         PeerCodec.encode(
             new CoordinatorReply(
-                settings.host(),
-                held,
-                lease.rowVersion(),
-                reporters.daemonCount(nowNanos),
-                Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
-                store.observedVersions(),
-                held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
-                storeConfirmed && mayRelyOnRelay(report),
-                storeConfirmed,
-                directory.gracePeriod(nowNanos),
-                held ? store.changesSince(report.observedVersions()) : ImmutableList.of())));
+                    settings.host(),
+                    held,
+                    lease.rowVersion(),
+                    reporters.daemonCount(nowNanos),
+                    Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
+                    store.observedVersions(),
+                    held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
+                    storeConfirmed && mayRelyOnRelay(report),
+                    storeConfirmed,
+                    directory.gracePeriod(nowNanos),
+                    held ? store.changesSince(report.observedVersions()) : ImmutableList.of())
+                .withQuotaShares(
+                    held
+                        ? quotaShares.reportReceived(report.host(), report.quotas(), nowNanos)
+                        : ShareGrant.none())));
   }
 
   /** A daemon that has not seen the present era of the store must read the tables itself. */
