--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
@@ -27,10 +27,12 @@
   private int answeredInTime;
   private int connections;
 
+  private record PendingRequest(SimulatedRequest request, Runnable onAnswer) {}
+
   private record Target(
       SimulatedUpstream upstream,
       boolean sameZone,
-      UpstreamQueue<SimulatedRequest> queue,
+      UpstreamQueue<PendingRequest> queue,
       Deque<Long> idleSinceNanos) {
 
     private boolean isConnected(long maxIdleNanos, long nowNanos) {
@@ -52,7 +54,7 @@
     this.random = random;
     this.selector = new UpstreamSelector(random.split());
     for (int i = 0; i < upstreams.size(); i++) {
-      var queue = new UpstreamQueue<SimulatedRequest>(upstreams.get(i).slots(), 0);
+      var queue = new UpstreamQueue<PendingRequest>(upstreams.get(i).slots(), 0);
       targets.add(new Target(upstreams.get(i), zones.get(i) == zone, queue, new ArrayDeque<>()));
     }
   }
@@ -67,7 +69,12 @@
   }
 
   void receive(SimulatedRequest request) {
-    receive(request, MAX_IDLE_NANOS, MAX_IDLE_NANOS);
+    receive(request, () -> {});
+  }
+
+  /** Handles a request; runs a task if it is answered within its target. */
+  void receive(SimulatedRequest request, Runnable onAnswer) {
+    receive(new PendingRequest(request, onAnswer), MAX_IDLE_NANOS, MAX_IDLE_NANOS);
   }
 
   /**
@@ -78,6 +85,10 @@
    * @param assumedMaxIdleNanos the time that is assumed when its upstream is selected
    */
   void receive(SimulatedRequest request, long maxIdleNanos, long assumedMaxIdleNanos) {
+    receive(new PendingRequest(request, () -> {}), maxIdleNanos, assumedMaxIdleNanos);
+  }
+
+  private void receive(PendingRequest pending, long maxIdleNanos, long assumedMaxIdleNanos) {
     List<UpstreamSelector.Candidate<Target>> candidates = new ArrayList<>();
     for (Target target : targets) {
       long expectedNanos = target.queue().expectedNanos(TYPICAL_SERVICE_NANOS, time.now());
@@ -93,7 +104,11 @@
         target
             .queue()
             .offer(
-                request, request.urgency(), TYPICAL_SERVICE_NANOS, random.nextDouble(), time.now());
+                pending,
+                pending.request().urgency(),
+                TYPICAL_SERVICE_NANOS,
+                random.nextDouble(),
+                time.now());
     switch (decision) {
       case AdmissionPolicy.Decision.Admit admit -> sendQueued(target, maxIdleNanos);
       case AdmissionPolicy.Decision.Reject reject -> {}
@@ -101,14 +116,16 @@
   }
 
   private void sendQueued(Target target, long maxIdleNanos) {
-    Optional<SimulatedRequest> next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
+    Optional<PendingRequest> next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
     while (next.isPresent()) {
-      SimulatedRequest request = next.get();
+      PendingRequest pending = next.get();
       long sentNanos = time.now();
       takeConnection(target, maxIdleNanos);
       target
           .upstream()
-          .send(request, (outcome, load) -> ended(target, request, sentNanos, outcome, load));
+          .send(
+              pending.request(),
+              (outcome, load) -> ended(target, pending, sentNanos, outcome, load));
       next = target.queue().takeNext(TYPICAL_SERVICE_NANOS, time.now());
     }
   }
@@ -124,7 +141,7 @@
 
   private void ended(
       Target target,
-      SimulatedRequest request,
+      PendingRequest pending,
       long sentNanos,
       SimulatedUpstream.Outcome outcome,
       ReportedLoad load) {
@@ -137,9 +154,10 @@
     }
     target.queue().requestEnded();
     target.idleSinceNanos().push(time.now());
-    if (time.now() <= request.urgency().targetNanos()
+    if (time.now() <= pending.request().urgency().targetNanos()
         && outcome == SimulatedUpstream.Outcome.ANSWERED) {
       answeredInTime++;
+      pending.onAnswer().run();
     }
     time.at(time.now(), () -> sendQueued(target, MAX_IDLE_NANOS));
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -23,10 +23,14 @@
 import org.catkinlift.gateway.store.KeyGrants;
 import org.catkinlift.gateway.store.MetadataStore;
 import org.catkinlift.gateway.traffic.CallerServer;
+import org.catkinlift.gateway.traffic.ContactTime;
 import org.catkinlift.gateway.traffic.ReverseProxy;
 import org.catkinlift.gateway.traffic.TrafficSnapshot;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.RangeMap;
+import org.catkinlift.shares.ShareReport;
 import org.catkinlift.timer.TimerService;
 
 /** A daemon: its control thread, its traffic thread and its servers. */
@@ -68,7 +72,9 @@
     this.trafficLoop = newEventLoop("traffic");
     this.trafficTimers = new EventLoopTimerService(trafficLoop, log);
     var random = new SplittableRandom();
-    this.proxy = new ReverseProxy(trafficLoop, trafficTimers, settings, log, metrics, random);
+    var contactTime = new ContactTime();
+    this.proxy =
+        new ReverseProxy(trafficLoop, trafficTimers, settings, contactTime, log, metrics, random);
     this.callerServer = new CallerServer(trafficLoop, trafficTimers, proxy);
     var peerClient = new TextHttpClient(controlLoop, log);
     this.control =
@@ -81,7 +87,9 @@
             log,
             random.nextLong(Long.MAX_VALUE),
             snapshot -> trafficLoop.execute(() -> applySnapshot(snapshot)),
-            shares -> trafficLoop.execute(() -> proxy.apply(shares)));
+            shares -> trafficLoop.execute(() -> proxy.apply(shares)),
+            contactTime::set,
+            shares -> trafficLoop.execute(() -> applyQuotaShares(shares)));
   }
 
   private static EventLoop newEventLoop(String name) {
@@ -164,11 +172,28 @@
     return !map.assignments().isEmpty();
   }
 
+  /** Confirms the shares at once, because the coordinator changes them only after that. */
+  private void applyQuotaShares(QuotaShares shares) {
+    proxy.apply(shares);
+    reportQuotas();
+  }
+
+  private void reportQuotas() {
+    ShareReport<TenantName> quotas = proxy.takeQuotaReport();
+    controlLoop.execute(() -> control.quotasMeasured(quotas));
+  }
+
   private void reportTraffic() {
     ReverseProxy.LoadSample sample = proxy.takeLoadSample();
-    if (!sample.isEmpty()) {
-      controlLoop.execute(() -> control.trafficMeasured(sample.keyWork(), sample.workTimes()));
+    ShareReport<TenantName> quotas = proxy.takeQuotaReport();
+    if (sample.isEmpty() && quotas.isEmpty()) {
+      return;
     }
+    controlLoop.execute(
+        () -> {
+          control.trafficMeasured(sample.keyWork(), sample.workTimes());
+          control.quotasMeasured(quotas);
+        });
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/control/GatewayControl.java
@@ -2,11 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Iterables;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.http.TextHttpClient;
@@ -24,13 +26,21 @@
 import org.catkinlift.gateway.traffic.UpstreamView;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.ServiceName;
+import org.catkinlift.model.TenantName;
 import org.catkinlift.model.UpstreamId;
+import org.catkinlift.quotas.QuotaShareController;
+import org.catkinlift.quotas.QuotaShares;
 import org.catkinlift.ranges.ClockReading;
 import org.catkinlift.ranges.CoordinatorLease;
 import org.catkinlift.ranges.RangeMap;
 import org.catkinlift.routes.RouteConfiguration;
 import org.catkinlift.routes.RouteTable;
+import org.catkinlift.shares.ShareGrant;
+import org.catkinlift.shares.ShareReport;
+import org.catkinlift.tenants.TenantProblem;
+import org.catkinlift.tenants.TenantRegistry;
 import org.catkinlift.timer.TimerService;
+import org.catkinlift.upstreams.ConfirmedContact;
 import org.catkinlift.upstreams.UpstreamDirectory;
 import org.catkinlift.upstreams.UpstreamStatus;
 
@@ -54,20 +64,26 @@
    */
   private static final double TIME_LIMIT_SHARE = 0.4;
 
+  /** The maximum number of invalid entries of a configuration that are logged one by one. */
+  private static final int MAX_LOGGED_PROBLEMS = 32;
+
   private final GatewaySettings settings;
   private final TimerService timers;
   private final MetadataStore store;
   private final EventLog log;
   private final Consumer<TrafficSnapshot> snapshotListener;
   private final Consumer<AdmissionShares> sharesListener;
+  private final LongConsumer contactListener;
+  private final ConfirmedContact confirmedContact = new ConfirmedContact();
   private final UpstreamDirectory directory = new UpstreamDirectory();
   private final ReporterList reporters = new ReporterList();
-  private final Map<ServiceName, RangeMap> storedRangeMaps = new HashMap<>();
-  private final Map<ServiceName, Long> rangeMapVersions = new HashMap<>();
+  private final StoredRangeMaps storedRangeMaps;
   private final CoordinatorLease lease;
   private final CoordinatorRole role;
   private final KeyedServices keyedServices;
   private final LoadReporter loadReporter;
+  private final QuotaShareController quotaShares;
+  private final Consumer<QuotaShares> quotaSharesListener;
 
   private RouteConfiguration configuration = RouteConfiguration.NONE;
   private RouteTable routes = RouteTable.of(ImmutableList.of());
@@ -87,6 +103,8 @@
    * @param incarnation distinguishes the restarts of this daemon
    * @param snapshotListener receives each new snapshot
    * @param sharesListener receives the shares of requests that overloaded upstreams admit
+   * @param contactListener receives the time of each confirmed contact with the store
+   * @param quotaSharesListener receives the shares of tenants' quotas of this host
    */
   public GatewayControl(
       GatewaySettings settings,
@@ -97,13 +115,19 @@
       EventLog log,
       long incarnation,
       Consumer<TrafficSnapshot> snapshotListener,
-      Consumer<AdmissionShares> sharesListener) {
+      Consumer<AdmissionShares> sharesListener,
+      LongConsumer contactListener,
+      Consumer<QuotaShares> quotaSharesListener) {
     this.settings = settings;
     this.timers = timers;
     this.store = store;
     this.log = log;
     this.snapshotListener = snapshotListener;
     this.sharesListener = sharesListener;
+    this.storedRangeMaps = new StoredRangeMaps(log);
+    this.contactListener = contactListener;
+    this.quotaSharesListener = quotaSharesListener;
+    this.quotaShares = new QuotaShareController(incarnation);
     this.lease =
         new CoordinatorLease(
             settings.host(), settings.addresses().peers(), incarnation, HostClock.now());
@@ -115,6 +139,7 @@
             log,
             () -> lease.isHeld(HostClock.now()),
             settings.timeLimits().maxGrantDuration(),
+            storedRangeMaps,
             service -> schedulePublish());
     this.loadReporter =
         new LoadReporter(
@@ -126,6 +151,7 @@
             this::schedulePublish,
             this::applyRelayedUpdates,
             sharesListener,
+            quotaSharesListener,
             log);
   }
 
@@ -169,8 +195,10 @@
         keyedServices.upstreamsChanged();
       }
       case StoreUpdate.DaemonRowChanged changed -> daemonRowChanged(changed.key(), changed.row());
+      case StoreUpdate.EraChanged changed -> eraChanged(changed, nowNanos);
       case StoreUpdate.InitialReadCompleted completed -> initialReadCompleted = true;
       case StoreUpdate.CallAnswered answered -> {
+        confirmedContact.established(Duration.ZERO, nowNanos).ifPresent(contactListener);
         contactEstablished(directory.storeAnswered(nowNanos), settings.host());
         return;
       }
@@ -182,6 +210,22 @@
     schedulePublish();
   }
 
+  private void eraChanged(StoreUpdate.EraChanged change, long nowNanos) {
+    keyedServices.eraSeen(nowNanos);
+    if (!change.isRestore()) {
+      return;
+    }
+    directory.storeRestored(nowNanos);
+    lease.storeRestored(HostClock.now());
+    keyedServices.earlierEraFound();
+    if (lease.mayContinueTerm()) {
+      keyedServices.continueInPresentEra(nowNanos);
+    }
+    log.log(
+        EventCode.STORE_RESTORED,
+        ImmutableMap.of("era", change.era(), "held_role", lease.mayContinueTerm()));
+  }
+
   private void callFailed(String reason) {
     directory.storeCallFailed();
     if (storeInContact) {
@@ -230,38 +274,41 @@
             configuration.version(),
             "routes",
             newConfiguration.routes().size()));
+    logProblems(newConfiguration.tenants());
     configuration = newConfiguration;
     routes = RouteTable.of(newConfiguration.routes());
     publishNow();
   }
 
-  private void daemonRowChanged(String key, StoredRow row) {
-    if (!key.startsWith(DaemonRows.MAP_PREFIX) || row.version() == 0) {
-      return;
-    }
-    var service = ServiceName.of(key.substring(DaemonRows.MAP_PREFIX.length()));
-    if (row.version() <= rangeMapVersions.getOrDefault(service, 0L)) {
-      return;
+  private void logProblems(TenantRegistry tenants) {
+    for (TenantProblem problem : Iterables.limit(tenants.problems(), MAX_LOGGED_PROBLEMS)) {
+      log.log(
+          EventCode.TENANT_ENTRY_INVALID,
+          ImmutableMap.of("tenant", problem.tenant(), "reason", problem.reason()));
     }
-    RangeMap map;
-    try {
-      map = RangeMapCodec.decode(row.value());
-    } catch (RuntimeException e) {
+    int unlogged = tenants.problems().size() - MAX_LOGGED_PROBLEMS;
+    if (unlogged > 0) {
       log.log(
-          EventCode.ROW_SKIPPED,
-          ImmutableMap.of("key", key, "version", row.version(), "reason", e.toString()));
+          EventCode.TENANT_ENTRY_INVALID,
+          ImmutableMap.of("tenant", "others", "reason", unlogged + " more invalid entries"));
+    }
+  }
+
+  private void daemonRowChanged(String key, StoredRow row) {
+    Optional<DaemonRows.MapKey> mapKey = DaemonRows.parseMapKey(key);
+    if (mapKey.isEmpty() || row.version() == 0) {
       return;
     }
-    rangeMapVersions.put(service, row.version());
-    storedRangeMaps.put(service, map);
-    log.log(
-        EventCode.RANGE_MAP_APPLIED,
-        ImmutableMap.of(
-            "service", service, "version", row.version(), "ranges", map.assignments().size()));
+    if (mapKey.get().era() < store.era()) {
+      lease.earlierEraFound();
+      keyedServices.earlierEraFound();
+    }
+    storedRangeMaps.apply(mapKey.get(), row, store.era());
   }
 
   private void tick() {
     ClockReading now = HostClock.now();
+    confirmedContact.running(now.nanos());
     if (directory.refreshUnlisted(now.nanos())) {
       keyedServices.upstreamsChanged();
       schedulePublish();
@@ -270,7 +317,10 @@
       return;
     }
     if (role.refresh()) {
-      roleChanged();
+      roleChanged(now.nanos());
+    }
+    if (keyedServices.isActive() && !role.isHeld() && !lease.mayContinueTerm()) {
+      keyedServices.stop();
     }
     if (role.isHeld()) {
       keyedServices.setStoreFailing(lease.isStoreFailing(), now.nanos());
@@ -286,10 +336,12 @@
     }
   }
 
-  private void roleChanged() {
+  private void roleChanged(long nowNanos) {
     store.setPollingEnabled(true);
-    if (!role.isHeld()) {
-      keyedServices.stop();
+    if (role.isHeld()) {
+      quotaShares.start(nowNanos);
+    } else {
+      quotaShares.stop();
     }
   }
 
@@ -305,9 +357,19 @@
     loadReporter.trafficMeasured(keyWork, workTimes);
   }
 
+  /**
+   * Adds to the next load report what the traffic thread states about quotas.
+   *
+   * @param quotas the demand since the last call and the shares of this host
+   */
+  public void quotasMeasured(ShareReport<TenantName> quotas) {
+    loadReporter.quotasMeasured(quotas);
+  }
+
   private void reportLoad() {
     LoadReport report = loadReporter.takeReport();
     if (role.isHeld()) {
+      reportOwnQuotas();
       keyedServices.reportReceived(report);
       loadReporter.setDaemonCount(reporters.daemonCount(System.nanoTime()));
       sharesListener.accept(keyedServices.shares());
@@ -316,6 +378,17 @@
     }
   }
 
+  private void reportOwnQuotas() {
+    long nowNanos = System.nanoTime();
+    ShareGrant<TenantName> grant =
+        lease.isHeld(HostClock.now())
+            ? quotaShares.reportReceived(settings.host(), loadReporter.takeQuotas(), nowNanos)
+            : ShareGrant.none();
+    if (!grant.isNone()) {
+      quotaSharesListener.accept(new QuotaShares(grant, nowNanos));
+    }
+  }
+
   /**
    * Handles a message from another daemon.
    *
@@ -331,7 +404,7 @@
     try {
       report = PeerCodec.decodeReport(body);
     } catch (RuntimeException e) {
-      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.toString()));
+      log.log(EventCode.PEER_MESSAGE_SKIPPED, ImmutableMap.of("reason", e.getClass().getName()));
       return new TextResponse(400, "");
     }
     long nowNanos = System.nanoTime();
@@ -346,21 +419,33 @@
         200,
         PeerCodec.encode(
             new CoordinatorReply(
-                settings.host(),
-                held,
-                lease.rowVersion(),
-                reporters.daemonCount(nowNanos),
-                Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
-                store.observedVersions(),
-                held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
-                storeConfirmed && !reporters.isPolling(report.host()),
-                storeConfirmed,
-                directory.gracePeriod(nowNanos),
-                held ? store.changesSince(report.observedVersions()) : ImmutableList.of())));
+                    settings.host(),
+                    held,
+                    lease.rowVersion(),
+                    reporters.daemonCount(nowNanos),
+                    Math.max(settings.cpuCapacity(), reporters.maxCpuCapacity()),
+                    store.observedVersions(),
+                    held ? keyedServices.shares() : AdmissionShares.ADMIT_ALL,
+                    storeConfirmed && mayRelyOnRelay(report),
+                    storeConfirmed,
+                    directory.gracePeriod(nowNanos),
+                    held ? store.changesSince(report.observedVersions()) : ImmutableList.of())
+                .withQuotaShares(
+                    held
+                        ? quotaShares.reportReceived(report.host(), report.quotas(), nowNanos)
+                        : ShareGrant.none())));
+  }
+
+  /** A daemon that has not seen the present era of the store must read the tables itself. */
+  private boolean mayRelyOnRelay(LoadReport report) {
+    return report.observedVersions().era() == store.era() && !reporters.isPolling(report.host());
   }
 
   private void applyRelayedUpdates(CoordinatorReply reply) {
     if (reply.storeConfirmed()) {
+      confirmedContact
+          .established(CoordinatorRole.MAX_CONFIRMATION_AGE, System.nanoTime())
+          .ifPresent(contactListener);
       Duration outage =
           directory.storeConfirmedByCoordinator(
               CoordinatorRole.MAX_CONFIRMATION_AGE, reply.gracePeriod(), System.nanoTime());
@@ -393,7 +478,7 @@
   }
 
   private ImmutableMap<ServiceName, RangeMap> rangeMaps() {
-    Map<ServiceName, RangeMap> rangeMaps = new HashMap<>(storedRangeMaps);
+    Map<ServiceName, RangeMap> rangeMaps = storedRangeMaps.all();
     if (role.isHeld()) {
       rangeMaps.putAll(keyedServices.rangeMaps());
     }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/peer/PeerCodec.java
@@ -62,6 +62,7 @@
                     .append(' ')
                     .append(inMillionths(times.expectedSeconds()))
                     .append('\n'));
+    ShareLines.append(text, report.quotas());
     return text.toString();
   }
 
@@ -75,9 +76,11 @@
   public static LoadReport decodeReport(String text) {
     HostId host = null;
     double cpuCapacity = 0;
+    long era = 0;
     var versions = new ObservedVersions(0, 0, 0);
     ImmutableList.Builder<LoadReport.KeyWork> keyWork = ImmutableList.builder();
     ImmutableMap.Builder<UpstreamId, LoadReport.WorkTimes> workTimes = ImmutableMap.builder();
+    var quotas = new ShareLines.Decoder();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] fields = lines.next().split(" ", -1);
       switch (fields[0]) {
@@ -85,6 +88,7 @@
           host = HostId.of(field(fields, 1));
           cpuCapacity = fromMillionths(field(fields, 2));
         }
+        case "era" -> era = Long.parseLong(field(fields, 1));
         case "news" -> versions = parseVersions(fields);
         case "work" ->
             keyWork.add(
@@ -98,14 +102,19 @@
                 UpstreamId.of(field(fields, 1)),
                 new LoadReport.WorkTimes(
                     fromMillionths(field(fields, 2)), fromMillionths(field(fields, 3))));
-        default -> {}
+        default -> quotas.line(fields);
       }
     }
     if (host == null) {
       throw new IllegalArgumentException("load report has no host line");
     }
     return new LoadReport(
-        host, cpuCapacity, versions, keyWork.build(), workTimes.buildKeepingLast());
+        host,
+        cpuCapacity,
+        versions.inEra(era),
+        keyWork.build(),
+        workTimes.buildKeepingLast(),
+        quotas.report());
   }
 
   /**
@@ -138,6 +147,7 @@
     text.append(' ').append(reply.gracePeriod().toMillis());
     text.append(' ').append(reply.storeConfirmed()).append('\n');
     reply.changes().forEach(change -> appendChange(text, change));
+    ShareLines.append(text, reply.quotaShares());
     return text.toString();
   }
 
@@ -150,12 +160,14 @@
    */
   public static CoordinatorReply decodeReply(String text) {
     CoordinatorReply reply = null;
+    long era = 0;
     var versions = new ObservedVersions(0, 0, 0);
     Map<UpstreamId, ImmutableSortedMap.Builder<Integer, Double>> shares = new HashMap<>();
     ImmutableList.Builder<RowChange> changes = ImmutableList.builder();
     boolean relaysUpdates = false;
     boolean storeConfirmed = false;
     var gracePeriod = Duration.ZERO;
+    var quotas = new ShareLines.Decoder();
     for (Iterator<String> lines = text.lines().iterator(); lines.hasNext(); ) {
       String[] fields = lines.next().split(" ", -1);
       switch (fields[0]) {
@@ -180,6 +192,7 @@
                     false,
                     Duration.ZERO,
                     ImmutableList.of());
+        case "era" -> era = Long.parseLong(field(fields, 1));
         case "news" -> versions = parseVersions(fields);
         case "passes" -> {
           relaysUpdates = Boolean.parseBoolean(field(fields, 1));
@@ -188,7 +201,7 @@
           storeConfirmed = fields.length > 3 ? Boolean.parseBoolean(fields[3]) : relaysUpdates;
         }
         case "row" -> changes.add(parseChange(fields));
-        default -> {}
+        default -> quotas.line(fields);
       }
     }
     if (reply == null) {
@@ -200,12 +213,13 @@
         reply.leaseVersion(),
         reply.daemonCount(),
         reply.maxCpuCapacity(),
-        versions,
+        versions.inEra(era),
         buildShares(shares),
         relaysUpdates,
         storeConfirmed,
         gracePeriod,
-        changes.build());
+        changes.build(),
+        quotas.grant());
   }
 
   /**
@@ -237,6 +251,9 @@
   }
 
   private static void appendVersions(StringBuilder text, ObservedVersions versions) {
+    if (versions.era() > 0) {
+      text.append("era ").append(versions.era()).append('\n');
+    }
     text.append("news ").append(versions.operators()).append(' ').append(versions.upstreams());
     text.append(' ').append(versions.daemons()).append('\n');
   }
@@ -248,7 +265,7 @@
         Long.parseLong(field(fields, 3)));
   }
 
-  private static String field(String[] fields, int index) {
+  static String field(String[] fields, int index) {
     if (index >= fields.length) {
       throw new IllegalArgumentException("line has too few fields: " + String.join(" ", fields));
     }
