--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -22,6 +22,8 @@
   REQUEST_ANSWERED(1006, Severity.DEBUG, "request answered"),
   /** A caller disconnected before its request ended. */
   REQUEST_CANCELLED(1007, Severity.INFO, "caller left"),
+  /** A caller's connection was closed in favour of others. */
+  CALLER_CLOSED(1008, Severity.WARNING, "caller connection closed"),
 
   /** An upstream was found to be cold, and its limit was lowered. */
   UPSTREAM_COLD(2001, Severity.WARNING, "upstream starts cold"),
--- a/catkinlift-decision/src/main/java/org/catkinlift/routes/RequestKind.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/routes/RequestKind.java
@@ -7,7 +7,9 @@
   /** May be executed at most once. */
   NON_IDEMPOTENT,
   /** Has a large response; may be executed more than once. */
-  DOWNLOAD;
+  DOWNLOAD,
+  /** Has a large body; may be executed at most once. */
+  UPLOAD;
 
   /**
    * Returns whether the request may be executed more than once.
@@ -17,7 +19,7 @@
   public boolean isIdempotent() {
     return switch (this) {
       case IDEMPOTENT, DOWNLOAD -> true;
-      case NON_IDEMPOTENT -> false;
+      case NON_IDEMPOTENT, UPLOAD -> false;
     };
   }
 }
