Bound what callers occupy, and stream long request bodies

Callers could fill the memory and descriptors of the daemon with unfinished bodies, heads of many fields, pipelined requests and idle connections, and a body of 64 MB did not fit its direct memory.

- The decoder decodes one message at a time while the connection takes messages (InboundGate), and header fields are limited (256), also in unfinished heads.
- A request that is not accepted is answered when its head was read.
The rest of its body is discarded before the connection is closed.
- Bodies are copied out of the receive buffers; a longer one than 64 KB is streamed with back-pressure (RequestBody) and not sent again.
Joining chunks of one byte took quadratic time before.
- CallerServer pauses and closes connections as ByteBudget and ConnectionLimit decide (event 1008); connections whose callers take nothing are closed.
- Health, metrics and peer addresses have limits of bodies and connections.
- An upstream gets bodies of at most 64 MB at a time from one daemon.
- Optional settings limits.callerBytes, callerConnections, headerFields and pipelinedRequests; wire kind "upload".

DecoderTest, PlatformStoreTest, RelayedUpdatesTest, GatewayFixture and GatewaySettingsReaderTest changed for new parameters and cases only.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/Gateway.java
@@ -122,13 +122,21 @@
   private void listen() {
     callerServer.start(settings.addresses().callers()).syncUninterruptibly();
     TextHttpServer.start(
-            trafficLoop, settings.addresses().health(), (path, body) -> healthResponse(path))
+            trafficLoop,
+            settings.addresses().health(),
+            TextHttpServer.Limits.WITHOUT_BODIES,
+            (path, body) -> healthResponse(path))
         .syncUninterruptibly();
-    TextHttpServer.start(controlLoop, settings.addresses().peers(), control()::handlePeerMessage)
+    TextHttpServer.start(
+            controlLoop,
+            settings.addresses().peers(),
+            TextHttpServer.Limits.PEERS,
+            control()::handlePeerMessage)
         .syncUninterruptibly();
     TextHttpServer.start(
             controlLoop,
             settings.addresses().metrics(),
+            TextHttpServer.Limits.WITHOUT_BODIES,
             (path, body) -> new TextResponse(200, metrics.render()))
         .awaitUninterruptibly()
         .addListener(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -1,6 +1,8 @@
 package org.catkinlift.gateway.settings;
 
 import java.time.Duration;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ZoneName;
@@ -15,6 +17,7 @@
  * @param timeLimits the time limits that the daemon must keep
  * @param retryBudget the retry budget of all daemons together
  * @param headers the names of the headers that callers and upstreams use
+ * @param callerBounds the bounds on what callers may occupy
  */
 public record GatewaySettings(
     HostId host,
@@ -23,7 +26,8 @@
     Addresses addresses,
     TimeLimits timeLimits,
     RetryBudget retryBudget,
-    HeaderNames headers) {
+    HeaderNames headers,
+    CallerBounds callerBounds) {
 
   /**
    * The addresses at which the daemon listens, and the store's address.
@@ -85,4 +89,22 @@
       String notExecuted,
       String answeringUpstream,
       String load) {}
+
+  /**
+   * The bounds on what all callers, or one of them, may occupy.
+   *
+   * @param bytes the memory that may be held for all callers; by default a share of that of the
+   *     process
+   * @param connections the number of their connections; by default a share of the descriptors that
+   *     are available to the process
+   * @param headerFields the number of header fields of a request
+   * @param pipelinedRequests the number of requests in progress on one connection
+   */
+  public record CallerBounds(
+      OptionalLong bytes, OptionalInt connections, int headerFields, int pipelinedRequests) {
+
+    /** The bounds that apply if the settings state none. */
+    public static final CallerBounds DEFAULT =
+        new CallerBounds(OptionalLong.empty(), OptionalInt.empty(), 256, 32);
+  }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -8,8 +8,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
+import org.catkinlift.gateway.settings.GatewaySettings.CallerBounds;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
 import org.catkinlift.gateway.settings.GatewaySettings.TimeLimits;
@@ -22,6 +25,9 @@
 public final class GatewaySettingsReader {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** One caller within the limits may hold this much. */
+  private static final long MIN_CALLER_BYTES = 1 << 20;
+
   private GatewaySettingsReader() {}
 
   /**
@@ -61,7 +67,8 @@
         parseAddresses(root.path("addresses")),
         parseTimeLimits(root.path("bounds")),
         parseRetryBudget(root.path("repeats")),
-        parseHeaders(root.path("headers")));
+        parseHeaders(root.path("headers")),
+        parseCallerBounds(root.path("limits")));
   }
 
   private static double parseCpuCapacity(JsonNode node) {
@@ -114,6 +121,40 @@
         parseHeaderName(node, "load"));
   }
 
+  private static CallerBounds parseCallerBounds(JsonNode node) {
+    return new CallerBounds(
+        node.has("callerBytes")
+            ? OptionalLong.of(parseField(node, "callerBytes", GatewaySettingsReader::parseBytes))
+            : OptionalLong.empty(),
+        node.has("callerConnections")
+            ? OptionalInt.of(parseCount(node, "callerConnections", 0))
+            : OptionalInt.empty(),
+        parseCount(node, "headerFields", CallerBounds.DEFAULT.headerFields()),
+        parseCount(node, "pipelinedRequests", CallerBounds.DEFAULT.pipelinedRequests()));
+  }
+
+  private static long parseBytes(String text) {
+    long value = Long.parseLong(text);
+    if (value < MIN_CALLER_BYTES) {
+      throw new IllegalArgumentException("expected at least " + MIN_CALLER_BYTES + " bytes");
+    }
+    return value;
+  }
+
+  private static int parseCount(JsonNode node, String name, int defaultValue) {
+    return node.has(name)
+        ? parseField(node, name, GatewaySettingsReader::parsePositiveInteger)
+        : defaultValue;
+  }
+
+  private static int parsePositiveInteger(String text) {
+    int value = Integer.parseInt(text);
+    if (value < 1) {
+      throw new IllegalArgumentException("expected an integer greater than 0");
+    }
+    return value;
+  }
+
   private static String parseHeaderName(JsonNode node, String name) {
     return parseField(node, name, text -> text.toLowerCase(Locale.ROOT));
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerRequest.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerRequest.java
@@ -1,11 +1,10 @@
 package org.catkinlift.gateway.traffic;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.OptionalLong;
 
 /**
- * A complete request of a caller.
+ * A request of a caller, whose body may not have been received yet.
  *
  * @param id the request id that the caller assigned to this attempt
  * @param method the HTTP method
@@ -24,6 +23,6 @@
     String target,
     String path,
     HttpHeaders headers,
-    ByteBuf body,
+    RequestBody body,
     OptionalLong deadlineMillis,
     long receivedNanos) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
@@ -3,17 +3,18 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import org.catkinlift.admission.ByteBudget;
+import org.catkinlift.admission.ConnectionLimit;
+import org.catkinlift.gateway.settings.GatewaySettings.CallerBounds;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.timer.TimerService;
 
@@ -25,7 +26,10 @@
   private final EventLoop loop;
   private final TimerService timers;
   private final ReverseProxy proxy;
+  private final ByteBudget<CallerConnection> budget;
+  private final ConnectionLimit limit;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  private final Set<CallerConnection> paused = new LinkedHashSet<>();
   private boolean stopping;
 
   /**
@@ -39,6 +43,10 @@
     this.loop = loop;
     this.timers = timers;
     this.proxy = proxy;
+    CallerBounds bounds = proxy.settings().callerBounds();
+    this.budget = new ByteBudget<>(bounds.bytes().orElseGet(ProcessResources::callerBytes));
+    this.limit =
+        new ConnectionLimit(bounds.connections().orElseGet(ProcessResources::callerConnections));
   }
 
   /**
@@ -66,44 +74,72 @@
   }
 
   private void initializePipeline(Channel channel) {
-    var connection = new CallerConnection(this, proxy);
     int headerBytes = proxy.snapshot().configuration().limits().maxHeaderBytes();
-    channel
-        .pipeline()
-        .addLast(
-            new ReadObserver(connection),
-            new RequestDecoder(headerBytes),
-            new HttpResponseEncoder(),
-            connection);
+    var decoder = new RequestDecoder(headerBytes, proxy.settings().callerBounds().headerFields());
+    new CallerConnection(this, proxy, decoder).addHandlersTo(channel.pipeline());
   }
 
-  /** Notifies a connection of received bytes before they are decoded. */
-  private static final class ReadObserver extends ChannelInboundHandlerAdapter {
-    private final CallerConnection connection;
-
-    private ReadObserver(CallerConnection connection) {
-      this.connection = connection;
+  void connectionOpened(CallerConnection connection) {
+    connections.add(connection);
+    if (limit.isExceeded(connections.size())) {
+      var others =
+          connections.stream()
+              .filter(c -> c != connection)
+              .map(CallerConnection::asCandidate)
+              .toList();
+      closeForOthers(ConnectionLimit.replaceable(others).orElse(connection), "connections");
     }
+  }
+
+  void connectionClosed(CallerConnection connection) {
+    connections.remove(connection);
+    forget(connection);
+  }
 
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      connection.bytesRead();
-      context.fireChannelRead(message);
+  /** Records the memory that a connection holds, and pauses or closes connections if needed. */
+  void heldBytesChanged(CallerConnection connection, long bytes) {
+    if (!connections.contains(connection)) {
+      return;
+    }
+    switch (budget.update(connection, bytes, System.nanoTime())) {
+      case ByteBudget.Decision.Granted<CallerConnection> granted -> resumePaused();
+      case ByteBudget.Decision.Pause<CallerConnection> pause -> {
+        paused.add(connection);
+        connection.setPausedByBudget(true);
+      }
+      case ByteBudget.Decision.Close<CallerConnection> close ->
+          closeForOthers(close.holder(), "memory");
     }
   }
 
-  void connectionOpened(CallerConnection connection) {
-    connections.add(connection);
+  private void resumePaused() {
+    if (paused.isEmpty() || !budget.hasCapacity()) {
+      return;
+    }
+    List<CallerConnection> resumed = new ArrayList<>(paused);
+    paused.clear();
+    resumed.forEach(c -> c.setPausedByBudget(false));
   }
 
-  void connectionClosed(CallerConnection connection) {
+  private void closeForOthers(CallerConnection connection, String reason) {
+    proxy.events().callerClosed(reason, budget.heldBytes(), connections.size());
+    // The connection counts no more from now on, although its end is notified later.
     connections.remove(connection);
+    forget(connection);
+    connection.close();
+  }
+
+  private void forget(CallerConnection connection) {
+    paused.remove(connection);
+    var unused = budget.update(connection, 0, System.nanoTime());
+    resumePaused();
   }
 
   private void checkTimeouts() {
     long now = System.nanoTime();
     var limits = proxy.snapshot().configuration().limits();
     new ArrayList<>(connections).forEach(c -> c.checkTimeouts(now, limits));
+    budget.connectionToClose(now).ifPresent(c -> closeForOthers(c, "memory"));
   }
 
   boolean isStopping() {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -32,6 +32,7 @@
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int BAD_GATEWAY = 502;
   private static final int BAD_REQUEST = 400;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int MISDIRECTED = 421;
   private static final int SERVER_ERROR_CLASS = 5;
 
@@ -122,9 +123,9 @@
     return key;
   }
 
-  /** Finds the route and selects the first upstream. */
-  void start() {
-    switch (proxy.accept(request)) {
+  /** Selects the first upstream, or responds to a request that is not accepted. */
+  void start(RequestAcceptance acceptance) {
+    switch (acceptance) {
       case RequestAcceptance.Refused refused ->
           respond(refused.status(), refused.reason(), refused.retryAfter());
       case RequestAcceptance.Accepted accepted -> accepted(accepted);
@@ -250,10 +251,7 @@
     long remainingMillis = Duration.ofNanos(urgency.deadlineNanos() - System.nanoTime()).toMillis();
     headers.set(names.deadlineMillis(), Math.max(1, remainingMillis));
     headers.set(names.expectedUpstream(), pool.upstream().id().value());
-    int length = request.body().readableBytes();
-    if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
+    request.body().setFraming(headers);
     return headers;
   }
 
@@ -300,7 +298,10 @@
     boolean attemptsExhausted =
         attempts.possibleExecutors().size() >= route.maxAttempts() || tries >= MAX_TRIES;
     boolean pastDeadline = System.nanoTime() + delay.toNanos() >= urgency.deadlineNanos();
-    if (attemptsExhausted || pastDeadline || (reachedUpstream && !proxy.tryAcquireRetry(service))) {
+    if (attemptsExhausted
+        || pastDeadline
+        || !request.body().isSendable()
+        || (reachedUpstream && !proxy.tryAcquireRetry(service))) {
       refuse(lastFailure, spreadRetryAfter());
       return;
     }
@@ -388,8 +389,9 @@
     pool.requestSucceeded();
     TrafficMeasurements measurements = proxy.measurements();
     measurements.recordResponseBytes(route, relay.receivedBytes());
-    if (pool.hasUpstreamQueue()) {
-      // The time includes the wait in the queue and says nothing about the service time.
+    if (pool.hasUpstreamQueue() || request.body().isStreamed()) {
+      // The time includes the wait in the queue, or for the caller, and says nothing about the
+      // service time.
       return;
     }
     long elapsedNanos = System.nanoTime() - sentNanos;
@@ -490,6 +492,33 @@
     relay.discard();
   }
 
+  /** Returns whether other requests wait for the slot of the upstream that this one occupies. */
+  boolean blocksOthers() {
+    return state == State.SENT && pool.queued() > 0;
+  }
+
+  /** Ends the request because the rest of its body is not accepted. */
+  void bodyRejected(int status, String reason) {
+    boolean responseBegun = relay.isStreaming();
+    cancelAttempt();
+    if (responseBegun && !slot.discardUnsent()) {
+      breakOff(reason, status);
+    } else {
+      respond(status, reason, Optional.empty());
+    }
+  }
+
+  /** Ends the request because the caller does not send the rest of its body. */
+  void bodyStalled() {
+    if (!attempts.mayHaveBeenExecuted()) {
+      bodyRejected(REQUEST_TIMEOUT, "body not received within the time limit");
+      return;
+    }
+    // Status 408 would state that the request was not executed.
+    cancelAttempt();
+    breakOff("body not received within the time limit", 0);
+  }
+
   /** Ends the request because the caller has closed its connection. */
   void callerDisconnected() {
     if (state == State.ENDED) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseRelay.java
@@ -86,6 +86,7 @@
       buffered = proxy.allocator().compositeBuffer();
     }
     buffered.addComponent(true, bytes);
+    slot.setBufferedBytes(buffered.readableBytes());
     if (last) {
       return Progress.BUFFERED;
     }
@@ -103,6 +104,7 @@
   ByteBuf takeBody() {
     ByteBuf body = buffered;
     buffered = null;
+    slot.setBufferedBytes(0);
     return body;
   }
 
@@ -141,6 +143,7 @@
     if (buffered != null) {
       ReferenceCountUtil.release(buffered);
       buffered = null;
+      slot.setBufferedBytes(0);
     }
     streaming = false;
     head = null;
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseSlot.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ResponseSlot.java
@@ -28,12 +28,24 @@
   private final boolean headOnly;
   private final boolean lastRequest;
   private final Deque<Object> pendingParts = new ArrayDeque<>();
+  private final long requestBytes;
   private int pendingBytes;
+  private int bufferedBytes;
   private boolean ended;
   private boolean headWritten;
   private Runnable onWritable = () -> {};
 
-  ResponseSlot(CallerConnection connection, boolean headOnly, boolean lastRequest) {
+  /**
+   * Creates the position of a response.
+   *
+   * @param connection the connection
+   * @param headOnly whether the response has no body
+   * @param lastRequest whether the connection is to be closed after the response
+   * @param requestBytes the memory that the request takes until the response has ended
+   */
+  ResponseSlot(
+      CallerConnection connection, boolean headOnly, boolean lastRequest, long requestBytes) {
+    this.requestBytes = requestBytes;
     this.connection = connection;
     this.headOnly = headOnly;
     this.lastRequest = lastRequest;
@@ -48,6 +60,18 @@
     return ended;
   }
 
+  /** Returns the memory that the request and the unsent parts of its response take. */
+  long heldBytes() {
+    long unsentBytes = connection.isFirst(this) ? 0 : pendingBytes;
+    return unsentBytes + bufferedBytes + (ended ? 0 : requestBytes);
+  }
+
+  /** Records the bytes of the response that are held until it is complete. */
+  void setBufferedBytes(int bytes) {
+    bufferedBytes = bytes;
+    connection.heldBytesChanged();
+  }
+
   Deque<Object> pendingParts() {
     return pendingParts;
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
@@ -65,6 +65,14 @@
     log.log(EventCode.REQUEST_REFUSED, ImmutableMap.of("status", status, "reason", reason));
   }
 
+  /** Records that a caller's connection is closed in favour of others. */
+  void callerClosed(String reason, long heldBytes, int connections) {
+    metrics.increment("callers_closed." + reason);
+    log.log(
+        EventCode.CALLER_CLOSED,
+        ImmutableMap.of("reason", reason, "held_bytes", heldBytes, "connections", connections));
+  }
+
   void upstreamFailed(UpstreamRecord upstream, String phase, String reason) {
     metrics.upstreamFailed(upstream.service(), phase);
     log.log(
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -1,9 +1,11 @@
 package org.catkinlift.gateway.traffic;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -51,6 +53,8 @@
   private ProxyExchange exchange;
   private boolean skippingResponse;
   private boolean receivingResponse;
+  private boolean bodyOpen;
+  private long bodyBytes;
   private boolean keepAlive = true;
   private boolean closed;
   private long idleSinceNanos;
@@ -88,7 +92,50 @@
         channel,
         new DefaultHttpRequest(
             HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(), headers));
-    Channels.writeAndFlush(channel, new DefaultLastHttpContent(request.body().retainedDuplicate()));
+    bodyBytes = request.body().bytesToSend();
+    pool.bodySent(bodyBytes);
+    request.body().sendTo(this);
+  }
+
+  /** Sends the whole body of the request, and takes ownership of the buffer. */
+  void writeWholeBody(ByteBuf body) {
+    Channels.writeAndFlush(channel, new DefaultLastHttpContent(body));
+  }
+
+  /** Records that the body of the request is sent in parts, until its end is written. */
+  void beginBody() {
+    bodyOpen = true;
+    pool.bodyOpened();
+  }
+
+  /** Sends part of the body of the request, and takes ownership of the buffer. */
+  void writeBody(ByteBuf part) {
+    Channels.writeAndFlush(channel, new DefaultHttpContent(part));
+  }
+
+  /** Sends the end of a body that was sent in parts. */
+  void writeBodyEnd() {
+    closeBody();
+    Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  private void closeBody() {
+    if (bodyOpen) {
+      bodyOpen = false;
+      pool.bodyClosed();
+    }
+  }
+
+  /** Returns whether the upstream takes more of the body. */
+  boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (exchange != null && channel.isWritable()) {
+      exchange.request().body().unblocked();
+    }
   }
 
   @Override
@@ -191,7 +238,8 @@
 
   private void responseFinished() {
     ProxyExchange finished = exchange;
-    exchange = null;
+    boolean bodySent = !bodyOpen;
+    requestEnded();
     receivingResponse = false;
     byteLimit.allow(InboundByteLimit.NONE);
     idleSinceNanos = System.nanoTime();
@@ -201,7 +249,15 @@
     if (followedByBytes) {
       pool.unexpectedBytes("bytes after the end of an answer", finished);
     }
-    pool.responseCompleted(this, keepAlive && !followedByBytes && channel.isActive());
+    // The upstream would take the next request for the rest of this one's body.
+    pool.responseCompleted(this, keepAlive && bodySent && !followedByBytes && channel.isActive());
+  }
+
+  private void requestEnded() {
+    exchange = null;
+    closeBody();
+    pool.bodyEnded(bodyBytes);
+    bodyBytes = 0;
   }
 
   /** Marks a new connection as idle because its request has ended in the meantime. */
@@ -223,7 +279,7 @@
 
   /** Closes the connection without notifying its exchange, which has already ended. */
   void abandon() {
-    exchange = null;
+    requestEnded();
     closed = true;
     Channels.close(channel);
   }
@@ -242,7 +298,7 @@
   private void fail(String reason) {
     closed = true;
     ProxyExchange interrupted = exchange;
-    exchange = null;
+    requestEnded();
     Channels.close(channel);
     pool.connectionClosed(this, interrupted != null);
     if (interrupted != null) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.catkinlift.admission.AdmissionPolicy;
+import org.catkinlift.admission.BodyBytesLimit;
 import org.catkinlift.admission.SilencePolicy;
 import org.catkinlift.admission.UpstreamQueue;
 import org.catkinlift.timer.TimerService;
@@ -45,9 +46,11 @@
 
   private final ReverseProxy proxy;
   private final UpstreamQueue<ProxyExchange> queue;
+  private final BodyBytesLimit bodyBytes = new BodyBytesLimit();
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
 
   private UpstreamRecord upstream;
+  private int openBodies;
   private boolean dispatchScheduled;
   private int connectFailures;
   private long connectBackoffUntilNanos;
@@ -122,7 +125,7 @@
   }
 
   private boolean isSilent(long nowNanos) {
-    return queue.inFlight() > 0 && nowNanos - silentSinceNanos > silenceNanos(nowNanos);
+    return responsesDue() > 0 && nowNanos - silentSinceNanos > silenceNanos(nowNanos);
   }
 
   private long silenceNanos(long nowNanos) {
@@ -210,7 +213,12 @@
   }
 
   private void dispatch(ProxyExchange exchange) {
-    if (queue.inFlight() == 1) {
+    if (!bodyBytes.admits(exchange.request().body().bytesToSend())) {
+      queue.requestEnded();
+      exchange.notSent("upstream receives large bodies");
+      return;
+    }
+    if (responsesDue() == 1) {
       silentSinceNanos = System.nanoTime();
     }
     UpstreamConnection connection = takeIdle(exchange);
@@ -319,6 +327,33 @@
         .ifPresent(reported -> queue.loadReported(reported, System.nanoTime()));
   }
 
+  /** Records that the upstream gets a body of at most the given length. */
+  void bodySent(long bytes) {
+    bodyBytes.sent(bytes);
+  }
+
+  /** Records that the upstream no longer holds a body of the given length. */
+  void bodyEnded(long bytes) {
+    bodyBytes.ended(bytes);
+  }
+
+  /** Records that a body is sent in parts, so that no response to its request is due. */
+  void bodyOpened() {
+    openBodies++;
+  }
+
+  /** Records the end of a body that was sent in parts, or of its request. */
+  void bodyClosed() {
+    openBodies--;
+    if (responsesDue() == 1) {
+      silentSinceNanos = System.nanoTime();
+    }
+  }
+
+  private int responsesDue() {
+    return queue.inFlight() - openBodies;
+  }
+
   /** Records the service time of a request whose response has just ended. */
   void responseMeasured(long measuredNanos, long expectedNanos) {
     queue.responseMeasured(measuredNanos, expectedNanos, System.nanoTime());
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
@@ -17,6 +17,7 @@
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.settings.GatewaySettings;
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
+import org.catkinlift.gateway.settings.GatewaySettings.CallerBounds;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
 import org.catkinlift.gateway.settings.GatewaySettings.TimeLimits;
@@ -110,7 +111,8 @@
             "x-expect-instance",
             "x-not-executed",
             "x-instance-id",
-            "x-server-load"));
+            "x-server-load"),
+        CallerBounds.DEFAULT);
   }
 
   static UpstreamRecord upstream(String id, ServiceName service, NetworkAddress address) {
@@ -188,6 +190,7 @@
                 route("/lookup/", RequestKind.IDEMPOTENT, SHARED, TIMEOUT),
                 route("/brief/", RequestKind.IDEMPOTENT, SHARED, SHORT_TIMEOUT),
                 route("/order/", RequestKind.NON_IDEMPOTENT, SHARED, TIMEOUT),
+                route("/upload/", RequestKind.UPLOAD, SHARED, TIMEOUT),
                 route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT)),
             ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED))));
     store.setUpstreams(upstreams);
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/RelayedUpdatesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/RelayedUpdatesTest.java
@@ -45,7 +45,8 @@
 
   private void startCoordinator() throws Exception {
     NetworkAddress address = FreePorts.findOne("127.0.0.1");
-    TextHttpServer.start(loop, address, (path, body) -> reply()).sync();
+    TextHttpServer.start(loop, address, TextHttpServer.Limits.PEERS, (path, body) -> reply())
+        .sync();
     String leaseRow = "host-2 7 1 " + address.ip() + " " + address.port();
     fixture.store().putRow(new RowKey("catkinlift-role", "coordinator"), leaseRow);
   }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.catkinlift.gateway.settings.GatewaySettings.CallerBounds;
 import org.catkinlift.model.NetworkAddress;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +20,9 @@
        "bounds":{"drain":"2000ms","evacuate":"5s","stopGrace":"6s","longestHold":"10s"},
        "repeats":{"ratio":0.2,"slack":62,"window":"10s"},
        "headers":{"requestId":"X-Request-Id","deadlineMillis":"d","key":"k","signature":"s",
-                  "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l"}}
+                  "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l"},
+       "limits":{"callerBytes":2000000,"callerConnections":100,"headerFields":50,
+                 "pipelinedRequests":4}}
       """;
 
   @Test
@@ -31,6 +36,16 @@
     assertThat(settings.headers().requestId()).isEqualTo("x-request-id");
   }
 
+  @Test
+  void boundsOnCallersAreOptional() {
+    GatewaySettings stated = GatewaySettingsReader.parse(VALID);
+    GatewaySettings missing = GatewaySettingsReader.parse(VALID.replace("\"limits\"", "\"other\""));
+
+    assertThat(stated.callerBounds())
+        .isEqualTo(new CallerBounds(OptionalLong.of(2_000_000), OptionalInt.of(100), 50, 4));
+    assertThat(missing.callerBounds()).isEqualTo(CallerBounds.DEFAULT);
+  }
+
   @Test
   void missingOrInvalidFieldIsNamedInTheError() {
     String[][] changes = {
@@ -44,6 +59,10 @@
       {"\"5s\"", "\"-5s\"", "evacuate"},
       {"\"ratio\":0.2", "\"ratio\":\"much\"", "ratio"},
       {"\"load\":\"l\"", "\"load\":[]", "load"},
+      {"2000000", "2000", "callerBytes"},
+      {"\"callerConnections\":100", "\"callerConnections\":0", "callerConnections"},
+      {"\"headerFields\":50", "\"headerFields\":\"few\"", "headerFields"},
+      {"\"pipelinedRequests\":4", "\"pipelinedRequests\":-1", "pipelinedRequests"},
       {"\"repeats\"", "\"other\"", "ratio"},
     };
     for (String[] change : changes) {
