--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -149,6 +149,10 @@
         && channel.isWritable();
   }
 
+  void after(Duration delay, Runnable task) {
+    proxy.after(delay.toNanos(), task);
+  }
+
   private void scheduleResume() {
     if (channel.config().isAutoRead() || resumeScheduled) {
       return;
