Admit short bodies beside long ones that stall

With the body limit of the deployments (64 MB), one stalled long body used up what an upstream may get at a time, and every request with a body was refused with 503. Bodies of up to 64 KB are now always admitted.

The tests of this module use smaller bodies and did not show it.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/BodyBytesLimit.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/BodyBytesLimit.java
@@ -9,6 +9,12 @@
   /** The size of the largest body that a configuration permits by default. */
   private static final long MAX_BYTES = 64L << 20;
 
+  /**
+   * Shorter bodies are always admitted, so that long ones that stall do not shut them out. Their
+   * number is bounded by the requests in flight.
+   */
+  private static final long MAX_UNLIMITED_BYTES = 64 << 10;
+
   private long bytesInFlight;
 
   /**
@@ -18,7 +24,7 @@
    * @return whether it may be sent
    */
   public boolean admits(long bytes) {
-    return bytes == 0 || bytesInFlight == 0 || bytesInFlight + bytes <= MAX_BYTES;
+    return bytes <= MAX_UNLIMITED_BYTES || bytesInFlight == 0 || bytesInFlight + bytes <= MAX_BYTES;
   }
 
   /**
