--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -1,6 +1,8 @@
 package org.catkinlift.gateway.settings;
 
 import java.time.Duration;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.catkinlift.model.HostId;
 import org.catkinlift.model.NetworkAddress;
 import org.catkinlift.model.ZoneName;
@@ -17,6 +19,7 @@
  * @param retryBudget the retry budget of all daemons together
  * @param headers the names of the headers that callers and upstreams use
  * @param tenants the headers about tenants, and the bound on the age of the configuration
+ * @param callerBounds the bounds on what callers may occupy
  */
 public record GatewaySettings(
     HostId host,
@@ -26,7 +29,8 @@
     TimeLimits timeLimits,
     RetryBudget retryBudget,
     HeaderNames headers,
-    TenantSettings tenants) {
+    TenantSettings tenants,
+    CallerBounds callerBounds) {
 
   /**
    * The addresses at which the daemon listens, and the store's address.
@@ -103,4 +107,25 @@
       String credentialsHeader,
       String credentialsScheme,
       StalenessBound stalenessBound) {}
+
+  /**
+   * The bounds on what all callers, or one of them, may occupy.
+   *
+   * @param bytes the memory that may be held for all callers; by default a share of that of the
+   *     process
+   * @param connections the number of their connections; by default a share of the descriptors that
+   *     are available to the process
+   * @param headerFields the number of header fields of a request
+   * @param pipelinedRequests the number of requests in progress on one connection
+   */
+  public record CallerBounds(
+      OptionalLong bytes, OptionalInt connections, int headerFields, int pipelinedRequests) {
+
+    /**
+     * The bounds that apply if the settings state none. A head of the usual limit of 16 KB has at
+     * most 4,096 fields.
+     */
+    public static final CallerBounds DEFAULT =
+        new CallerBounds(OptionalLong.empty(), OptionalInt.empty(), 4_096, 32);
+  }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerRequest.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerRequest.java
@@ -1,11 +1,12 @@
 package org.catkinlift.gateway.traffic;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.catkinlift.tenants.Credentials;
 
 /**
- * A complete request of a caller.
+ * A request of a caller, whose body may not have been received yet.
  *
  * @param id the request id that the caller assigned to this attempt
  * @param method the HTTP method
@@ -13,6 +14,7 @@
  * @param target the path and query, as received
  * @param path the path without the query
  * @param headers the headers to forward
+ * @param credentials what the headers state about the tenant; read only if there are tenants
  * @param body the body
  * @param deadlineMillis the time that the caller waits for the response, if stated
  * @param receivedNanos when the request head was received, in monotonic nanoseconds
@@ -24,6 +26,7 @@
     String target,
     String path,
     HttpHeaders headers,
-    ByteBuf body,
+    Supplier<Credentials> credentials,
+    RequestBody body,
     OptionalLong deadlineMillis,
     long receivedNanos) {}
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -1,6 +1,5 @@
 package org.catkinlift.gateway.traffic;
 
-import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -12,7 +11,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.catkinlift.admission.AdmissionPolicy;
 import org.catkinlift.admission.Urgency;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
@@ -22,7 +20,6 @@
 import org.catkinlift.routes.RequestKind;
 import org.catkinlift.routes.Route;
 import org.catkinlift.tenants.Authentication;
-import org.catkinlift.tenants.Credentials;
 import org.catkinlift.tenants.Tenant;
 import org.catkinlift.timer.TimerService;
 
@@ -37,6 +34,7 @@
   private static final int GATEWAY_TIMEOUT = 504;
   private static final int BAD_GATEWAY = 502;
   private static final int BAD_REQUEST = 400;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int UNAUTHORIZED = 401;
   private static final int MISDIRECTED = 421;
   private static final int SERVER_ERROR_CLASS = 5;
@@ -70,7 +68,6 @@
   private final CallerRequest request;
   private final ResponseSlot slot;
   private final ResponseRelay relay;
-  private final Supplier<Credentials> credentials;
   private final Set<UpstreamConnection> refusingConnections = new HashSet<>();
 
   private AttemptHistory attempts = AttemptHistory.NONE;
@@ -105,8 +102,6 @@
     this.request = request;
     this.slot = slot;
     this.relay = new ResponseRelay(proxy, slot, request.id());
-    this.credentials =
-        Suppliers.memoize(() -> proxy.tenantHeaders().credentials(request.headers()));
   }
 
   CallerRequest request() {
@@ -137,9 +132,9 @@
     return tenant;
   }
 
-  /** Finds the route and selects the first upstream. */
-  void start() {
-    switch (proxy.accept(request, credentials)) {
+  /** Selects the first upstream, or responds to a request that is not accepted. */
+  void start(RequestAcceptance acceptance) {
+    switch (acceptance) {
       case RequestAcceptance.Refused refused -> {
         tenant = refused.tenant();
         respond(refused.status(), refused.reason(), refused.retryAfter());
@@ -190,7 +185,7 @@
       return true;
     }
     hidesCredentials = true;
-    switch (proxy.authenticate(request, credentials, route)) {
+    switch (proxy.authenticate(request, route)) {
       case Authentication.NotRequired notRequired -> tenant = Optional.empty();
       case Authentication.Authenticated authenticated ->
           tenant = Optional.of(authenticated.tenant());
@@ -321,10 +316,7 @@
     if (hidesCredentials) {
       proxy.tenantHeaders().replace(headers, tenant.map(Tenant::name));
     }
-    int length = request.body().readableBytes();
-    if (length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
+    request.body().setFraming(headers);
     return headers;
   }
 
@@ -371,7 +363,10 @@
     boolean attemptsExhausted =
         attempts.possibleExecutors().size() >= route.maxAttempts() || tries >= MAX_TRIES;
     boolean pastDeadline = System.nanoTime() + delay.toNanos() >= urgency.deadlineNanos();
-    if (attemptsExhausted || pastDeadline || (reachedUpstream && !proxy.tryAcquireRetry(service))) {
+    if (attemptsExhausted
+        || pastDeadline
+        || !request.body().isSendable()
+        || (reachedUpstream && !proxy.tryAcquireRetry(service))) {
       refuse(lastFailure, spreadRetryAfter());
       return;
     }
@@ -459,8 +454,9 @@
     pool.requestSucceeded();
     TrafficMeasurements measurements = proxy.measurements();
     measurements.recordResponseBytes(route, relay.receivedBytes());
-    if (pool.hasUpstreamQueue()) {
-      // The time includes the wait in the queue and says nothing about the service time.
+    if (pool.hasUpstreamQueue() || request.body().isStreamed()) {
+      // The time includes the wait in the queue, or for the caller, and says nothing about the
+      // service time.
       return;
     }
     long elapsedNanos = System.nanoTime() - sentNanos;
@@ -561,6 +557,33 @@
     relay.discard();
   }
 
+  /** Returns whether other requests wait for the slot of the upstream that this one occupies. */
+  boolean blocksOthers() {
+    return state == State.SENT && pool.queued() > 0;
+  }
+
+  /** Ends the request because the rest of its body is not accepted. */
+  void bodyRejected(int status, String reason) {
+    boolean responseBegun = relay.isStreaming();
+    cancelAttempt();
+    if (responseBegun && !slot.discardUnsent()) {
+      breakOff(reason, status);
+    } else {
+      respond(status, reason, Optional.empty());
+    }
+  }
+
+  /** Ends the request because the caller does not send the rest of its body. */
+  void bodyStalled() {
+    if (!attempts.mayHaveBeenExecuted()) {
+      bodyRejected(REQUEST_TIMEOUT, "body not received within the time limit");
+      return;
+    }
+    // Status 408 would state that the request was not executed.
+    cancelAttempt();
+    breakOff("body not received within the time limit", 0);
+  }
+
   /** Ends the request because the caller has closed its connection. */
   void callerDisconnected() {
     if (state == State.ENDED) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Supplier;
 import org.catkinlift.admission.RequestRank;
 import org.catkinlift.admission.TenantUsage;
 import org.catkinlift.gateway.settings.GatewaySettings;
@@ -15,7 +14,6 @@
 import org.catkinlift.routes.WeightedTargetSelector;
 import org.catkinlift.tenants.Authentication;
 import org.catkinlift.tenants.Authenticator;
-import org.catkinlift.tenants.Credentials;
 import org.catkinlift.tenants.Tenant;
 import org.catkinlift.tenants.TenantRegistry;
 
@@ -53,11 +51,7 @@
   }
 
   /** Decides about a request. */
-  RequestAcceptance accept(
-      TrafficSnapshot snapshot,
-      CallerRequest request,
-      Supplier<Credentials> credentials,
-      long nowNanos) {
+  RequestAcceptance accept(TrafficSnapshot snapshot, CallerRequest request, long nowNanos) {
     if (!snapshot.configuration().isKnown()) {
       return new RequestAcceptance.Refused(
           SERVICE_UNAVAILABLE, "no configuration", Optional.of(RETRY_AFTER_NO_CONFIGURATION));
@@ -67,7 +61,7 @@
       return new RequestAcceptance.Refused(NOT_FOUND, "no route", Optional.empty());
     }
     Route route = found.get();
-    return switch (authenticate(snapshot, request, credentials, route, nowNanos)) {
+    return switch (authenticate(snapshot, request, route, nowNanos)) {
       case Authentication.NotRequired notRequired ->
           accept(snapshot, request, route, Optional.empty());
       case Authentication.Authenticated authenticated ->
@@ -80,16 +74,11 @@
   /**
    * Decides on the tenant of a request by the configuration in force.
    *
-   * @param credentials the credentials of the request; read only if the configuration has tenants
    * @param route the route by which the request was accepted; a newer configuration may have
    *     another one for it
    */
   Authentication authenticate(
-      TrafficSnapshot snapshot,
-      CallerRequest request,
-      Supplier<Credentials> credentials,
-      Route route,
-      long nowNanos) {
+      TrafficSnapshot snapshot, CallerRequest request, Route route, long nowNanos) {
     TenantRegistry tenants = snapshot.configuration().tenants();
     if (!tenants.requiresAuthentication()) {
       return new Authentication.NotRequired();
@@ -98,7 +87,7 @@
         snapshot.routes().find(request.host(), request.path()).orElse(route).isPublic();
     long contactAgeNanos = contactTime.ageNanos(nowNanos);
     Authentication authentication =
-        authenticator.authenticate(tenants, isPublic, credentials.get(), contactAgeNanos);
+        authenticator.authenticate(tenants, isPublic, request.credentials().get(), contactAgeNanos);
     events.authenticated(authentication, contactAgeNanos);
     return authentication;
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -14,7 +14,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Supplier;
 import org.catkinlift.admission.AdmissionShares;
 import org.catkinlift.admission.RequestRank;
 import org.catkinlift.admission.ServiceRetryBudget;
@@ -34,7 +33,6 @@
 import org.catkinlift.routes.ServiceProfile;
 import org.catkinlift.shares.ShareReport;
 import org.catkinlift.tenants.Authentication;
-import org.catkinlift.tenants.Credentials;
 import org.catkinlift.tenants.Tenant;
 import org.catkinlift.timer.TimerService;
 import org.catkinlift.upstreams.UpstreamRecord;
@@ -265,14 +263,13 @@
   }
 
   /** Decides whether a request is accepted, and by which route and service. */
-  RequestAcceptance accept(CallerRequest request, Supplier<Credentials> credentials) {
-    return acceptor.accept(snapshot, request, credentials, System.nanoTime());
+  RequestAcceptance accept(CallerRequest request) {
+    return acceptor.accept(snapshot, request, System.nanoTime());
   }
 
   /** Decides on the tenant of an accepted request by the configuration in force. */
-  Authentication authenticate(
-      CallerRequest request, Supplier<Credentials> credentials, Route route) {
-    return acceptor.authenticate(snapshot, request, credentials, route, System.nanoTime());
+  Authentication authenticate(CallerRequest request, Route route) {
+    return acceptor.authenticate(snapshot, request, route, System.nanoTime());
   }
 
   /** Returns whether requests need an API key unless their route is public. */
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/GatewayFixture.java
@@ -17,6 +17,7 @@
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.settings.GatewaySettings;
 import org.catkinlift.gateway.settings.GatewaySettings.Addresses;
+import org.catkinlift.gateway.settings.GatewaySettings.CallerBounds;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.gateway.settings.GatewaySettings.RetryBudget;
 import org.catkinlift.gateway.settings.GatewaySettings.TenantSettings;
@@ -119,7 +120,8 @@
             "x-not-executed",
             "x-instance-id",
             "x-server-load"),
-        new TenantSettings("x-tenant", "authorization", "Token", stalenessBound));
+        new TenantSettings("x-tenant", "authorization", "Token", stalenessBound),
+        CallerBounds.DEFAULT);
   }
 
   static UpstreamRecord upstream(String id, ServiceName service, NetworkAddress address) {
@@ -218,6 +220,7 @@
                 route("/lookup/", RequestKind.IDEMPOTENT, SHARED, TIMEOUT),
                 route("/brief/", RequestKind.IDEMPOTENT, SHARED, SHORT_TIMEOUT),
                 route("/order/", RequestKind.NON_IDEMPOTENT, SHARED, TIMEOUT),
+                route("/upload/", RequestKind.UPLOAD, SHARED, TIMEOUT),
                 route("/keyed/", RequestKind.IDEMPOTENT, KEYED, TIMEOUT),
                 publicRoute()),
             ImmutableMap.of(SHARED, profile(SHARED), KEYED, profile(KEYED)),
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/QuotaSharesTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/QuotaSharesTest.java
@@ -53,7 +53,8 @@
   @Test
   void daemonConfirmsShares() throws Exception {
     NetworkAddress address = FreePorts.findOne("127.0.0.1");
-    TextHttpServer.start(loop, address, (path, body) -> reply(body)).sync();
+    TextHttpServer.start(loop, address, TextHttpServer.Limits.PEERS, (path, body) -> reply(body))
+        .sync();
     String leaseRow = "host-2 7 1 " + address.ip() + " " + address.port();
     fixture.store().putRow(new RowKey("catkinlift-role", "coordinator"), leaseRow);
     fixture.publish(upstream("u-1", SHARED, FreePorts.findOne("127.0.0.1")));
