Ramp up upstreams that have started or recovered, if their service gives no rate

An upstream that starts appears idle to all daemons at once. All daemons now share one rate, which doubles every four service times and is halved by a queue, a refusal or a failure. Services with a cold rate are served as before.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
@@ -46,6 +46,7 @@
   private long lastReportNanos;
   private Optional<ColdStartLimiter> coldLimiter = Optional.empty();
   private long coldUntilNanos;
+  private Optional<RampUp> rampUp = Optional.empty();
 
   /**
    * Creates a queue.
@@ -91,6 +92,37 @@
     }
   }
 
+  /**
+   * Records that the upstream has just started or recovered.
+   *
+   * @param typicalServiceNanos the typical service time of the upstreams of this service
+   * @param daemons the number of daemons
+   * @param initialTokens a random number from 0 to 1
+   * @param nowNanos the current time
+   */
+  public void startRampUp(
+      long typicalServiceNanos, int daemons, double initialTokens, long nowNanos) {
+    rampUp = Optional.of(new RampUp(slots, typicalServiceNanos, daemons, initialTokens, nowNanos));
+  }
+
+  private Optional<RampUp> rampUp(long nowNanos) {
+    if (rampUp.isPresent() && rampUp.get().isComplete(nowNanos)) {
+      rampUp = Optional.empty();
+    }
+    return rampUp;
+  }
+
+  /**
+   * Returns whether the upstream may have a request now, as far as a limit on its rate is
+   * concerned.
+   *
+   * @param nowNanos the current time
+   */
+  public boolean isWithinRate(long nowNanos) {
+    return !isCold(nowNanos)
+        && rampUp(nowNanos).map(r -> r.nanosUntilNext(nowNanos) == 0).orElse(true);
+  }
+
   private Optional<ColdStartLimiter> coldLimiter(long nowNanos) {
     if (coldLimiter.isPresent() && nowNanos >= coldUntilNanos) {
       coldLimiter = Optional.empty();
@@ -154,6 +186,10 @@
     if (limiter.isPresent()) {
       return limiter.get().nanosUntilNext(nowNanos) + ahead * limiter.get().intervalNanos();
     }
+    Optional<RampUp> ramp = rampUp(nowNanos);
+    if (ramp.isPresent()) {
+      return ramp.get().nanosUntilNext(nowNanos) + ahead * ramp.get().intervalNanos();
+    }
     long upstreamWait = upstreamWaitNanos(serviceNanos, nowNanos);
     if (inFlight < limit.value() && ahead == 0) {
       return upstreamWait;
@@ -226,6 +262,10 @@
     if (limiter.isPresent() && !limiter.get().tryAcquire(nowNanos)) {
       return Optional.empty();
     }
+    Optional<RampUp> ramp = rampUp(nowNanos);
+    if (ramp.isPresent() && !ramp.get().tryAcquire(nowNanos)) {
+      return Optional.empty();
+    }
     inFlight++;
     return queue.takeNext(nowNanos, serviceNanos(typicalServiceNanos, nowNanos));
   }
@@ -241,7 +281,10 @@
     if (queue.size() == 0 || inFlight >= limit.value()) {
       return 0;
     }
-    return coldLimiter(nowNanos).map(limiter -> limiter.nanosUntilNext(nowNanos)).orElse(0L);
+    return coldLimiter(nowNanos)
+        .map(limiter -> limiter.nanosUntilNext(nowNanos))
+        .or(() -> rampUp(nowNanos).map(r -> r.nanosUntilNext(nowNanos)))
+        .orElse(0L);
   }
 
   /** Records that a request in flight has ended. */
@@ -263,6 +306,9 @@
     slowdown.reported(Math.max(MIN_SLOWDOWN, reported.slowdown()), nowNanos);
     busySlots.reported(reported.running() + reported.waiting(), nowNanos);
     limit.loadReported(reported);
+    if (reported.waiting() >= slots) {
+      rampUp.ifPresent(r -> r.decrease(nowNanos));
+    }
   }
 
   /**
@@ -292,6 +338,7 @@
    */
   public void requestFailed(long nowNanos) {
     failureRate.failed(nowNanos);
+    rampUp.ifPresent(r -> r.decrease(nowNanos));
   }
 
   /** Records that the upstream rejected a request because it had no capacity. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -37,6 +37,8 @@
   UPSTREAM_REFUSED(2006, Severity.INFO, "upstream refused request"),
   /** A server sent bytes that are no response, and its connection was closed. */
   UNEXPECTED_BYTES(2007, Severity.WARNING, "bytes that are no answer"),
+  /** The rate of requests to an upstream that has started or recovered is raised step by step. */
+  UPSTREAM_RAMP_UP(2010, Severity.INFO, "upstream ramp-up started"),
 
   /** This daemon became the coordinator of its cell. */
   COORDINATOR_ROLE_TAKEN(3001, Severity.INFO, "coordinator role taken"),
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedBalancer.java
@@ -47,11 +47,22 @@
     this.random = random;
     this.selector = new UpstreamSelector(random.split());
     for (int i = 0; i < upstreams.size(); i++) {
-      var queue = new UpstreamQueue<PendingRequest>(upstreams.get(i).slots(), 0);
-      targets.add(new Target(i, upstreams.get(i), zones.get(i) == zone, queue));
+      add(i, upstreams.get(i), zones.get(i) == zone);
     }
   }
 
+  private UpstreamQueue<PendingRequest> add(
+      int index, SimulatedUpstream upstream, boolean sameZone) {
+    var queue = new UpstreamQueue<PendingRequest>(upstream.slots(), time.now());
+    targets.add(new Target(index, upstream, sameZone, queue));
+    return queue;
+  }
+
+  /** Adds an upstream that has just started; returns its queue. */
+  UpstreamQueue<PendingRequest> addStarted(SimulatedUpstream upstream) {
+    return add(targets.size(), upstream, true);
+  }
+
   int answeredInTime() {
     return answeredInTime;
   }
@@ -64,6 +75,9 @@
   void receive(SimulatedRequest request, Runnable onAnswer) {
     List<UpstreamSelector.Candidate<Target>> candidates = new ArrayList<>();
     for (Target target : targets) {
+      if (!target.queue().isWithinRate(time.now())) {
+        continue;
+      }
       long expectedNanos = target.queue().expectedNanos(TYPICAL_SERVICE_NANOS, time.now());
       candidates.add(
           new UpstreamSelector.Candidate<>(
@@ -106,7 +120,10 @@
       long sentNanos,
       SimulatedUpstream.Outcome outcome,
       ReportedLoad load) {
-    if (outcome != SimulatedUpstream.Outcome.RESET) {
+    if (outcome == SimulatedUpstream.Outcome.RESET) {
+      target.queue().requestFailed(time.now());
+    } else {
+      target.queue().requestSucceeded(time.now());
       target.queue().loadReported(load, time.now());
       boolean hadQueue = target.queue().hasUpstreamQueue(time.now());
       if (learnsSpeeds && !hadQueue) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedUpstream.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/replay/SimulatedUpstream.java
@@ -1,7 +1,9 @@
 package org.catkinlift.admission.replay;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.BiConsumer;
 import org.catkinlift.admission.ReportedLoad;
 
@@ -10,13 +12,19 @@
  * the queue full, and drops requests whose deadline has passed.
  */
 final class SimulatedUpstream {
+  /** The service time of a cold upstream divided by the normal one. */
+  static final double COLD_SLOWDOWN = 2.6;
+
   private final VirtualTime time;
   private final int slots;
   private final int queueCapacity;
   private final double slowdown;
   private final SimulatedNoise noise;
   private final Deque<QueuedRequest> queue = new ArrayDeque<>();
+  private long coldUntilNanos;
   private int running;
+  private int answered;
+  private final List<Long> arrivals = new ArrayList<>();
 
   private record QueuedRequest(SimulatedRequest request, BiConsumer<Outcome, ReportedLoad> done) {}
 
@@ -40,11 +48,26 @@
     this.noise = noise;
   }
 
+  /** Makes the upstream slow until the given time. */
+  void markCold(long untilNanos) {
+    coldUntilNanos = untilNanos;
+  }
+
+  /** Returns the number of requests that arrived before the given time. */
+  int arrivedBefore(long nanos) {
+    return (int) arrivals.stream().filter(a -> a < nanos).count();
+  }
+
+  int answered() {
+    return answered;
+  }
+
   int slots() {
     return slots;
   }
 
   void send(SimulatedRequest request, BiConsumer<Outcome, ReportedLoad> done) {
+    arrivals.add(time.now());
     if (queue.size() >= queueCapacity) {
       done.accept(Outcome.RESET, load());
       return;
@@ -65,7 +88,8 @@
         continue;
       }
       running++;
-      double factor = slowdown * noise.slowdown(time.now());
+      double coldFactor = time.now() < coldUntilNanos ? COLD_SLOWDOWN : 1;
+      double factor = slowdown * noise.slowdown(time.now()) * coldFactor;
       time.at(time.now() + (long) (next.request().workNanos() * factor), () -> ended(next));
     }
   }
@@ -74,6 +98,7 @@
     running--;
     startNext();
     boolean late = time.now() > ended.request().urgency().deadlineNanos();
+    answered += late ? 0 : 1;
     ended.done().accept(late ? Outcome.TOO_LATE : Outcome.ANSWERED, load());
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/TrafficEvents.java
@@ -120,6 +120,12 @@
             "request", exchange.request().id(), "upstream", upstream.id(), "status", status));
   }
 
+  /** Records that the rate of requests to an upstream is limited for a while. */
+  void rampUpStarted(UpstreamRecord upstream, String cause) {
+    metrics.increment("upstream_ramp_ups." + upstream.service());
+    log.log(EventCode.UPSTREAM_RAMP_UP, ImmutableMap.of("upstream", upstream.id(), "cause", cause));
+  }
+
   void responseMismatched(UpstreamRecord upstream, String receivedId, String expectedId) {
     log.log(
         EventCode.ANSWER_DROPPED,
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamPool.java
@@ -57,6 +57,10 @@
   private Optional<TimerService.Subscription> cutOffTimer = Optional.empty();
   private boolean retired;
   private boolean addressReassigned;
+  private int daemons = 1;
+  private boolean hasColdRate;
+  private boolean announcedCold;
+  private boolean unresponsive;
 
   UpstreamPool(ReverseProxy proxy, UpstreamRecord upstream, long nowNanos) {
     this.proxy = proxy;
@@ -77,11 +81,24 @@
     UpstreamRecord next = view.upstream();
     upstream = next;
     updateCutOff(view.cutOffNanos(), nowNanos);
-    if (next.remainingColdTime().isZero() || coldRequestsPerSecond <= 0) {
+    this.daemons = daemons;
+    hasColdRate = coldRequestsPerSecond > 0;
+    boolean wasAnnouncedCold = announcedCold;
+    announcedCold = !next.remainingColdTime().isZero();
+    if (!announcedCold) {
       return;
     }
-    long warmAtNanos = nowNanos + next.remainingColdTime().toNanos();
-    queue.markCold(coldRequestsPerSecond, daemons, proxy.random(), warmAtNanos, nowNanos);
+    if (hasColdRate) {
+      long warmAtNanos = nowNanos + next.remainingColdTime().toNanos();
+      queue.markCold(coldRequestsPerSecond, daemons, proxy.random(), warmAtNanos, nowNanos);
+    } else if (!wasAnnouncedCold) {
+      startRampUp("started");
+    }
+  }
+
+  private void startRampUp(String cause) {
+    queue.startRampUp(typicalServiceNanos(), daemons, proxy.random(), System.nanoTime());
+    proxy.events().rampUpStarted(upstream, cause);
   }
 
   private void updateCutOff(OptionalLong next, long nowNanos) {
@@ -112,8 +129,9 @@
         : Optional.empty();
   }
 
-  boolean isCold(long nowNanos) {
-    return queue.isCold(nowNanos);
+  /** Returns whether the upstream may have a request now, although it has started recently. */
+  boolean isWithinRate(long nowNanos) {
+    return queue.isWithinRate(nowNanos);
   }
 
   /** Returns whether requests should prefer other upstreams where possible. */
@@ -151,6 +169,7 @@
       return;
     }
     if (isSilent(now)) {
+      unresponsive = true;
       nextProbeNanos = now + SILENT_PROBE_INTERVAL.toNanos();
     }
     if (exchange.isFirstTry() && !proxy.admits(upstream, exchange.urgency().rank())) {
@@ -301,6 +320,7 @@
 
   private void connectFailed(ProxyExchange exchange, Throwable cause) {
     queue.requestEnded();
+    unresponsive = true;
     connectFailures++;
     long backoffNanos = MIN_CONNECT_BACKOFF.toNanos() << Math.min(connectFailures - 1, 3);
     connectBackoffUntilNanos =
@@ -327,6 +347,11 @@
   /** Records that the upstream answered a request. */
   void requestSucceeded() {
     queue.requestSucceeded(System.nanoTime());
+    boolean recovered = unresponsive && !hasColdRate;
+    unresponsive = false;
+    if (recovered) {
+      startRampUp("recovered");
+    }
   }
 
   /** Records that the upstream failed or rejected a request. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamRouting.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamRouting.java
@@ -109,7 +109,9 @@
           new UpstreamSelector.Candidate<>(
               pool, pool.expectedNanos(now), sameZone, pool.hasIdleConnection(now));
       boolean avoid =
-          pool.isSuspect(now) || pool.isCold(now) || possibleExecutors.contains(upstream.id());
+          pool.isSuspect(now)
+              || !pool.isWithinRate(now)
+              || possibleExecutors.contains(upstream.id());
       (avoid ? fallback : preferred).add(candidate);
     }
     return upstreamSelector
