--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamRouting.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamRouting.java
@@ -120,7 +120,7 @@
               pool.hasIdleConnection(exchange, now));
       boolean avoid =
           pool.isSuspect(now)
-              || pool.isCold(now)
+              || !pool.isWithinRate(now)
               || possibleExecutors.contains(pool.upstream().id());
       (avoid ? fallback : preferred).add(candidate);
     }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/TenantsTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/TenantsTest.java
@@ -29,6 +29,8 @@
 /** Guards against requests that are served, or shown to upstreams, under the wrong tenant. */
 final class TenantsTest {
   private static final String AUTHORIZED = "Authorization: Token key-one\r\n";
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(25);
+  private static final int MAX_CHECKS = 400;
   private static final Duration REVOCATION = Duration.ofSeconds(1);
 
   /** More requests than the upstream has slots, so that some wait in the daemon. */
@@ -52,7 +54,21 @@
   private static void applyTenants(GatewayFixture fixture, long version, TenantRegistry tenants)
       throws Exception {
     fixture.publishConfiguration(version, tenants);
-    fixture.awaitLogged("version=" + version);
+    awaitInForce(fixture, version);
+  }
+
+  /** Waits until requests are decided by a version, which their log lines state. */
+  private static void awaitInForce(GatewayFixture fixture, long version) throws Exception {
+    try (var connection = fixture.connect()) {
+      for (int i = 0; i < MAX_CHECKS; i++) {
+        assertThat(status(connection, "/none/a", "")).isEqualTo(404);
+        if (fixture.logged().contains("configuration=" + version)) {
+          return;
+        }
+        Thread.sleep(CHECK_INTERVAL);
+      }
+    }
+    throw new AssertionError("version " + version + " not in force");
   }
 
   private static int status(Connection connection, String path, String headers) throws Exception {
