Test that requests over a tenant's quota are refused without execution

No test took a request through the daemon to the quota of its tenant: the parts were built apart. 400 requests on a quota of one a second: each is answered with 200 or 429 and Retry-After, and the upstream gets only the former.

--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/TenantsTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/TenantsTest.java
@@ -21,6 +21,7 @@
 import org.catkinlift.gateway.store.StoreUpdate;
 import org.catkinlift.model.TenantName;
 import org.catkinlift.tenants.ApiKeyDigest;
+import org.catkinlift.tenants.Quota;
 import org.catkinlift.tenants.StalenessBound;
 import org.catkinlift.tenants.Tenant;
 import org.catkinlift.tenants.TenantRegistry;
@@ -36,8 +37,17 @@
   /** More requests than the upstream has slots, so that some wait in the daemon. */
   private static final int REQUESTS_WITH_QUEUE = 7;
 
+  private static final Quota SMALL_QUOTA = new Quota(1, 5);
+
+  /** Exceeds what the quota allows, with its tolerance, for as long as the test may last. */
+  private static final int REQUESTS_OVER_QUOTA = 400;
+
   private static TenantRegistry registry(String name, String key) {
-    var tenant = new Tenant(TenantName.of(name), OptionalInt.empty(), Optional.empty());
+    return registry(name, key, Optional.empty());
+  }
+
+  private static TenantRegistry registry(String name, String key, Optional<Quota> quota) {
+    var tenant = new Tenant(TenantName.of(name), OptionalInt.empty(), quota);
     ApiKeyDigest digest = ApiKeyDigest.of(key.getBytes(StandardCharsets.UTF_8)).orElseThrow();
     return TenantRegistry.builder().add(tenant, ImmutableList.of(digest)).build();
   }
@@ -231,4 +241,31 @@
       }
     }
   }
+
+  /**
+   * A tenant over its quota would take the capacity of the others, or would not know when to retry.
+   */
+  @Test
+  void requestsOverTheQuotaAreRefusedWithoutExecution() throws Exception {
+    try (var shared = answering()) {
+      GatewayFixture fixture = serve(new StalenessBound.FailOpen(), shared);
+      applyTenants(fixture, 3, registry("one", "key-one", Optional.of(SMALL_QUOTA)));
+      int served = 0;
+      int refused = 0;
+      try (var connection = fixture.connect()) {
+        for (int i = 0; i < REQUESTS_OVER_QUOTA; i++) {
+          connection.send(get("/order/a", "r" + i, AUTHORIZED));
+          GatewayFixture.Response response = connection.read();
+          served += response.status() == 200 ? 1 : 0;
+          if (response.status() == 429) {
+            refused++;
+            assertThat(response.head().toLowerCase(Locale.ROOT)).contains("retry-after: ");
+          }
+        }
+      }
+      assertThat(served + refused).isEqualTo(REQUESTS_OVER_QUOTA);
+      assertThat(refused).isGreaterThan(0);
+      assertThat(shared.requestHeads()).hasSize(served);
+    }
+  }
 }
