Take the descriptors that a host may use from its settings

The bytes that wait to be sent were counted as one less than they are, -1 on an idle connection, so idle connections stayed in the byte budget.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -113,19 +113,24 @@
    *
    * @param bytes the memory that may be held for all callers; by default a share of that of the
    *     process
-   * @param connections the number of their connections; by default a share of the descriptors that
-   *     are available to the process
+   * @param connections the number of their connections; by default a share of the descriptors
+   * @param descriptors the descriptors that the process may have; by default the limit of the
+   *     operating system, which does not count where another limit applies
    * @param headerFields the number of header fields of a request
    * @param pipelinedRequests the number of requests in progress on one connection
    */
   public record CallerBounds(
-      OptionalLong bytes, OptionalInt connections, int headerFields, int pipelinedRequests) {
+      OptionalLong bytes,
+      OptionalInt connections,
+      OptionalInt descriptors,
+      int headerFields,
+      int pipelinedRequests) {
 
     /**
      * The bounds that apply if the settings state none. A head of the usual limit of 16 KB has at
      * most 4,096 fields.
      */
     public static final CallerBounds DEFAULT =
-        new CallerBounds(OptionalLong.empty(), OptionalInt.empty(), 4_096, 32);
+        new CallerBounds(OptionalLong.empty(), OptionalInt.empty(), OptionalInt.empty(), 4_096, 32);
   }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettingsReader.java
@@ -175,9 +175,8 @@
         node.has("callerBytes")
             ? OptionalLong.of(parseField(node, "callerBytes", GatewaySettingsReader::parseBytes))
             : OptionalLong.empty(),
-        node.has("callerConnections")
-            ? OptionalInt.of(parseCount(node, "callerConnections", 0))
-            : OptionalInt.empty(),
+        parseOptionalCount(node, "callerConnections"),
+        parseOptionalCount(node, "descriptors"),
         parseCount(node, "headerFields", CallerBounds.DEFAULT.headerFields()),
         parseCount(node, "pipelinedRequests", CallerBounds.DEFAULT.pipelinedRequests()));
   }
@@ -190,10 +189,14 @@
     return value;
   }
 
-  private static int parseCount(JsonNode node, String name, int defaultValue) {
+  private static OptionalInt parseOptionalCount(JsonNode node, String name) {
     return node.has(name)
-        ? parseField(node, name, GatewaySettingsReader::parsePositiveInteger)
-        : defaultValue;
+        ? OptionalInt.of(parseField(node, name, GatewaySettingsReader::parsePositiveInteger))
+        : OptionalInt.empty();
+  }
+
+  private static int parseCount(JsonNode node, String name, int defaultValue) {
+    return parseOptionalCount(node, name).orElse(defaultValue);
   }
 
   private static int parsePositiveInteger(String text) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -210,9 +210,12 @@
 
   private long outboundBytes() {
     var marks = channel.config().getWriteBufferWaterMark();
-    return channel.isWritable()
-        ? marks.high() - channel.bytesBeforeUnwritable()
-        : marks.low() + channel.bytesBeforeWritable();
+    // Both distances are one more than the bytes up to the mark, but 0 on a closed channel.
+    long pending =
+        channel.isWritable()
+            ? marks.high() + 1 - channel.bytesBeforeUnwritable()
+            : marks.low() - 1 + channel.bytesBeforeWritable();
+    return channel.isOpen() ? Math.max(0, pending) : 0;
   }
 
   private static long requestBytes(CallerRequest request) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerServer.java
@@ -46,7 +46,10 @@
     CallerBounds bounds = proxy.settings().callerBounds();
     this.budget = new ByteBudget<>(bounds.bytes().orElseGet(ProcessResources::callerBytes));
     this.limit =
-        new ConnectionLimit(bounds.connections().orElseGet(ProcessResources::callerConnections));
+        new ConnectionLimit(
+            bounds
+                .connections()
+                .orElseGet(() -> ProcessResources.callerConnections(bounds.descriptors())));
   }
 
   /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProcessResources.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProcessResources.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 
 /** The memory and descriptors of this process, from which the bounds on callers are derived. */
 final class ProcessResources {
@@ -32,9 +33,16 @@
     return (heapBytes + PlatformDependent.maxDirectMemory()) / CALLER_MEMORY_DIVISOR;
   }
 
-  /** Returns the number of callers' connections that may be open. */
-  static int callerConnections() {
-    int sockets = Math.min(MAX_DESCRIPTORS, availableDescriptors()) - DESCRIPTORS_FOR_FILES;
+  /**
+   * Returns the number of callers' connections that may be open.
+   *
+   * @param descriptors the descriptors that the process may have; if empty, the limit of the
+   *     operating system counts
+   */
+  static int callerConnections(OptionalInt descriptors) {
+    int available =
+        Math.min(MAX_DESCRIPTORS, descriptors.orElseGet(ProcessResources::availableDescriptors));
+    int sockets = available - DESCRIPTORS_FOR_FILES;
     return Math.max(1, (int) (sockets * CALLER_DESCRIPTOR_SHARE));
   }
 
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/settings/GatewaySettingsReaderTest.java
@@ -22,7 +22,7 @@
        "headers":{"requestId":"X-Request-Id","deadlineMillis":"d","key":"k","signature":"s",
                   "expectedUpstream":"e","notExecuted":"n","answeringUpstream":"a","load":"l",
                   "tenant":"X-Tenant","credentials":"Authorization","credentialsScheme":"Token"},
-       "limits":{"callerBytes":2000000,"callerConnections":100,"headerFields":50,
+       "limits":{"callerBytes":2000000,"callerConnections":100,"descriptors":4100,"headerFields":50,
                  "pipelinedRequests":4}}
       """;
 
@@ -43,7 +43,9 @@
     GatewaySettings missing = GatewaySettingsReader.parse(VALID.replace("\"limits\"", "\"other\""));
 
     assertThat(stated.callerBounds())
-        .isEqualTo(new CallerBounds(OptionalLong.of(2_000_000), OptionalInt.of(100), 50, 4));
+        .isEqualTo(
+            new CallerBounds(
+                OptionalLong.of(2_000_000), OptionalInt.of(100), OptionalInt.of(4_100), 50, 4));
     assertThat(missing.callerBounds()).isEqualTo(CallerBounds.DEFAULT);
   }
 
@@ -62,6 +64,7 @@
       {"\"load\":\"l\"", "\"load\":[]", "load"},
       {"2000000", "2000", "callerBytes"},
       {"\"callerConnections\":100", "\"callerConnections\":0", "callerConnections"},
+      {"\"descriptors\":4100", "\"descriptors\":0", "descriptors"},
       {"\"headerFields\":50", "\"headerFields\":\"few\"", "headerFields"},
       {"\"pipelinedRequests\":4", "\"pipelinedRequests\":-1", "pipelinedRequests"},
       {"\"repeats\"", "\"other\"", "ratio"},
