Let requests wait for the first share of a quota

A host without a share of a tenant's quota refused its first request, although the tenant was below its quota, until the answer to its next report: at least one refusal for each host and tenant. Such a request now waits for the share for up to 0.7 s.

--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaBucket.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaBucket.java
@@ -10,8 +10,11 @@
 final class QuotaBucket {
   private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
-  /** How soon a host without a share gets one: two reports and their answers. */
-  private static final Duration SHARE_DELAY = Duration.ofMillis(500);
+  /**
+   * How soon a host without a share gets one. Its demand reaches the control thread within 200 ms
+   * and the coordinator with the next report, within 250 ms; the rest is for delays of both.
+   */
+  static final Duration SHARE_DELAY = Duration.ofMillis(700);
 
   private final double draw;
   private Quota quota;
@@ -52,6 +55,11 @@
   boolean tryAcquire(long nowNanos) {
     asked++;
     lastDemandNanos = nowNanos;
+    return tryAcquireAgain();
+  }
+
+  /** Acquires for a request that was counted as demand before. */
+  boolean tryAcquireAgain() {
     if (level < 1) {
       return false;
     }
@@ -60,6 +68,11 @@
     return true;
   }
 
+  /** Returns whether only the answer to a report can make room. */
+  boolean needsShare() {
+    return !hasShare || share.rate() <= 0;
+  }
+
   /** Returns the time until the bucket has room for a request. */
   Duration retryAfter() {
     double rate = rate();
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaDecision.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaDecision.java
@@ -8,6 +8,14 @@
   /** The request is within the quota. */
   record Granted() implements QuotaDecision {}
 
+  /**
+   * This host has no share of the quota yet. The coordinator answers the next report with one if
+   * the tenant is below its quota, so the request should wait for that.
+   *
+   * @param maxWait the time after which a share is no longer to be expected
+   */
+  record Pending(Duration maxWait) implements QuotaDecision {}
+
   /**
    * The request exceeds the quota.
    *
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaLimiter.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaLimiter.java
@@ -63,16 +63,39 @@
     if (tenant.quota().isEmpty()) {
       return new QuotaDecision.Granted();
     }
-    endExpiredShares(nowNanos);
-    Quota quota = tenant.quota().get();
-    QuotaBucket bucket =
-        buckets.computeIfAbsent(tenant.name(), name -> newBucket(name, quota, nowNanos));
-    bucket.update(quota, hosts, nowNanos);
-    return bucket.tryAcquire(nowNanos)
+    QuotaBucket bucket = bucket(tenant.name(), tenant.quota().get(), nowNanos);
+    if (bucket.tryAcquire(nowNanos)) {
+      return new QuotaDecision.Granted();
+    }
+    return bucket.needsShare()
+        ? new QuotaDecision.Pending(QuotaBucket.SHARE_DELAY)
+        : new QuotaDecision.Exceeded(bucket.retryAfter());
+  }
+
+  /**
+   * Decides again about a request that waited for a share.
+   *
+   * @param tenant the tenant of the request
+   * @param nowNanos the current time
+   * @return the decision, never {@link QuotaDecision.Pending}
+   */
+  public QuotaDecision acquireAgain(Tenant tenant, long nowNanos) {
+    if (tenant.quota().isEmpty()) {
+      return new QuotaDecision.Granted();
+    }
+    QuotaBucket bucket = bucket(tenant.name(), tenant.quota().get(), nowNanos);
+    return bucket.tryAcquireAgain()
         ? new QuotaDecision.Granted()
         : new QuotaDecision.Exceeded(bucket.retryAfter());
   }
 
+  private QuotaBucket bucket(TenantName name, Quota quota, long nowNanos) {
+    endExpiredShares(nowNanos);
+    QuotaBucket bucket = buckets.computeIfAbsent(name, n -> newBucket(n, quota, nowNanos));
+    bucket.update(quota, hosts, nowNanos);
+    return bucket;
+  }
+
   private QuotaBucket newBucket(TenantName name, Quota quota, long nowNanos) {
     double draw = new SplittableRandom(seed ^ name.value().hashCode()).nextDouble();
     if (!isStarted) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaLimiterTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaLimiterTest.java
@@ -100,4 +100,24 @@
     assertThat(granted(QUOTA, 100, 1)).isAtMost(1);
     assertThat(limiter.takeReport(1).state()).isEqualTo(ShareState.NONE);
   }
+
+  /** Each host would refuse the first requests of a tenant that is far below its quota. */
+  @Test
+  void requestWaitsForTheFirstShare() {
+    assertThat(limiter.acquire(tenant(QUOTA), 0)).isInstanceOf(QuotaDecision.Pending.class);
+    assertThat(limiter.acquireAgain(tenant(QUOTA), 1)).isInstanceOf(QuotaDecision.Exceeded.class);
+
+    lease(new Share(0.5, 0.5), 0.1, 2);
+
+    assertThat(limiter.acquireAgain(tenant(QUOTA), 2)).isEqualTo(new QuotaDecision.Granted());
+  }
+
+  /** The demand of a request that waits would be stated twice. */
+  @Test
+  void waitingRequestCountsOnceAsDemand() {
+    QuotaDecision unused = limiter.acquire(tenant(QUOTA), 0);
+    QuotaDecision unusedToo = limiter.acquireAgain(tenant(QUOTA), 1);
+
+    assertThat(limiter.takeReport(2).demand().get(TenantName.of("tenant-1")).asked()).isEqualTo(1);
+  }
 }
--- a/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/quotas/QuotaSite.java
@@ -170,22 +170,40 @@
   }
 
   private void request(TenantLoad tenant, Optional<Host> entry) {
-    if (entry.isPresent()) {
-      tenant.record(isGranted(tenant, entry.get()), nowNanos);
+    if (entry.isEmpty()) {
+      return;
+    }
+    switch (scheme) {
+      case LEASED_SHARES -> requestWithLease(tenant, entry.get());
+      case HOME_HOST -> tenant.record(isGrantedAtHome(tenant, entry.get()), nowNanos);
+      case ONE_BUCKET -> tenant.record(isGrantedByReserve(tenant, entry.get()), nowNanos);
     }
   }
 
-  private boolean isGranted(TenantLoad tenant, Host entry) {
-    return switch (scheme) {
-      case LEASED_SHARES ->
-          entry.limiter.acquire(tenant.tenant(), nowNanos) instanceof QuotaDecision.Granted;
-      case HOME_HOST -> isGrantedAtHome(tenant, entry);
-      case ONE_BUCKET -> {
-        boolean isGranted = tenant.reserves[entry.number] >= 1;
-        tenant.reserves[entry.number] -= isGranted ? 1 : 0;
-        yield isGranted;
-      }
-    };
+  private void requestWithLease(TenantLoad tenant, Host entry) {
+    switch (entry.limiter.acquire(tenant.tenant(), nowNanos)) {
+      case QuotaDecision.Granted granted -> tenant.record(true, nowNanos);
+      case QuotaDecision.Pending pending ->
+          awaitShare(tenant, entry, nowNanos + pending.maxWait().toNanos());
+      case QuotaDecision.Exceeded exceeded -> tenant.record(false, nowNanos);
+    }
+  }
+
+  /** Lets a request wait for a share; it is refused at the end of the wait. */
+  private void awaitShare(TenantLoad tenant, Host entry, long endNanos) {
+    boolean granted =
+        entry.limiter.acquireAgain(tenant.tenant(), nowNanos) instanceof QuotaDecision.Granted;
+    if (granted || nowNanos >= endNanos) {
+      tenant.record(granted, nowNanos);
+      return;
+    }
+    at(nowNanos + STEP.toNanos(), () -> awaitShare(tenant, entry, endNanos));
+  }
+
+  private boolean isGrantedByReserve(TenantLoad tenant, Host entry) {
+    boolean isGranted = tenant.reserves[entry.number] >= 1;
+    tenant.reserves[entry.number] -= isGranted ? 1 : 0;
+    return isGranted;
   }
 
   private boolean isGrantedAtHome(TenantLoad tenant, Host entry) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -89,6 +89,7 @@
 
   /** The processing state of the request. */
   private enum State {
+    AWAITING_QUOTA,
     SELECTING_UPSTREAM,
     AWAITING_HANDOVER,
     QUEUED,
@@ -162,7 +163,32 @@
             request.receivedNanos() + Math.min(timeout, callerDeadline));
     deadlineTimer = proxy.after(urgency.deadlineNanos() - System.nanoTime(), this::deadlineExpired);
     proxy.requestStarted(this);
-    selectUpstream();
+    if (accepted.quotaWait().isPresent()) {
+      state = State.AWAITING_QUOTA;
+      proxy.awaitQuota(this, accepted.quotaWait().get());
+    } else {
+      selectUpstream();
+    }
+  }
+
+  /** Continues if a new share of the tenant's quota has room for this request. */
+  void quotaSharesChanged() {
+    if (state == State.AWAITING_QUOTA && proxy.acquireQuotaAgain(this).isEmpty()) {
+      selectUpstream();
+    }
+  }
+
+  /** Ends the wait for a share of the tenant's quota. */
+  void quotaWaitEnded() {
+    if (state != State.AWAITING_QUOTA) {
+      return;
+    }
+    Optional<RequestAcceptance.Refused> refusal = proxy.acquireQuotaAgain(this);
+    if (refusal.isPresent()) {
+      endBecauseOf(refusal.get());
+    } else {
+      selectUpstream();
+    }
   }
 
   /**
@@ -500,7 +526,7 @@
   /** Ends the request because its deadline has passed. */
   private void deadlineExpired() {
     switch (state) {
-      case SELECTING_UPSTREAM, AWAITING_HANDOVER, QUEUED, CONNECTING -> {
+      case AWAITING_QUOTA, SELECTING_UPSTREAM, AWAITING_HANDOVER, QUEUED, CONNECTING -> {
         cancelAttempt();
         if (attempts.mayHaveBeenExecuted()) {
           respond(GATEWAY_TIMEOUT, "deadline " + lastFailure, Optional.empty());
@@ -552,7 +578,7 @@
           connection = null;
         }
       }
-      case SELECTING_UPSTREAM, AWAITING_HANDOVER, CONNECTING, ENDED -> {}
+      case AWAITING_QUOTA, SELECTING_UPSTREAM, AWAITING_HANDOVER, CONNECTING, ENDED -> {}
     }
     relay.discard();
   }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptance.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptance.java
@@ -18,9 +18,22 @@
    * @param service the service that executes the request
    * @param key the key, or {@link #NO_KEY}
    * @param tenant the tenant whose API key the request carries; empty if none is required
+   * @param quotaWait how long the request must wait for a share of the tenant's quota at most;
+   *     empty if it is within the quota
    */
-  record Accepted(Route route, ServiceName service, int key, Optional<Tenant> tenant)
-      implements RequestAcceptance {}
+  record Accepted(
+      Route route,
+      ServiceName service,
+      int key,
+      Optional<Tenant> tenant,
+      Optional<Duration> quotaWait)
+      implements RequestAcceptance {
+
+    /** Returns this acceptance of a request that must wait for a share of its tenant's quota. */
+    Accepted withQuotaWait(Duration maxWait) {
+      return new Accepted(route, service, key, tenant, Optional.of(maxWait));
+    }
+  }
 
   /**
    * The request is refused and has not been executed.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
@@ -124,16 +124,32 @@
       case RequestAcceptance.Accepted accepted ->
           switch (quotas.acquire(tenant, nowNanos)) {
             case QuotaDecision.Granted granted -> accepted;
-            case QuotaDecision.Exceeded exceeded ->
-                new RequestAcceptance.Refused(
-                    TOO_MANY_REQUESTS,
-                    "quota exceeded",
-                    Optional.of(exceeded.retryAfter()),
-                    Optional.of(tenant));
+            case QuotaDecision.Pending pending -> accepted.withQuotaWait(pending.maxWait());
+            case QuotaDecision.Exceeded exceeded -> refusal(exceeded, tenant);
           };
     };
   }
 
+  static RequestAcceptance.Refused refusal(QuotaDecision.Exceeded exceeded, Tenant tenant) {
+    return new RequestAcceptance.Refused(
+        TOO_MANY_REQUESTS,
+        "quota exceeded",
+        Optional.of(exceeded.retryAfter()),
+        Optional.of(tenant));
+  }
+
+  /**
+   * Decides about a request that has waited for a share of its tenant's quota; empty if granted.
+   */
+  Optional<RequestAcceptance.Refused> afterQuotaWait(Tenant tenant, long nowNanos) {
+    return switch (quotas.acquireAgain(tenant, nowNanos)) {
+      case QuotaDecision.Granted granted -> Optional.empty();
+      case QuotaDecision.Pending pending ->
+          throw new IllegalStateException("a request waits for a share once only");
+      case QuotaDecision.Exceeded exceeded -> Optional.of(refusal(exceeded, tenant));
+    };
+  }
+
   private RequestAcceptance accept(
       TrafficSnapshot snapshot, CallerRequest request, Route route, Optional<Tenant> tenant) {
     ServiceName service = targetSelector.next(route);
@@ -144,7 +160,7 @@
         return new RequestAcceptance.Refused(BAD_REQUEST, "no key", Optional.empty());
       }
     }
-    return new RequestAcceptance.Accepted(route, service, key, tenant);
+    return new RequestAcceptance.Accepted(route, service, key, tenant, Optional.empty());
   }
 
   private int parseKey(CallerRequest request) {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ReverseProxy.java
@@ -69,6 +69,7 @@
   private final Map<ServiceName, ServiceRetryBudget> retryBudgets = new HashMap<>();
   private final TrafficMeasurements measurements = new TrafficMeasurements();
   private final Set<ProxyExchange> awaitingHandover = new LinkedHashSet<>();
+  private final Set<ProxyExchange> awaitingQuota = new LinkedHashSet<>();
   private final Set<ProxyExchange> inProgress = new LinkedHashSet<>();
 
   private TrafficSnapshot snapshot = TrafficSnapshot.EMPTY;
@@ -206,6 +207,7 @@
    */
   public void apply(QuotaShares next) {
     quotas.apply(next, System.nanoTime());
+    ImmutableList.copyOf(awaitingQuota).forEach(ProxyExchange::quotaSharesChanged);
   }
 
   /**
@@ -262,6 +264,28 @@
         });
   }
 
+  /** Lets a request wait for a share of its tenant's quota, in order of arrival. */
+  void awaitQuota(ProxyExchange exchange, Duration maxWait) {
+    awaitingQuota.add(exchange);
+    after(
+        maxWait.toNanos(),
+        () -> {
+          if (awaitingQuota.remove(exchange)) {
+            exchange.quotaWaitEnded();
+          }
+        });
+  }
+
+  /** Decides about a request that waits for its tenant's quota; empty if it may be sent. */
+  Optional<RequestAcceptance.Refused> acquireQuotaAgain(ProxyExchange exchange) {
+    Optional<RequestAcceptance.Refused> refusal =
+        exchange.tenant().flatMap(t -> acceptor.afterQuotaWait(t, System.nanoTime()));
+    if (refusal.isEmpty()) {
+      awaitingQuota.remove(exchange);
+    }
+    return refusal;
+  }
+
   /** Decides whether a request is accepted, and by which route and service. */
   RequestAcceptance accept(CallerRequest request) {
     return acceptor.accept(snapshot, request, System.nanoTime());
@@ -313,6 +337,7 @@
   void requestEnded(
       ProxyExchange exchange, UpstreamPool pool, int status, String reason, int tries) {
     inProgress.remove(exchange);
+    awaitingQuota.remove(exchange);
     events.requestEnded(exchange, pool, status, reason, tries, snapshot.configuration().version());
   }
 
