Read the change again: names, reasons, and one rule of the ramp-up

A reader who did not know the parts found two pages that no longer agreed with the code, terms with two meanings, and a constant without effect.

--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/RampUp.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/RampUp.java
@@ -17,13 +17,14 @@
   private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
   private static final double MAX_TOKENS = 1;
 
-  /** The share of the upstream's usual rate at which the ramp starts. */
-  private static final double INITIAL_SHARE = 0.5;
+  /** The part of the upstream's usual rate at which the ramp starts. */
+  private static final double INITIAL_RATE_RATIO = 0.5;
 
   /**
-   * The share of the usual rate at which the ramp ends; above 1, since upstreams differ in speed.
+   * The multiple of the usual rate at which the ramp ends; above 1, since upstreams differ in
+   * speed.
    */
-  private static final double FINAL_SHARE = 2;
+  private static final double FINAL_RATE_RATIO = 2;
 
   /** The time in which the rate doubles, in service times, so that answers arrive in between. */
   private static final double DOUBLING_SERVICE_TIMES = 4;
@@ -33,7 +34,7 @@
   private final double usualPerSecond;
   private final double doublingNanos;
   private final int daemons;
-  private double share = INITIAL_SHARE;
+  private double rateRatio = INITIAL_RATE_RATIO;
   private double tokens;
   private long updatedAtNanos;
 
@@ -55,13 +56,13 @@
   }
 
   /**
-   * Returns whether the upstream has reached its usual rate, so that no limit applies any more.
+   * Returns whether the ramp has ended, so that no limit applies any more.
    *
    * @param nowNanos the current time
    */
   public boolean isComplete(long nowNanos) {
     update(nowNanos);
-    return share >= FINAL_SHARE;
+    return rateRatio >= FINAL_RATE_RATIO;
   }
 
   /**
@@ -102,17 +103,17 @@
    */
   public void decrease(long nowNanos) {
     update(nowNanos);
-    share = Math.max(INITIAL_SHARE, share * DECREASE_FACTOR);
+    rateRatio = Math.max(INITIAL_RATE_RATIO, rateRatio * DECREASE_FACTOR);
   }
 
   private double tokensPerNano() {
-    return share * usualPerSecond / daemons / SECOND_NANOS;
+    return rateRatio * usualPerSecond / daemons / SECOND_NANOS;
   }
 
   private void update(long nowNanos) {
     double elapsed = Math.max(0, nowNanos - updatedAtNanos);
     updatedAtNanos = nowNanos;
     tokens = Math.min(MAX_TOKENS, tokens + elapsed * tokensPerNano());
-    share = Math.min(FINAL_SHARE, share * Math.pow(2, elapsed / doublingNanos));
+    rateRatio = Math.min(FINAL_RATE_RATIO, rateRatio * Math.pow(2, elapsed / doublingNanos));
   }
 }
--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/TenantUsage.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/TenantUsage.java
@@ -10,21 +10,20 @@
  * thread.
  *
  * <p>Load pattern: a tenant sends 3 to 8 times its usual load for 5 to 8 s. Requests up to its
- * usual rate compete with those of other tenants as before; only the surplus follows them. The
- * usual rate is that of this daemon, because the callers of a tenant are spread unevenly over
- * daemons.
+ * usual rate compete equally with those of other tenants; only the surplus follows them. The usual
+ * rate is that of this daemon, because the callers of a tenant are spread unevenly over daemons.
  *
  * <p>State is kept for tenants with a request in the last {@link #MAX_IDLE}.
  */
 public final class TenantUsage {
-  /** A burst of 8 s raises the usual rate only a little. */
+  /** The time constant of the average rate; long enough that a burst hardly raises it. */
   private static final Duration AVERAGING_TIME = Duration.ofSeconds(60);
 
   /** The rate that still counts as usual, relative to the average. */
   private static final double USUAL_RATE_RATIO = 1.5;
 
-  /** The time over which variations of the rate are levelled. */
-  private static final Duration LEVELLING_TIME = Duration.ofSeconds(2);
+  /** The time over which variations of the rate are smoothed. */
+  private static final Duration SMOOTHING_TIME = Duration.ofSeconds(2);
 
   /** The requests that a tenant may send at once; most tenants send less than one a second. */
   private static final double MIN_BURST = 4;
@@ -82,7 +81,7 @@
     meter.lastNanos = nowNanos;
     meter.usualRequests *= Math.exp(-elapsedSeconds / AVERAGING_TIME.toSeconds());
     double rate = USUAL_RATE_RATIO * meter.usualRequests / observedSeconds(nowNanos);
-    double burst = Math.max(MIN_BURST, rate * LEVELLING_TIME.toSeconds());
+    double burst = Math.max(MIN_BURST, rate * SMOOTHING_TIME.toSeconds());
     meter.tokens = Math.min(burst, meter.tokens + rate * elapsedSeconds);
     meter.guaranteed += MIN_USUAL_SHARE;
     boolean isLearning = nowNanos - startNanos < LEARNING_TIME.toNanos();
--- a/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/admission/UpstreamQueue.java
@@ -29,6 +29,11 @@
    */
   private static final double MAX_SURPLUS_OCCUPANCY = 1.1;
 
+  /**
+   * A response that takes longer than this multiple of the usual time lowers the rate of a ramp.
+   */
+  private static final double SLOW_RESPONSE_FACTOR = 2;
+
   private static final double NORMAL_SLOWDOWN = 1;
   private static final double MIN_SLOWDOWN = 0.5;
 
@@ -320,6 +325,9 @@
    */
   public void responseMeasured(long measuredNanos, long expectedNanos, long nowNanos) {
     speed.addSample(measuredNanos / (expectedNanos * slowdown.lastRelativeToMean()), nowNanos);
+    if (measuredNanos > SLOW_RESPONSE_FACTOR * expectedNanos) {
+      rampUp.ifPresent(r -> r.decrease(nowNanos));
+    }
   }
 
   /**
--- a/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/events/EventCode.java
@@ -76,7 +76,9 @@
   KEY_GRANT_OR_RELEASE_CONFIRMED(3016, Severity.DEBUG, "key grant or release confirmed"),
   /** What the coordinator of keyed services did and how busy its control thread was. */
   COORDINATOR_LOAD(3017, Severity.INFO, "coordinator load"),
-  /** The store has no range map of its era, and none that is known need be the last one. */
+  /**
+   * The store has no range map of its era, and the newest one that is known may lack later moves.
+   */
   RANGE_MAP_LOST(3018, Severity.WARNING, "key ranges lost in a restore of the store"),
 
   /** A daemon joined the cell. */
--- a/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaPolicy.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/quotas/QuotaPolicy.java
@@ -21,7 +21,7 @@
   /** The part of the tolerance that shares use. */
   private static final double LEASED_TOLERANCE = 0.7;
 
-  /** The part of the tolerance that all reserves may hold, and gain in a window. */
+  /** The part of the tolerance that all reserves hold when full. They gain as much in a window. */
   private static final double RESERVED_TOLERANCE = 0.08;
 
   private static final double WINDOW_SECONDS = WINDOW.toSeconds();
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/ShareLedger.java
@@ -92,10 +92,10 @@
     Lease lease = leases.computeIfAbsent(host, h -> new Lease());
     lease.reportedNanos = nowNanos;
     setSilent(host, lease, false);
-    boolean hasSharesOfOthers =
+    boolean hasEarlierShares =
         report.state().issuer() != issuer && !report.state().equals(ShareState.NONE);
-    earlierSharesSeen |= hasSharesOfOthers;
-    if (hasSharesOfOthers && report.held().isEmpty()) {
+    earlierSharesSeen |= hasEarlierShares;
+    if (hasEarlierShares && report.held().isEmpty()) {
       // The host states what it holds in its next report, because the issuer differs.
       return new ShareGrant<>(new ShareState(issuer, 0), Duration.ZERO, false, ImmutableMap.of());
     }
@@ -200,11 +200,11 @@
       return EarlierShares.NONE;
     }
     double windowPart = Math.max(0, 1 - (double) age / WINDOW_AND_REPORT.toNanos());
-    return new EarlierShares(heldByOthers(key, age, nowNanos), windowPart, earlierSharesSeen);
+    return new EarlierShares(unreportedShares(key, age, nowNanos), windowPart, earlierSharesSeen);
   }
 
   /** Returns what hosts that have not reported to this ledger may hold of an earlier one. */
-  private Share heldByOthers(K key, long ageNanos, long nowNanos) {
+  private Share unreportedShares(K key, long ageNanos, long nowNanos) {
     if (!earlierSharesSeen) {
       return ageNanos > FIRST_REPORTS.toNanos() ? RESERVED_AFTER_RESTART : ALL;
     }
--- a/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
+++ b/catkinlift-decision/src/main/java/org/catkinlift/shares/SharePool.java
@@ -18,9 +18,6 @@
   private static final Duration WINDOW = Duration.ofSeconds(5);
   private static final Duration DEMAND_TIME_CONSTANT = Duration.ofSeconds(2);
 
-  /** The rate of a host's bucket as a multiple of its demand; reports refill what noise takes. */
-  private static final double RATE_PER_DEMAND = 1.0;
-
   /** The part of the rate that is leased if the demand exceeds it. */
   private static final double MAX_LEASED_RATE = 0.9;
 
@@ -36,8 +33,8 @@
    */
   private static final double MIN_UNITS_FOR_RATE = 2;
 
-  /** Shares that differ less than this part from their target are left as they are. */
-  private static final double TOLERANCE = 0.25;
+  /** A share is changed only if it differs from its target by more than this part. */
+  private static final double MIN_RELATIVE_CHANGE = 0.25;
 
   /** Callers keep to their hosts, so a host keeps a share for a while without requests. */
   private static final Duration MAX_IDLE = Duration.ofSeconds(30);
@@ -132,8 +129,8 @@
     Share target = target(holder, free, nowNanos);
     Share next =
         earlier.held().isNone()
-            ? limit(holder, target, free, earlier)
-            : holder.takenOver.max(limit(holder, target, free, earlier));
+            ? limitToFree(holder, target, free, earlier)
+            : holder.takenOver.max(limitToFree(holder, target, free, earlier));
     if (!isClose(before, next)) {
       set(holder, holder.confirmed, next);
     }
@@ -210,7 +207,7 @@
     }
     double weight = decayed(holder.weight, holder.weighedNanos, nowNanos);
     double byDemand = totalWeight > 0 ? Math.min(1, Math.max(0, weight / totalWeight)) : 0;
-    double demandRate = RATE_PER_DEMAND * weight / DEMAND_TIME_CONSTANT.toSeconds();
+    double demandRate = weight / DEMAND_TIME_CONSTANT.toSeconds();
     double rate =
         weight >= MIN_UNITS_FOR_RATE
             ? Math.min(1, Math.min(demandRate / unitsPerSecond, MAX_LEASED_RATE * byDemand))
@@ -225,8 +222,11 @@
     return new Share(rate, Math.min(1, burst / allowance));
   }
 
-  /** A bucket that never holds a whole unit would be of no use. */
-  private Share limit(Holder holder, Share target, double free, EarlierShares earlier) {
+  /**
+   * Reduces a target to what is free. Returns no share if less than one unit would fit into its
+   * bucket, because such a bucket never admits a request.
+   */
+  private Share limitToFree(Holder holder, Share target, double free, EarlierShares earlier) {
     Share held = holder.mayHold();
     double perRate = Math.max(1, unitsPerSecond) * WINDOW.toSeconds();
     double freeRate = Math.max(0, 1 - earlier.held().rate() - heldRate + held.rate());
@@ -248,8 +248,8 @@
 
   private static boolean isClose(Share issued, Share next) {
     return next.isNone() == issued.isNone()
-        && Math.abs(issued.rate() - next.rate()) <= TOLERANCE * issued.rate()
-        && Math.abs(issued.burst() - next.burst()) <= TOLERANCE * issued.burst();
+        && Math.abs(issued.rate() - next.rate()) <= MIN_RELATIVE_CHANGE * issued.rate()
+        && Math.abs(issued.burst() - next.burst()) <= MIN_RELATIVE_CHANGE * issued.burst();
   }
 
   private Holder holder(HostId host, long nowNanos) {
--- a/catkinlift-decision/src/test/java/org/catkinlift/admission/RampUpTest.java
+++ b/catkinlift-decision/src/test/java/org/catkinlift/admission/RampUpTest.java
@@ -63,4 +63,20 @@
     assertThat(ramp.nanosUntilNext(0)).isEqualTo(ramp.intervalNanos());
     assertThat(ramp.intervalNanos()).isEqualTo(SERVICE);
   }
+
+  /** An upstream that is still slow would get requests at a rising rate. */
+  @Test
+  void slowResponsesKeepTheRampFromEnding() {
+    assertThat(isLimitedAtTheEndOfARamp(3 * SERVICE)).isTrue();
+    assertThat(isLimitedAtTheEndOfARamp(SERVICE)).isFalse();
+  }
+
+  private static boolean isLimitedAtTheEndOfARamp(long responseNanos) {
+    var queue = new UpstreamQueue<String>(SLOTS, 0);
+    queue.startRampUp(SERVICE, 100 * DAEMONS, 0, 0);
+    for (long now = SERVICE; now <= RAMP; now += SERVICE) {
+      queue.responseMeasured(responseNanos, SERVICE, now);
+    }
+    return !queue.isWithinRate(RAMP);
+  }
 }
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/settings/GatewaySettings.java
@@ -115,7 +115,7 @@
    *     process
    * @param connections the number of their connections; by default a share of the descriptors
    * @param descriptors the descriptors that the process may have; by default the limit of the
-   *     operating system, which does not count where another limit applies
+   *     operating system. To be stated where the platform enforces a lower one
    * @param headerFields the number of header fields of a request
    * @param pipelinedRequests the number of requests in progress on one connection
    */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.catkinlift.gateway.traffic;
 
-import com.google.common.base.Suppliers;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,32 +9,22 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.OptionalLong;
 import org.catkinlift.admission.ConnectionLimit;
 import org.catkinlift.admission.ConnectionLimit.Use;
 import org.catkinlift.gateway.http.Channels;
-import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
 import org.catkinlift.routes.CallerLimits;
 
 /**
@@ -59,6 +48,7 @@
   /** The rest of a refused body that is read, so that the caller can read the response. */
   private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
+  /** How long the rest of a body is discarded after the last response. */
   private static final Duration MAX_LINGER = Duration.ofSeconds(1);
 
   /** The time without progress of a body for whose upstream other requests wait. */
@@ -68,6 +58,7 @@
   private final ReverseProxy proxy;
   private final RequestDecoder decoder;
   private final InboundGate gate;
+  private final CallerRequestFactory requestFactory;
   private final Deque<ResponseSlot> slots = new ArrayDeque<>();
   private final Map<ResponseSlot, ProxyExchange> exchanges = new HashMap<>();
 
@@ -110,6 +101,7 @@
     this.proxy = proxy;
     this.decoder = decoder;
     this.gate = new InboundGate(this, decoder);
+    this.requestFactory = new CallerRequestFactory(proxy);
   }
 
   /** Adds the handlers of the connection to its channel. */
@@ -254,10 +246,12 @@
     if (request.decoderResult().isFailure()) {
       Throwable cause = request.decoderResult().cause();
       // The message may quote a line with an API key, so only the type of the error is logged.
-      reject(statusOf(cause), "malformed request head: " + cause.getClass().getSimpleName());
+      reject(
+          CallerRequestFactory.statusOf(cause),
+          "malformed request head: " + cause.getClass().getSimpleName());
       return;
     }
-    String error = validationError(request);
+    String error = CallerRequestFactory.validationError(request);
     if (!error.isEmpty()) {
       reject(HttpResponseStatus.BAD_REQUEST, error);
       return;
@@ -272,7 +266,7 @@
         !HttpUtil.isKeepAlive(request)
             || request.protocolVersion().equals(VERSION_WITHOUT_KEEP_ALIVE);
     CallerRequest callerRequest =
-        toCallerRequest(
+        requestFactory.create(
             request, new RequestBody(chunked, chunked ? maxBodyBytes() : contentLength));
     switch (proxy.accept(callerRequest)) {
       case RequestAcceptance.Refused refused -> {
@@ -298,36 +292,6 @@
     return proxy.snapshot().configuration().limits().maxBodyBytes();
   }
 
-  private static HttpResponseStatus statusOf(Throwable cause) {
-    if (cause instanceof TooLongHttpHeaderException) {
-      return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-    }
-    if (cause instanceof TooLongHttpLineException) {
-      return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-    }
-    return HttpResponseStatus.BAD_REQUEST;
-  }
-
-  private static String validationError(HttpRequest request) {
-    if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
-      return "Host header missing or repeated";
-    }
-    if (!request.uri().startsWith("/")) {
-      return "request target is not an absolute path";
-    }
-    List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-    boolean chunked =
-        encodings.size() == 1
-            && encodings.get(0).trim().equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString());
-    if (!encodings.isEmpty() && !chunked) {
-      return "unsupported transfer encoding";
-    }
-    if (request.method().equals(HttpMethod.CONNECT)) {
-      return "unsupported method";
-    }
-    return "";
-  }
-
   /** Responds to a request that is not accepted, before its body was received. */
   private void refuse(
       CallerRequest request,
@@ -422,43 +386,6 @@
     }
   }
 
-  private CallerRequest toCallerRequest(HttpRequest request, RequestBody body) {
-    HeaderNames names = proxy.settings().headers();
-    String target = request.uri();
-    int query = target.indexOf('?');
-    HttpHeaders headers =
-        HopByHopHeaders.copyEndToEnd(request.headers(), proxy.overwrittenHeaders());
-    return new CallerRequest(
-        request.headers().get(names.requestId(), ""),
-        request.method().name(),
-        hostOf(request),
-        target,
-        query < 0 ? target : target.substring(0, query),
-        headers,
-        Suppliers.memoize(() -> proxy.tenantHeaders().credentials(headers)),
-        body,
-        deadlineOf(request.headers().get(names.deadlineMillis())),
-        System.nanoTime());
-  }
-
-  private static String hostOf(HttpRequest request) {
-    String host = request.headers().get(HttpHeaderNames.HOST).toLowerCase(Locale.ROOT);
-    int colon = host.lastIndexOf(':');
-    return colon < 0 ? host : host.substring(0, colon);
-  }
-
-  private static OptionalLong deadlineOf(String text) {
-    if (text == null) {
-      return OptionalLong.empty();
-    }
-    try {
-      return OptionalLong.of(Math.max(0, Long.parseLong(text.trim())));
-    } catch (NumberFormatException e) {
-      // A malformed deadline is ignored; the route's timeout applies.
-      return OptionalLong.empty();
-    }
-  }
-
   /**
    * Responds to a malformed request and closes the connection, because the start of the next
    * request cannot be determined.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/InboundGate.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/InboundGate.java
@@ -8,7 +8,7 @@
 
 /**
  * Lets the decoder of a caller's connection decode one message at a time, while the connection
- * takes messages. Otherwise the bytes of one read could become hundreds of requests in progress.
+ * takes messages. Otherwise the bytes of one read could become thousands of requests in progress.
  * What is not decoded stays in the decoder, and no more is read from the socket.
  */
 final class InboundGate extends ChannelInboundHandlerAdapter {
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProcessResources.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProcessResources.java
@@ -20,6 +20,7 @@
   /** The limit may be unlimited, and each connection also takes memory. */
   private static final int MAX_DESCRIPTORS = 8_192;
 
+  /** Descriptors that are left for files, such as jars and logs. */
   private static final int DESCRIPTORS_FOR_FILES = 200;
 
   /** The rest is for upstreams, the store, other daemons and health checks. */
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/ProxyExchange.java
@@ -75,7 +75,10 @@
   private ServiceName service;
   private int key = RequestAcceptance.NO_KEY;
   private Optional<Tenant> tenant = Optional.empty();
-  private boolean hidesCredentials;
+
+  /** Stays true once a configuration with tenants applied, even if a later one has none. */
+  private boolean replacesTenantHeaders;
+
   private Urgency urgency;
   private State state = State.SELECTING_UPSTREAM;
   private UpstreamPool pool;
@@ -149,7 +152,7 @@
     service = accepted.service();
     key = accepted.key();
     tenant = accepted.tenant();
-    hidesCredentials = proxy.requiresAuthentication();
+    replacesTenantHeaders = proxy.requiresAuthentication();
     long timeout = route.timeout().toNanos();
     long callerDeadline =
         request.deadlineMillis().isPresent()
@@ -207,10 +210,10 @@
    * @return whether the request may be sent
    */
   private boolean checkTenant() {
-    if (!hidesCredentials && !proxy.requiresAuthentication()) {
+    if (!replacesTenantHeaders && !proxy.requiresAuthentication()) {
       return true;
     }
-    hidesCredentials = true;
+    replacesTenantHeaders = true;
     switch (proxy.authenticate(request, route)) {
       case Authentication.NotRequired notRequired -> tenant = Optional.empty();
       case Authentication.Authenticated authenticated ->
@@ -339,7 +342,7 @@
     long remainingMillis = Duration.ofNanos(urgency.deadlineNanos() - System.nanoTime()).toMillis();
     headers.set(names.deadlineMillis(), Math.max(1, remainingMillis));
     headers.set(names.expectedUpstream(), pool.upstream().id().value());
-    if (hidesCredentials) {
+    if (replacesTenantHeaders) {
       proxy.tenantHeaders().replace(headers, tenant.map(Tenant::name));
     }
     request.body().setFraming(headers);
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/RequestAcceptor.java
@@ -28,7 +28,8 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVICE_UNAVAILABLE = 503;
 
-  private static final Duration RETRY_AFTER_NO_CONFIGURATION = Duration.ofMillis(300);
+  /** Another daemon may have a confirmed configuration. */
+  private static final Duration CONFIGURATION_RETRY_AFTER = Duration.ofMillis(300);
 
   private final HeaderNames headers;
   private final Authenticator authenticator;
@@ -54,7 +55,7 @@
   RequestAcceptance accept(TrafficSnapshot snapshot, CallerRequest request, long nowNanos) {
     if (!snapshot.configuration().isKnown()) {
       return new RequestAcceptance.Refused(
-          SERVICE_UNAVAILABLE, "no configuration", Optional.of(RETRY_AFTER_NO_CONFIGURATION));
+          SERVICE_UNAVAILABLE, "no configuration", Optional.of(CONFIGURATION_RETRY_AFTER));
     }
     Optional<Route> found = snapshot.routes().find(request.host(), request.path());
     if (found.isEmpty()) {
@@ -98,9 +99,7 @@
 
   static RequestAcceptance.Refused refusal(Authentication.ConfigurationUnconfirmed unconfirmed) {
     return new RequestAcceptance.Refused(
-        SERVICE_UNAVAILABLE,
-        "configuration unconfirmed",
-        Optional.of(RETRY_AFTER_NO_CONFIGURATION));
+        SERVICE_UNAVAILABLE, "configuration unconfirmed", Optional.of(CONFIGURATION_RETRY_AFTER));
   }
 
   /** Returns the rank of an accepted request, and counts it as usage of its tenant. */
