--- a/review/standins-2/review2/Harness.java
+++ b/review/standins-2/review2/Harness.java
@@ -45,6 +45,8 @@
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   final Record record;
   final Store store;
+  /** From the start of the deployment: the first three workers are listed, no keys are assigned. */
+  final Store.Copy firstCopy;
   final List<Worker> workers = new ArrayList<>();
   final List<Router> routers = new ArrayList<>();
   final Router router;
@@ -55,13 +57,17 @@
     record = new Record(folder.resolve("record.txt"));
     record.line("disruption " + (trouble ? "on" : "off"));
     store = new Store();
-    store.put("op", "config", CONFIG);
+    putConfig();
+    Store.Copy copy = store.copy();
     for (int i = 0; i < orderWorkers; i++) {
       workers.add(new Worker("i-order" + i, "orderdesk", true, store, record));
+      Thread.sleep(30);
+      copy = i == 2 ? store.copy() : copy;
     }
     for (int i = 0; i < proofWorkers; i++) {
       workers.add(new Worker("i-proof" + i, "proofroom", false, store, record));
     }
+    firstCopy = copy;
     Runtime.getRuntime().addShutdownHook(new Thread(() -> routers.forEach(Router::end)));
     for (int i = 1; i <= routerCount; i++) {
       String name = "front-suva-" + i;
@@ -98,6 +104,10 @@
     System.exit(code);
   }
 
+  void putConfig() {
+    store.put("op", "config", CONFIG);
+  }
+
   interface Check {
     boolean isBroken(Harness harness) throws Exception;
   }
