--- a/review/standins-2/review2/GoneWorker.java
+++ b/review/standins-2/review2/GoneWorker.java
@@ -18,7 +18,7 @@
   private static final long CUT_MILLIS = 5_500;
   private static final long STABLE_MILLIS = 3_000;
   private static final long DRAIN_MILLIS = 2_000;
-  private static final int CLIENTS = 8;
+  private static final int CLIENTS = 16;
   private static final int WORK_MILLIS = 160;
 
   public static void main(String[] arguments) {
--- a/review/standins-2/review2/Router.java
+++ b/review/standins-2/review2/Router.java
@@ -2,8 +2,10 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -87,10 +89,18 @@
             });
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /** A port that is free and below those of outgoing connections. */
+  private static int freePort() throws IOException {
+    for (int i = 0; i < 200; i++) {
+      int port = 20_000 + (int) (Math.random() * 12_000);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+        return port;
+      } catch (BindException e) {
+        // In use; another one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   boolean isReady() {
--- a/review/standins-2/review2/Worker.java
+++ b/review/standins-2/review2/Worker.java
@@ -214,6 +214,8 @@
         grantedNanos[k] = System.nanoTime();
       }
     }
+    record.line("worker " + id + " " + path.substring(1) + " " + from + " to " + to + " fence "
+        + fence + " " + (outdated ? "refused" : "applied"));
     String handover =
         grant ? "" : "X-Handover: " + String.format("%016x", HANDOVERS.incrementAndGet()) + "\r\n";
     send(socket, outdated ? "409 Conflict" : "200 OK", handover, "");
