--- a/review/standins-2/review2/EarlyReset.java
+++ b/review/standins-2/review2/EarlyReset.java
@@ -18,7 +18,7 @@
 final class EarlyReset {
   private static final int ORDER_WORKERS = 8;
   private static final int REQUESTS = 2;
-  private static final int REQUEST_BYTES = 12 << 20;
+  private static final int REQUEST_BYTES = 30 << 20;
   private static final int ANSWER_BYTES = 50_000;
   private static final int PART_BYTES = 30_000;
 
