Decode the responses that catkinliftd reads with the gateway's decoder

Change: ResponseDecoder moves to a module of its own, catkinlift-http. HttpClients puts it in place of the codec on each connection of Vert.x before the first request is sent. ShortExchange no longer checks for a status above 599, which the decoder rejects. The deployment gets one more jar.

--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ControlHttpClient.java
@@ -36,7 +36,7 @@
     // start of the next response, so each call has a connection of its own.
     var options =
         new HttpClientOptions().setConnectTimeout((int) timeout.toMillis()).setKeepAlive(false);
-    this.client = vertx.createHttpClient(options, pool);
+    this.client = HttpClients.create(vertx, options, pool);
     this.timeout = timeout;
     this.maxBodyBytes = maxBodyBytes;
   }
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ShortExchange.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/http/ShortExchange.java
@@ -14,7 +14,6 @@
  */
 public final class ShortExchange {
   private static final int MIN_FINAL_STATUS = 200;
-  private static final int MAX_STATUS = 599;
 
   private ShortExchange() {}
 
@@ -68,14 +67,14 @@
   }
 
   /**
-   * Returns whether a response has the status of a final response. The client takes some
-   * informational responses for the final one, and any three digits for a status.
+   * Returns whether a response is final. The client takes some informational responses for the
+   * final one.
    *
    * @param response the response
-   * @return whether its status is from 200 to 599
+   * @return whether its status is 200 or above
    */
   public static boolean isFinal(HttpClientResponse response) {
-    return response.statusCode() >= MIN_FINAL_STATUS && response.statusCode() <= MAX_STATUS;
+    return response.statusCode() >= MIN_FINAL_STATUS;
   }
 
   /**
--- a/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
+++ b/catkinlift-daemon/src/main/java/org/catkinlift/daemon/upstream/UpstreamWorker.java
@@ -21,6 +21,7 @@
 import org.catkinlift.control.PeerMessage.UpstreamLoad;
 import org.catkinlift.daemon.EventSink;
 import org.catkinlift.daemon.http.Headers;
+import org.catkinlift.daemon.http.HttpClients;
 import org.catkinlift.daemon.http.ShortExchange;
 import org.catkinlift.daemon.relay.AttemptListener;
 import org.catkinlift.daemon.settings.LimitSettings;
@@ -92,7 +93,8 @@
             limits.queueFactor(),
             System.nanoTime());
     this.client =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions()
                 .setDefaultHost(upstream.address().ip())
                 .setDefaultPort(upstream.address().port())
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/TextHttpClient.java
@@ -33,6 +33,7 @@
 import org.catkinlift.events.EventCode;
 import org.catkinlift.gateway.logging.EventLog;
 import org.catkinlift.gateway.logging.TaskGuard;
+import org.catkinlift.http.ResponseDecoder;
 import org.catkinlift.model.NetworkAddress;
 
 /**
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -22,9 +22,9 @@
 import java.time.Duration;
 import org.catkinlift.gateway.http.Channels;
 import org.catkinlift.gateway.http.InboundByteLimit;
-import org.catkinlift.gateway.http.ResponseDecoder;
 import org.catkinlift.gateway.http.UnexpectedBytesException;
 import org.catkinlift.gateway.settings.GatewaySettings.HeaderNames;
+import org.catkinlift.http.ResponseDecoder;
 
 /**
  * One connection to an upstream, with at most one request in flight.
--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/http/ResponseDecoder.java
+++ b/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.catkinlift.gateway.http;
+package org.catkinlift.http;
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
--- /dev/null
+++ b/catkinlift-http/src/main/java/org/catkinlift/http/package-info.java
@@ -0,0 +1,2 @@
+/** Decoding of HTTP responses, shared by both daemons. */
+package org.catkinlift.http;
