Complete a response without a length only at the end of the server's output

Seen: a worker answered a long upload with a 200 without a length, sent part of the body or only the head, and reset the connection while the upload was still being written. Cause: the decoder took each end of the channel for the end of the answer, and the connection relied on an exception to learn of a reset. If a failed write meets the reset first, Netty closes the channel without one. The same holds for any close on this side, such as the end of the event loop, and for answers to calls (grants, releases, the store, peers). Change: ResponseDecoder allows half-closure, so that the end of the server's output is an event of its own, and completes an answer without a length only after that event. Half-closure is reported after a failed read, too; that one doesn't count. The channel is closed at the event as before.

--- a/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
+++ b/catkinlift-gateway/src/main/java/org/catkinlift/gateway/traffic/UpstreamConnection.java
@@ -315,8 +315,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // Handled here, before the decoder can take the end of the connection for the end of the
-    // response.
     if (closed) {
       return;
     }
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.catkinlift.gateway.logging.EventLog;
+import org.catkinlift.standin.upstream.EarlyResponseUpstream;
 import org.catkinlift.standin.upstream.EndlessUpstream;
 import org.catkinlift.standin.upstream.EndlessUpstream.Reply;
 import org.junit.jupiter.api.AfterEach;
@@ -30,6 +31,10 @@
   /** Includes what the buffers of two sockets hold, which the system enlarges on demand. */
   private static final long MAX_TAKEN_BYTES = 50L << 20;
 
+  /** More than the buffers of the sockets between the client and the server hold. */
+  private static final int LONG_BODY_BYTES = 32 << 20;
+
+  private static final long RESPONSE_MILLIS = 400;
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
   private final EventLoop loop =
@@ -140,6 +145,29 @@
     }
   }
 
+  /** A grant or release would count as confirmed although its response was cut. */
+  @Test
+  void responseThatIsResetDuringCallIsNoAnswer() throws Exception {
+    try (var server = new EarlyResponseUpstream(id -> "HTTP/1.1 200 OK\r\n\r\npart")) {
+      var result = new CompletableFuture<CallResult>();
+      HttpCall call =
+          HttpCall.to(server.address())
+              .request("POST", "/a")
+              .body("x".repeat(LONG_BODY_BYTES))
+              .timeout(MAX_WAIT)
+              .connectTimeout(MAX_WAIT)
+              .build();
+      loop.execute(() -> client.call(call, result::complete));
+      server.beginResponses();
+      // Nothing shows that the client has read the part.
+      Thread.sleep(RESPONSE_MILLIS);
+      server.endResponses(EarlyResponseUpstream.End.RESET);
+
+      assertThat(result.get(MAX_WAIT.toSeconds(), TimeUnit.SECONDS))
+          .isInstanceOf(CallResult.Unanswered.class);
+    }
+  }
+
   /** A call that may have been carried out would count as refused. */
   @Test
   void responseWithInvalidStatusIsNoAnswer() throws Exception {
--- a/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
+++ b/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
@@ -1,18 +1,30 @@
 package org.catkinlift.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
  * Decodes responses; a response to HEAD has no body regardless of its content length. Bytes that
  * begin like a response but have a status code outside 100 to 599 are malformed.
+ *
+ * <p>A response without a length is complete only if the server has ended its output. A connection
+ * that is reset, or closed on this side, may have cut it. Netty reports a reset as an exception if
+ * a read meets it; if a write does, it only closes the channel.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
 
   private boolean headOnly;
+  private boolean failed;
+  private boolean outputEnded;
 
   /**
    * Sets whether the next response answers a HEAD request.
@@ -33,6 +45,39 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Lets the channel report the end of the server's output as an event of its own. */
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+  }
+
+  /** Closes the channel at the end of the server's output, as without half-closure. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    if (!(event instanceof ChannelInputShutdownEvent)) {
+      super.userEventTriggered(context, event);
+      return;
+    }
+    // A failed read is followed by this event, too.
+    outputEnded = !failed;
+    ChannelFuture unused = context.close();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    failed = true;
+    context.fireExceptionCaught(cause);
+  }
+
+  /** Decodes what the end of the connection completes; called when the channel is closed. */
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (outputEnded) {
+      super.decodeLast(context, in, out);
+    }
+  }
+
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
     HttpMessage message = super.createMessage(initialLine);
