Reject responses with a blank in the name of a field

Seen: a worker sent a head in which the name of a field held a blank or a tab, inside or before the colon. Cause: the decoder ends a name at the first blank and ignores what follows up to the colon. It checks the rest for bytes that no token may have, so control bytes were refused before. Change: ResponseDecoder, which both daemons use, requires the colon right after the name. This covers heads, informational responses and the fields behind the last chunk, for requests and for calls. RFC 9112 (5.1) would let a proxy remove a blank before the colon; it isn't removed, because the upstream is in trouble and the line may frame the body. Folded lines, empty values and unusual tokens still pass. Names with control bytes, lines without a colon and empty names were rejected before too; their tests stay.

--- a/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamWorkerTest.java
+++ b/catkinlift-daemon/src/test/java/org/catkinlift/daemon/upstream/UpstreamWorkerTest.java
@@ -70,6 +70,10 @@
         "HTTP/1.1 000 X\r\nCatkinlift-Outcome: not-run\r\n"
       })
   void responseWithInvalidStatusIsLost(String head) throws Exception {
+    assertLost(head);
+  }
+
+  private void assertLost(String head) throws Exception {
     try (var server =
         new EndlessUpstream(id -> Reply.complete(head + "Content-Length: 2\r\n\r\nok"))) {
       var result = new CompletableFuture<String>();
@@ -80,6 +84,29 @@
     }
   }
 
+  /** The caller would get the line without its blank, or a body of another length. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X-A : x",
+        "X-A\t: x",
+        "X A: x",
+        "X\tA: x",
+        "X-A ",
+        " X-A: x",
+        "X-A",
+        ": x",
+        "X\u0000A: x",
+        "X\u001fA: x",
+        "X\u007fA: x",
+        "X\u0080A: x",
+        "Content-Length : 1",
+        "Catkinlift-Outcome : not-run"
+      })
+  void responseWithInvalidFieldNameIsLost(String line) throws Exception {
+    assertLost("HTTP/1.1 200 OK\r\n" + line + "\r\n");
+  }
+
   /** What the worker has of the body of a request when the response ends. */
   enum Upload {
     NONE,
--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/http/TextHttpClientTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against servers whose replies to short calls have no end, or are followed by bytes. */
 final class TextHttpClientTest {
@@ -171,9 +172,18 @@
   /** A call that may have been carried out would count as refused. */
   @Test
   void responseWithInvalidStatusIsNoAnswer() throws Exception {
-    try (var server =
-        new EndlessUpstream(
-            target -> Reply.complete("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"))) {
+    assertMalformed("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  /** A grant would count as confirmed, or the handover of a release would be another one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"X-A : x", "X\tA: x", "X-Handover : h", "X\u0000A: x", "X-A"})
+  void responseWithInvalidFieldNameIsNoAnswer(String line) throws Exception {
+    assertMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  private void assertMalformed(String response) throws Exception {
+    try (var server = new EndlessUpstream(target -> Reply.complete(response))) {
       assertThat(call(server, "/a", MAX_WAIT)).isInstanceOf(CallResult.Unanswered.class);
       awaitLogged("event=2007");
     }
--- a/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
+++ b/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
@@ -8,11 +8,13 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.List;
 
 /**
  * Decodes responses; a response to HEAD has no body regardless of its content length. Bytes that
- * begin like a response but have a status code outside 100 to 599 are malformed.
+ * begin like a response are malformed if the status code is outside 100 to 599, or if the name of a
+ * field in the head or behind the last chunk is not a token that a colon follows.
  *
  * <p>A response without a length is complete only if the server has ended its output. A connection
  * that is reset, or closed on this side, may have cut it. Netty reports a reset as an exception if
@@ -21,6 +23,7 @@
 public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
+  private static final byte NAME_END = ':';
 
   private boolean headOnly;
   private boolean failed;
@@ -88,6 +91,18 @@
     return message;
   }
 
+  /**
+   * Returns the name of a field. The superclass looks for bytes that no token may have, but ends
+   * the name at a blank and ignores what stands between the blank and the colon.
+   */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    if (line[start + length] != NAME_END) {
+      throw new IllegalArgumentException("blank in the name of a header field");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
   @Override
   public boolean isContentAlwaysEmpty(HttpMessage message) {
     return headOnly || super.isContentAlwaysEmpty(message);
--- a/catkinlift-http/src/test/java/org/catkinlift/http/ResponseDecoderTest.java
+++ b/catkinlift-http/src/test/java/org/catkinlift/http/ResponseDecoderTest.java
@@ -12,8 +12,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests which responses are complete. */
+/** Tests which responses are complete, and which are malformed. */
 final class ResponseDecoderTest {
   private static final String WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\n\r\n";
 
@@ -90,4 +92,24 @@
 
     assertThat(isComplete()).isFalse();
   }
+
+  /** The decoder of Netty ends a name at a blank and ignores the rest of it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"X-A : x", "X-A\t: x", "X A: x", "X\tA: x", "X-A ", " X-A: x", "X-A"})
+  void fieldWithBlankInNameIsMalformed(String line) {
+    receive("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(channel.<HttpObject>readInbound().decoderResult().isFailure()).isTrue();
+  }
+
+  /** A field must not be taken for malformed because it arrives in parts. */
+  @Test
+  void fieldThatArrivesByteByByteIsValid() {
+    for (char c : "HTTP/1.1 200 OK\r\nX-A: x\r\n y\r\nContent-Length: 0\r\n\r\n".toCharArray()) {
+      receive(String.valueOf(c));
+    }
+
+    assertThat(channel.<HttpResponse>readInbound().headers().get("X-A")).isEqualTo("x y");
+    assertThat(isComplete()).isTrue();
+  }
 }
