Reject responses whose status is not three digits

Cause: the decoder reads any number for a status, and the check of its range saw the number only. Change: ResponseDecoder, which both daemons use, checks the length of the status, too. Result, on x86-64: before, InvalidStatusTest failed in 3 of 7 new cases and ResponseDecoderTest in 2 of 9; all pass now. 000 and the other statuses outside 100 to 599 were rejected before, for orders, lookups, calls, and by catkinliftd; their tests stay.

--- a/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InvalidStatusTest.java
+++ b/catkinlift-gateway/src/test/java/org/catkinlift/gateway/InvalidStatusTest.java
@@ -19,7 +19,8 @@
 
   /** Callers would get the status as if it were the answer, or take the request for not run. */
   @ParameterizedTest
-  @ValueSource(strings = {"000", "001", "099", "600", "999"})
+  @ValueSource(
+      strings = {"000", "001", "099", "600", "999", "0", "20", "0200", "+200", "2000", "200\u0000"})
   void nonIdempotentRequestEndsWithUnknownOutcome(String status) throws Exception {
     try (var upstream = upstreamThatAnswersOnceWith(status, "")) {
       fixture.serve(
@@ -37,7 +38,7 @@
 
   /** An order that was executed would be reported as not executed, or be sent again. */
   @ParameterizedTest
-  @ValueSource(strings = {"000", "600"})
+  @ValueSource(strings = {"000", "600", "0503"})
   void statusIsNoRefusalEvenIfMarkedAsNotExecuted(String status) throws Exception {
     try (var upstream = upstreamThatAnswersOnceWith(status, "\r\nX-Not-Executed: 1")) {
       fixture.serve(
--- a/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
+++ b/catkinlift-http/src/main/java/org/catkinlift/http/ResponseDecoder.java
@@ -13,8 +13,8 @@
 
 /**
  * Decodes responses; a response to HEAD has no body regardless of its content length. Bytes that
- * begin like a response are malformed if the status code is outside 100 to 599, or if the name of a
- * field in the head or behind the last chunk is not a token that a colon follows.
+ * begin like a response are malformed if the status code is not three digits from 100 to 599, or if
+ * the name of a field in the head or behind the last chunk is not a token that a colon follows.
  *
  * <p>A response without a length is complete only if the server has ended its output. A connection
  * that is reset, or closed on this side, may have cut it. Netty reports a reset as an exception if
@@ -23,6 +23,7 @@
 public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MIN_STATUS = 100;
   private static final int MAX_STATUS = 599;
+  private static final int STATUS_DIGITS = 3;
   private static final byte NAME_END = ':';
 
   private boolean headOnly;
@@ -85,8 +86,9 @@
   protected HttpMessage createMessage(String[] initialLine) {
     HttpMessage message = super.createMessage(initialLine);
     int status = ((HttpResponse) message).status().code();
-    if (status < MIN_STATUS || status > MAX_STATUS) {
-      throw new IllegalArgumentException("status code out of range: " + status);
+    // The superclass takes any number for a status, also one with a sign or leading zeros.
+    if (status < MIN_STATUS || status > MAX_STATUS || initialLine[1].length() != STATUS_DIGITS) {
+      throw new IllegalArgumentException("invalid status code: " + initialLine[1]);
     }
     return message;
   }
--- a/catkinlift-http/src/test/java/org/catkinlift/http/ResponseDecoderTest.java
+++ b/catkinlift-http/src/test/java/org/catkinlift/http/ResponseDecoderTest.java
@@ -93,6 +93,15 @@
     assertThat(isComplete()).isFalse();
   }
 
+  /** The decoder of Netty takes any number for a status. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "20", "0200", "+200", "-200", "2 00", "2x0"})
+  void statusThatIsNotThreeDigitsInRangeIsMalformed(String status) {
+    receive("HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(channel.<HttpObject>readInbound().decoderResult().isFailure()).isTrue();
+  }
+
   /** The decoder of Netty ends a name at a blank and ignores the rest of it. */
   @ParameterizedTest
   @ValueSource(strings = {"X-A : x", "X-A\t: x", "X A: x", "X\tA: x", "X-A ", " X-A: x", "X-A"})
