--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/EndlessUpstream.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/upstream/EndlessUpstream.java
@@ -5,19 +5,16 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.catkinlift.model.NetworkAddress;
-import org.catkinlift.standin.FreePorts;
 
 /**
  * An upstream that replies to a request with bytes that do not end before the connection is closed.
@@ -26,11 +23,9 @@
   /** A client that reads as many bytes of one reply is taken for one that never stops. */
   public static final long MAX_SENT_BYTES = 400L << 20;
 
-  private static final int CONNECTION_BACKLOG = 50;
   private static final int BLOCK_BYTES = 16 << 10;
 
-  private final NetworkAddress address = FreePorts.findOne("127.0.0.1");
-  private final ServerSocket server;
+  private final SocketServer server;
   private final Function<String, Reply> script;
   private final AtomicInteger requests = new AtomicInteger();
   private final AtomicLong sentBytes = new AtomicLong();
@@ -66,19 +61,12 @@
   public EndlessUpstream(Function<String, Reply> script) throws IOException {
     this.script = script;
     this.server =
-        new ServerSocket(address.port(), CONNECTION_BACKLOG, InetAddress.getByName(address.ip()));
-    start(this::accept);
-  }
-
-  private static void start(Runnable task) {
-    var thread = new Thread(task, "endless-upstream");
-    thread.setDaemon(true);
-    thread.start();
+        new SocketServer("endless-upstream", SocketServer.SYSTEM_BUFFER_SIZE, this::serve);
   }
 
   /** Returns the address of the upstream. */
   public NetworkAddress address() {
-    return address;
+    return server.address();
   }
 
   /** Returns the number of requests received. */
@@ -107,29 +95,18 @@
     return firstClosed.await(limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void accept() {
-    try {
-      while (true) {
-        Socket socket = server.accept();
-        openConnections.incrementAndGet();
-        start(() -> serve(socket));
-      }
-    } catch (IOException e) {
-      // The test has closed the server socket.
-      firstClosed.countDown();
-    }
-  }
-
   private void serve(Socket socket) {
+    openConnections.incrementAndGet();
     try (socket) {
       var in =
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      String request = readRequest(in);
-      while (!request.isEmpty()) {
+      Optional<RequestHead> request = RequestHead.read(in);
+      while (request.isPresent()) {
+        discard(in, request.get().contentLength());
         requests.incrementAndGet();
-        send(script.apply(request), socket.getOutputStream());
-        request = readRequest(in);
+        send(script.apply(request.get().id()), socket.getOutputStream());
+        request = RequestHead.read(in);
       }
     } catch (IOException e) {
       // The client has reset the connection.
@@ -139,25 +116,10 @@
     firstClosed.countDown();
   }
 
-  /** Reads a request with its body; returns its id or else its target, empty at the end. */
-  private static String readRequest(BufferedReader in) throws IOException {
-    String line = in.readLine();
-    String id = line == null ? "" : line.split(" ", -1)[1];
-    int length = 0;
-    while (line != null && !line.isEmpty()) {
-      String lower = line.toLowerCase(Locale.ROOT);
-      if (lower.startsWith("x-request-id:")) {
-        id = line.substring(line.indexOf(':') + 1).trim();
-      }
-      if (lower.startsWith("content-length:")) {
-        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
-      }
-      line = in.readLine();
-    }
+  private static void discard(BufferedReader in, int length) throws IOException {
     for (int i = 0; i < length; i++) {
       in.read();
     }
-    return id;
   }
 
   private void send(Reply reply, OutputStream out) throws IOException {
@@ -196,6 +158,7 @@
   @Override
   public void close() throws IOException {
     stopped.countDown();
+    firstClosed.countDown();
     server.close();
   }
 }
