Keep the port blocks of a test process reserved

A socket that is no longer referenced is closed by the garbage collector, after which another module's test process could reserve the same block. Change: FreePorts keeps the sockets. Result: FreePortsTest.blockStaysReservedAfterGarbageCollection failed before (the port could be taken after the first collection) and passes now.

--- a/catkinlift-standin/src/main/java/org/catkinlift/standin/FreePorts.java
+++ b/catkinlift-standin/src/main/java/org/catkinlift/standin/FreePorts.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
 import org.catkinlift.model.NetworkAddress;
@@ -19,13 +21,17 @@
 public final class FreePorts {
   private static final int FIRST_PORT = 20_000;
   private static final int END_PORT = 32_000;
-  private static final int BLOCK_SIZE = 50;
+  static final int BLOCK_SIZE = 50;
   private static final int BLOCKS = (END_PORT - FIRST_PORT) / BLOCK_SIZE;
   private static final int BACKLOG = 1;
 
   private static final FreePorts SHARED = new FreePorts(new SplittableRandom());
 
   private final SplittableRandom random;
+
+  /** Referenced because a socket that is garbage collected is closed. */
+  private final List<ServerSocket> reservations = new ArrayList<>();
+
   private int next;
   private int blockEnd;
 
@@ -80,10 +86,9 @@
   }
 
   /** Tries to listen on a port until the process exits. */
-  @SuppressWarnings("resource")
-  private static boolean reserve(String ip, int port) {
+  private boolean reserve(String ip, int port) {
     try {
-      listen(ip, port);
+      reservations.add(listen(ip, port));
       return true;
     } catch (IOException e) {
       // Another process has reserved the block.
--- a/catkinlift-standin/src/test/java/org/catkinlift/standin/FreePortsTest.java
+++ b/catkinlift-standin/src/test/java/org/catkinlift/standin/FreePortsTest.java
@@ -1,8 +1,10 @@
 package org.catkinlift.standin;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.HashSet;
@@ -20,6 +22,11 @@
   /** The kernel's default for the first ephemeral port. */
   private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
+  private static final int GARBAGE_COLLECTIONS = 5;
+
+  /** Leaves time to close the sockets that are no longer referenced. */
+  private static final long CLEANER_MILLIS = 50;
+
   @Test
   void neverReturnsAnAddressTwice() {
     Set<NetworkAddress> seen = new HashSet<>();
@@ -46,4 +53,18 @@
       assertThat(FreePorts.findOne(LOOPBACK).port()).isNotEqualTo(listener.getLocalPort());
     }
   }
+
+  /** Another test process would reserve the same block, and both would listen on its ports. */
+  @Test
+  void blockStaysReservedAfterGarbageCollection() throws Exception {
+    int port = FreePorts.findOne(LOOPBACK).port();
+    int first = port - port % FreePorts.BLOCK_SIZE;
+
+    for (int i = 0; i < GARBAGE_COLLECTIONS; i++) {
+      System.gc();
+      Thread.sleep(CLEANER_MILLIS);
+      assertThrows(
+          BindException.class, () -> new ServerSocket(first, 1, InetAddress.getLoopbackAddress()));
+    }
+  }
 }
